--- /dev/null
+++ b/libraries/core/log_event.hpp
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+
+namespace turmeric
+{
+
+/// Numbered log events, listed in docs/events.md. A number is never used for
+/// another meaning once released.
+enum class log_event : std::uint16_t
+{
+    // 100: life of a process.
+    process_started = 101,
+    process_stopping = 102,
+    process_stopped = 103,
+    listen_failed = 104,
+    settings_rejected = 105,
+    thread_failed = 106,
+    stop_cut_streams = 107,
+
+    // 200: requests.
+    request_finished = 201,
+    request_refused = 202,
+    request_retried = 203,
+    stream_resumed = 204,
+    stream_parked = 205,
+    caller_gone = 206,
+
+    // 300: budgets and billing.
+    grant_changed = 301,
+    bill_committed = 302,
+    bill_duplicate = 303,
+    commit_failed = 304,
+    commit_resolved = 305,
+    grant_closed = 306,
+    incarnation_fenced = 307,
+    claim_resolved = 308,
+
+    // 400: upstreams and moves.
+    upstream_ejected = 401,
+    upstream_returned = 402,
+    upstream_leaving = 403,
+    move_stepped = 404,
+    move_cut = 405,
+    move_taken_back = 406,
+    move_finished = 407,
+    order_sent = 408,
+    order_refused = 409,
+
+    // 500: the platform.
+    platform_call_failed = 501,
+    platform_recovered = 502,
+    lease_acquired = 503,
+    lease_lost = 504,
+    watch_replaced = 505,
+
+    // 600: configuration and operators.
+    configuration_in_force = 601,
+    configuration_rejected = 602,
+    operator_call = 603,
+
+    // 700: peers and membership.
+    peer_connected = 701,
+    peer_lost = 702,
+    member_joined = 703,
+    member_left = 704,
+};
+
+/// Returns the event's name, such as "process_started". Thread safe.
+[[nodiscard]] std::string_view name_of(log_event event);
+
+} // namespace turmeric
--- /dev/null
+++ b/libraries/core/result.hpp
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "libraries/core/error.hpp"
+
+#include <cassert>
+#include <utility>
+#include <variant>
+
+namespace turmeric
+{
+
+/// Either a value or an `error`. Not thread safe; a value type.
+template <class Value>
+class [[nodiscard]] result
+{
+public:
+    /// Makes a success. No precondition.
+    result(Value value)
+        : m_state(std::in_place_index<0>, std::move(value))
+    {
+    }
+
+    /// Makes a failure. No precondition.
+    result(error failure)
+        : m_state(std::in_place_index<1>, std::move(failure))
+    {
+    }
+
+    /// Tells whether there is a value. No precondition.
+    [[nodiscard]] bool has_value() const
+    {
+        return m_state.index() == 0;
+    }
+
+    explicit operator bool() const
+    {
+        return has_value();
+    }
+
+    /// Returns the value. Precondition: `has_value()`.
+    [[nodiscard]] Value& value()
+    {
+        assert(has_value());
+        return std::get<0>(m_state);
+    }
+
+    /// Returns the value. Precondition: `has_value()`.
+    [[nodiscard]] const Value& value() const
+    {
+        assert(has_value());
+        return std::get<0>(m_state);
+    }
+
+    /// Returns the failure. Precondition: `!has_value()`.
+    [[nodiscard]] const turmeric::error& failure() const
+    {
+        assert(!has_value());
+        return std::get<1>(m_state);
+    }
+
+private:
+    std::variant<Value, turmeric::error> m_state;
+};
+
+/// The value of an operation that yields nothing but success or failure.
+using status = result<std::monostate>;
+
+/// Returns a success without a value. Thread safe.
+inline status success()
+{
+    return status(std::monostate{});
+}
+
+} // namespace turmeric
--- /dev/null
+++ b/meta/build.sh
@@ -0,0 +1,12 @@
+#!/usr/bin/env bash
+# Builds everything: meta/build.sh [FOLDER [SANITIZERS [TARGET...]]].
+# TURMERIC_JOBS bounds the parallel jobs.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+folder=${1:-build}
+sanitizers=${2:-}
+shift $(($# < 2 ? $# : 2))
+jobs=${TURMERIC_JOBS:-$(nproc)}
+cmake -S . -B "$folder" -G Ninja -DTURMERIC_SANITIZE="$sanitizers" \
+    --log-level=WARNING >/dev/null
+cmake --build "$folder" -j "$jobs" ${1:+--target "$@"}
--- /dev/null
+++ b/meta/check_sources.py
@@ -0,0 +1,64 @@
+#!/usr/bin/env python3
+"""Checks what the compiler does not: layering, catalogues, forbidden calls."""
+import pathlib
+import re
+import sys
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+FORBIDDEN_IN_DOMAIN = re.compile(
+    r'#include\s*[<"](libraries/adapters|httplib|nghttp2|thread|mutex|fstream'
+    r'|sys/|netinet|google|unistd)')
+FORBIDDEN_CALLS = re.compile(
+    r'(^|[^_a-z:.>])(fork|vfork|posix_spawn|system|popen|shm_open'
+    r'|io_uring_setup)\(')
+FORBIDDEN_NOTICES = re.compile(r'Copyright|SPDX|TODO|FIXME')
+
+
+def sources():
+    for folder in ('libraries', 'services', 'utilities', 'standins', 'bench'):
+        for path in (ROOT / folder).rglob('*.[ch]pp'):
+            yield path
+
+
+def check_layers():
+    for path in sources():
+        relative = path.relative_to(ROOT).as_posix()
+        for number, line in enumerate(path.read_text().splitlines(), 1):
+            place = f'{relative}:{number}'
+            is_inner = relative.startswith(
+                ('libraries/domain/', 'libraries/ports/', 'libraries/core/'))
+            if is_inner and FORBIDDEN_IN_DOMAIN.search(line):
+                yield f'{place}: the inner layers include no adapter'
+            if FORBIDDEN_CALLS.search(line):
+                yield f'{place}: a call that the project does not use'
+            if FORBIDDEN_NOTICES.search(line):
+                yield f'{place}: a notice or a left-over'
+
+
+def check_catalogue(header, page):
+    declared = dict(re.findall(r'^\s+(\w+) = (\d+),',
+                               (ROOT / header).read_text(), re.M))
+    table = (ROOT / header.replace('.hpp', '.cpp')).read_text()
+    listed = dict((name, number) for number, name in re.findall(
+        r'^\| (\d+) \| `(\w+)`', (ROOT / page).read_text(), re.M))
+    for name, number in declared.items():
+        if listed.get(name) != number:
+            yield f'{page}: {number} {name} is missing or numbered otherwise'
+        if f'"{name}"' not in table:
+            yield f'{header}: {name} has no row in its name table'
+    for name in listed.keys() - declared.keys():
+        yield f'{page}: {name} is not declared in {header}'
+
+
+def main():
+    faults = list(check_layers())
+    faults += check_catalogue('libraries/core/result_code.hpp',
+                              'docs/result-codes.md')
+    faults += check_catalogue('libraries/core/log_event.hpp',
+                              'docs/events.md')
+    for fault in faults:
+        print(fault)
+    return 1 if faults else 0
+
+
+sys.exit(main())
--- /dev/null
+++ b/meta/format.sh
@@ -0,0 +1,8 @@
+#!/usr/bin/env bash
+# Formats the sources, or with --check only reports what is not formatted.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+mode=(-i)
+[ "${1:-}" = --check ] && mode=(--dry-run -Werror)
+git ls-files -co --exclude-standard '*.cpp' '*.hpp' |
+    grep -v '^schema/generated/' | xargs -r -P 8 -n 16 clang-format "${mode[@]}"
