--- a/meta/check_sources.py
+++ b/meta/check_sources.py
@@ -8,6 +8,8 @@
 FORBIDDEN_IN_DOMAIN = re.compile(
     r'#include\s*[<"](libraries/adapters|httplib|nghttp2|thread|mutex|fstream'
     r'|sys/|netinet|google|unistd)')
+FORBIDDEN_IN_MIDDLE = re.compile(
+    r'#include\s*[<"](libraries/adapters|httplib|nghttp2|sys/|netinet|google)')
 FORBIDDEN_CALLS = re.compile(
     r'(^|[^_a-z:.>])(fork|vfork|posix_spawn|system|popen|shm_open'
     r'|io_uring_setup)\(')
@@ -29,6 +31,10 @@
                 ('libraries/domain/', 'libraries/ports/', 'libraries/core/'))
             if is_inner and FORBIDDEN_IN_DOMAIN.search(line):
                 yield f'{place}: the inner layers include no adapter'
+            is_middle = relative.startswith(
+                ('libraries/codecs/', 'libraries/drivers/'))
+            if is_middle and FORBIDDEN_IN_MIDDLE.search(line):
+                yield f'{place}: codecs and drivers include no adapter'
             if FORBIDDEN_CALLS.search(line):
                 yield f'{place}: a call that the project does not use'
             if FORBIDDEN_NOTICES.search(line):
