Configuration: Add validation, merge, parts, replica and follower

Parts are named by a 128-bit xxHash digest.

JSON forms come from one table of member pointers per declared type, which serves reading, writing and the check for unknown fields.

--- /dev/null
+++ b/libraries/codecs/configuration/object_codec.hpp
@@ -0,0 +1,137 @@
+#pragma once
+
+#include "libraries/codecs/configuration/fields.hpp"
+
+#include <string>
+#include <tuple>
+#include <type_traits>
+#include <utility>
+#include <vector>
+
+namespace turmeric::codecs
+{
+
+/// The declared types, which have a list of fields.
+template <class Type>
+concept declared_type =
+    (std::tuple_size_v<std::remove_cvref_t<decltype(fields_of<Type>)>> > 0);
+
+template <declared_type Type>
+json encode_value(const Type& object);
+template <declared_type Type>
+status decode_value(const json& from, const json_place& place, Type& into);
+
+/// Writes a list. Thread safe.
+template <class Element>
+json encode_value(const std::vector<Element>& list)
+{
+    json encoded = json::array();
+    for (const Element& element : list)
+    {
+        encoded.push_back(encode_value(element));
+    }
+    return encoded;
+}
+
+/// Reads a list; the path of an element ends in its index. Thread safe.
+template <class Element>
+status decode_value(const json& from, const json_place& place,
+                    std::vector<Element>& into)
+{
+    if (!from.is_array())
+    {
+        return unexpected(place, "expected an array");
+    }
+    into.clear();
+    for (const json& element : from)
+    {
+        const json_place inner{
+            place.code, place.path + '[' + std::to_string(into.size()) + ']'};
+        Element decoded{};
+        status read = decode_value(element, inner, decoded);
+        if (!read)
+        {
+            return read;
+        }
+        into.push_back(std::move(decoded));
+    }
+    return success();
+}
+
+/// Writes an object with all of its fields. Thread safe.
+template <declared_type Type>
+json encode_value(const Type& object)
+{
+    json encoded = json::object();
+    std::apply(
+        [&](const auto&... fields)
+        {
+            ((encoded[std::string(fields.name)] =
+                  encode_value(object.*fields.member)),
+             ...);
+        },
+        fields_of<Type>);
+    return encoded;
+}
+
+/// Returns `place` extended by a field's name. Thread safe.
+[[nodiscard]] json_place inner_place(const json_place& place,
+                                     std::string_view name);
+
+/// Reads one field of an object. Thread safe.
+template <class Owner, class Member>
+status decode_field(const json& from, const json_place& place,
+                    const field<Owner, Member>& read, Owner& into)
+{
+    const json_place inner = inner_place(place, read.name);
+    auto found = from.find(std::string(read.name));
+    if (found != from.end())
+    {
+        return decode_value(*found, inner, into.*read.member);
+    }
+    if (read.need == presence::required)
+    {
+        return unexpected(inner, "expected the field, which is missing");
+    }
+    return success();
+}
+
+/// Tells whether the type has a field of that name. Thread safe.
+template <declared_type Type>
+bool has_field(std::string_view name)
+{
+    return std::apply([name](const auto&... fields)
+                      { return ((fields.name == name) || ...); },
+                      fields_of<Type>);
+}
+
+/// Reads an object; fields that are left out keep their defaults, unknown
+/// ones are errors. Thread safe.
+template <declared_type Type>
+status decode_value(const json& from, const json_place& place, Type& into)
+{
+    if (!from.is_object())
+    {
+        return unexpected(place, "expected an object");
+    }
+    for (const auto& [name, value] : from.items())
+    {
+        if (!has_field<Type>(name))
+        {
+            return unexpected(inner_place(place, name),
+                              "expected a known field; this one is not");
+        }
+    }
+    status read = success();
+    std::apply(
+        [&](const auto&... fields)
+        {
+            (void)((read = decode_field(from, place, fields, into),
+                    read.has_value()) &&
+                   ...);
+        },
+        fields_of<Type>);
+    return read;
+}
+
+} // namespace turmeric::codecs
--- /dev/null
+++ b/libraries/codecs/configuration/peer_exchange.cpp
@@ -0,0 +1,147 @@
+#include "libraries/codecs/configuration/peer_exchange.hpp"
+
+#include "libraries/codecs/common/json_reader.hpp"
+#include "libraries/codecs/configuration/configuration_codec.hpp"
+#include "libraries/codecs/configuration/object_codec.hpp"
+
+namespace turmeric::codecs
+{
+
+namespace
+{
+
+constexpr const char* place_name = "configuration";
+
+result<json> parse_object(std::string_view text)
+{
+    result<json> parsed =
+        parse_json(text, result_code::peer_protocol, place_name);
+    if (parsed && !parsed.value().is_object())
+    {
+        return error{result_code::peer_protocol, place_name,
+                     "expected an object"};
+    }
+    return parsed;
+}
+
+template <class Member>
+status read_member(const json& from, const char* name, Member& into)
+{
+    const json_place place{result_code::peer_protocol,
+                           std::string(place_name) + '.' + name};
+    return decode_value(from.value(name, json()), place, into);
+}
+
+std::vector<std::string> wanted_digests(const configuration_request& request,
+                                        const domain::configuration_head& head)
+{
+    std::vector<std::string> wanted = request.wanted_parts;
+    if (wanted.empty() && request.version < head.version)
+    {
+        for (const auto& [name, digest] : head.parts)
+        {
+            wanted.push_back(digest);
+        }
+    }
+    return wanted;
+}
+
+} // namespace
+
+std::string encode_request(const configuration_request& request)
+{
+    const json encoded = {{"version", request.version},
+                          {"wanted_parts", request.wanted_parts}};
+    return encoded.dump();
+}
+
+result<configuration_request> decode_request(std::string_view text)
+{
+    result<json> parsed = parse_object(text);
+    if (!parsed)
+    {
+        return parsed.failure();
+    }
+    configuration_request request;
+    status read = read_member(parsed.value(), "version", request.version);
+    read =
+        read ? read_member(parsed.value(), "wanted_parts", request.wanted_parts)
+             : read;
+    if (!read)
+    {
+        return read.failure();
+    }
+    return request;
+}
+
+std::string encode_answer(const configuration_answer& answer)
+{
+    json encoded = {{"parts", answer.parts}};
+    if (answer.head)
+    {
+        encoded["head"] = encode_head(*answer.head);
+    }
+    return encoded.dump();
+}
+
+result<configuration_answer> decode_answer(std::string_view text)
+{
+    result<json> parsed = parse_object(text);
+    if (!parsed)
+    {
+        return parsed.failure();
+    }
+    configuration_answer answer;
+    status read = read_member(parsed.value(), "parts", answer.parts);
+    if (!read)
+    {
+        return read.failure();
+    }
+    if (!parsed.value().contains("head"))
+    {
+        return answer;
+    }
+    std::string head_text;
+    read = read_member(parsed.value(), "head", head_text);
+    if (!read)
+    {
+        return read.failure();
+    }
+    result<domain::configuration_head> head = decode_head(head_text);
+    if (!head)
+    {
+        return error{result_code::peer_protocol, head.failure().field,
+                     head.failure().detail};
+    }
+    answer.head = std::move(head.value());
+    return answer;
+}
+
+configuration_answer answer_request(const configuration_request& request,
+                                    const domain::configuration_head& head,
+                                    const domain::part_texts& parts)
+{
+    configuration_answer answer;
+    if (request.version < head.version)
+    {
+        answer.head = head;
+    }
+    std::size_t bytes = 0;
+    for (const std::string& digest : wanted_digests(request, head))
+    {
+        auto found = parts.find(digest);
+        if (found == parts.end())
+        {
+            continue;
+        }
+        bytes += found->second.size();
+        if (bytes > max_exchange_bytes && !answer.parts.empty())
+        {
+            break;
+        }
+        answer.parts.push_back(found->second);
+    }
+    return answer;
+}
+
+} // namespace turmeric::codecs
--- a/libraries/domain/configuration/declarations.hpp
+++ b/libraries/domain/configuration/declarations.hpp
@@ -45,6 +45,8 @@
     std::string name;
     /// The routes that it pays for; empty means all.
     std::vector<std::string> routes;
+
+    bool operator==(const budget_declaration&) const = default;
 };
 
 /// A client account.
@@ -58,6 +60,8 @@
     std::int32_t weight = 1;
     /// Passed to engines; a smaller number is served sooner.
     std::int32_t priority = 0;
+
+    bool operator==(const account_declaration&) const = default;
 };
 
 /// A share of a route's traffic.
@@ -66,6 +70,8 @@
     std::string version;
     /// Parts in a million; the shares of a route add up to a million.
     std::int32_t parts_per_million = 0;
+
+    bool operator==(const version_share&) const = default;
 };
 
 /// What a route promises; read by the report on service-level burn.
@@ -77,6 +83,8 @@
     std::chrono::milliseconds token_gap{40};
     /// Share of requests within the two latencies.
     double latency_share = 0.95;
+
+    bool operator==(const objective_declaration&) const = default;
 };
 
 /// A route that callers name as their model, or a plain service.
@@ -93,6 +101,8 @@
     tokens max_tokens = 4096;
     std::chrono::milliseconds idle_timeout{10'000};
     objective_declaration objective;
+
+    bool operator==(const route_declaration&) const = default;
 };
 
 /// A process that answers requests.
@@ -109,6 +119,8 @@
     upstream_state state = upstream_state::serving;
     /// Whether it refuses an order with an old fencing number.
     bool has_fencing = true;
+
+    bool operator==(const upstream_declaration&) const = default;
 };
 
 /// A declared move of a route's traffic to another version.
@@ -123,6 +135,18 @@
     std::vector<std::int32_t> steps{10'000, 50'000, 250'000, 1'000'000};
     /// How long the old version stays warm after the last step.
     std::chrono::seconds soak{60};
+
+    bool operator==(const move_declaration&) const = default;
+};
+
+/// A VM that operators take out of service; the routers on it leave.
+struct vm_declaration
+{
+    /// The VM's name in the platform's list.
+    std::string name;
+    upstream_state state = upstream_state::leaving;
+
+    bool operator==(const vm_declaration&) const = default;
 };
 
 /// Everything that operators declare, in force as a whole.
@@ -134,6 +158,9 @@
     std::vector<route_declaration> routes;
     std::vector<upstream_declaration> upstreams;
     std::vector<move_declaration> moves;
+    std::vector<vm_declaration> vms;
+
+    bool operator==(const configuration&) const = default;
 };
 
 } // namespace turmeric::domain
--- /dev/null
+++ b/libraries/domain/configuration/merge.cpp
@@ -0,0 +1,88 @@
+#include "libraries/domain/configuration/merge.hpp"
+
+#include <array>
+#include <map>
+
+namespace turmeric::domain
+{
+
+namespace
+{
+
+template <class Declaration>
+bool is_same(const Declaration* left, const Declaration* right)
+{
+    if (left == nullptr || right == nullptr)
+    {
+        return left == right;
+    }
+    return *left == *right;
+}
+
+template <class Declaration>
+class list_merge
+{
+public:
+    explicit list_merge(const object_list<Declaration>& objects)
+        : m_objects(objects)
+    {
+    }
+
+    void add_side(const configuration& owner, std::size_t side)
+    {
+        for (const Declaration& object : owner.*m_objects.list)
+        {
+            m_sides[object.*m_objects.name].objects[side] = &object;
+        }
+    }
+
+    void merge_into(merge_result& merged) const
+    {
+        for (const auto& [name, sides] : m_sides)
+        {
+            const auto [base, current, wanted] = sides.objects;
+            const bool wants_change = !is_same(base, wanted);
+            const bool is_conflict = wants_change && !is_same(base, current) &&
+                                     !is_same(current, wanted);
+            if (is_conflict)
+            {
+                merged.conflicts.push_back({m_objects.kind, name});
+            }
+            const Declaration* chosen = wants_change ? wanted : current;
+            if (chosen != nullptr)
+            {
+                (merged.merged.*m_objects.list).push_back(*chosen);
+            }
+        }
+    }
+
+private:
+    struct sides_of_object
+    {
+        std::array<const Declaration*, 3> objects{};
+    };
+
+    object_list<Declaration> m_objects;
+    std::map<std::string, sides_of_object> m_sides;
+};
+
+} // namespace
+
+merge_result merge(const configuration& base, const configuration& current,
+                   const configuration& wanted)
+{
+    merge_result merged;
+    merged.merged.version = current.version;
+    visit_object_lists(
+        [&](const auto& objects)
+        {
+            list_merge lists(objects);
+            lists.add_side(base, 0);
+            lists.add_side(current, 1);
+            lists.add_side(wanted, 2);
+            lists.merge_into(merged);
+        });
+    return merged;
+}
+
+} // namespace turmeric::domain
--- /dev/null
+++ b/libraries/drivers/configuration/live_moves.cpp
@@ -0,0 +1,88 @@
+#include "libraries/drivers/configuration/live_moves.hpp"
+
+#include "libraries/drivers/configuration/configuration_keys.hpp"
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+namespace turmeric::drivers
+{
+
+namespace
+{
+
+std::optional<std::string> route_of(const std::string& key)
+{
+    if (!key.starts_with(live_moves_prefix))
+    {
+        return std::nullopt;
+    }
+    return key.substr(live_moves_prefix.size());
+}
+
+} // namespace
+
+bool live_moves::take_list(const ports::key_range& range)
+{
+    if (range.store_revision < m_store_revision)
+    {
+        return false;
+    }
+    m_store_revision = range.store_revision;
+    live_move_map listed;
+    for (const ports::key_value& entry : range.entries)
+    {
+        const std::optional<std::string> route = route_of(entry.key);
+        if (route)
+        {
+            listed[*route] = {entry.value, entry.modified};
+        }
+    }
+    if (listed == *m_moves)
+    {
+        return false;
+    }
+    m_moves = std::make_shared<const live_move_map>(std::move(listed));
+    return true;
+}
+
+bool live_moves::take_events(const ports::watch_batch& batch)
+{
+    live_move_map changed = *m_moves;
+    for (const ports::key_event& event : batch.events)
+    {
+        const std::optional<std::string> route = route_of(event.entry.key);
+        if (!route || event.entry.modified <= m_store_revision)
+        {
+            continue;
+        }
+        if (event.is_deleted)
+        {
+            changed.erase(*route);
+        }
+        else
+        {
+            changed[*route] = {event.entry.value, event.entry.modified};
+        }
+    }
+    m_store_revision = std::max(m_store_revision, batch.store_revision);
+    if (changed == *m_moves)
+    {
+        return false;
+    }
+    m_moves = std::make_shared<const live_move_map>(std::move(changed));
+    return true;
+}
+
+std::shared_ptr<const live_move_map> live_moves::current() const
+{
+    return m_moves;
+}
+
+ports::revision live_moves::store_revision() const
+{
+    return m_store_revision;
+}
+
+} // namespace turmeric::drivers
