--- /dev/null
+++ b/libraries/adapters/httplib/http_upstream_caller.cpp
@@ -0,0 +1,151 @@
+#include "libraries/adapters/httplib/http_upstream_caller.hpp"
+
+#include <fmt/format.h>
+#include <httplib.h>
+#include <map>
+#include <mutex>
+#include <vector>
+
+namespace turmeric::adapters
+{
+
+namespace
+{
+
+using client_pointer = std::unique_ptr<httplib::Client>;
+
+error describe(httplib::Error fault, const std::string& address)
+{
+    std::string detail =
+        fmt::format("{}: {}", address, httplib::to_string(fault));
+    switch (fault)
+    {
+    case httplib::Error::Connection:
+    case httplib::Error::ConnectionTimeout:
+    case httplib::Error::BindIPAddress:
+    case httplib::Error::SSLConnection:
+        return {result_code::upstream_failed, "upstream", detail};
+    case httplib::Error::Canceled:
+        return {result_code::caller_gone, "upstream", detail,
+                outcome::outcome_unknown};
+    default:
+        return {result_code::stream_broken, "upstream", detail,
+                outcome::outcome_unknown};
+    }
+}
+
+ports::upstream_head convert(const httplib::Response& response)
+{
+    ports::upstream_head head;
+    head.status = response.status;
+    head.content_type = response.get_header_value("Content-Type");
+    for (const std::pair<const std::string, std::string>& entry :
+         response.headers)
+    {
+        head.headers.emplace_back(entry.first, entry.second);
+    }
+    return head;
+}
+
+httplib::Request convert(const ports::upstream_request& request,
+                         const ports::upstream_sink& sink)
+{
+    httplib::Request converted;
+    converted.method = request.method;
+    converted.path = request.path;
+    for (const std::pair<std::string, std::string>& entry : request.headers)
+    {
+        converted.headers.emplace(entry.first, entry.second);
+    }
+    converted.body = request.body;
+    if (!request.content_type.empty())
+    {
+        converted.headers.emplace("Content-Type", request.content_type);
+    }
+    converted.response_handler = [&sink](const httplib::Response& response)
+    { return sink.on_head(convert(response)); };
+    converted.content_receiver = [&sink](const char* data, std::size_t size,
+                                         std::uint64_t, std::uint64_t)
+    { return sink.on_body(std::string_view(data, size)); };
+    return converted;
+}
+
+} // namespace
+
+class http_upstream_caller::idle_clients
+{
+public:
+    explicit idle_clients(std::size_t most_idle)
+        : m_most_idle(most_idle)
+    {
+    }
+
+    client_pointer take(const std::string& address)
+    {
+        std::lock_guard<std::mutex> lock(m_mutex);
+        std::vector<client_pointer>& clients = m_clients[address];
+        if (clients.empty())
+        {
+            return nullptr;
+        }
+        client_pointer client = std::move(clients.back());
+        clients.pop_back();
+        return client;
+    }
+
+    void give_back(const std::string& address, client_pointer client)
+    {
+        std::lock_guard<std::mutex> lock(m_mutex);
+        std::vector<client_pointer>& clients = m_clients[address];
+        if (clients.size() < m_most_idle)
+        {
+            clients.push_back(std::move(client));
+        }
+    }
+
+private:
+    const std::size_t m_most_idle;
+    std::mutex m_mutex;
+    std::map<std::string, std::vector<client_pointer>> m_clients;
+};
+
+http_upstream_caller::http_upstream_caller(
+    std::chrono::milliseconds connect_timeout, std::size_t most_idle)
+    : m_connect_timeout(connect_timeout)
+    , m_idle(std::make_unique<idle_clients>(most_idle))
+{
+}
+
+http_upstream_caller::~http_upstream_caller() = default;
+
+result<ports::upstream_end>
+http_upstream_caller::send(const std::string& address,
+                           const ports::upstream_request& request,
+                           const ports::upstream_sink& sink)
+{
+    // An idle connection may be closed by its other end just as a request is
+    // written to it, which leaves the outcome unknown.
+    client_pointer client =
+        request.needs_new_connection ? nullptr : m_idle->take(address);
+    if (client == nullptr)
+    {
+        client = std::make_unique<httplib::Client>("http://" + address);
+        client->set_keep_alive(true);
+        client->set_tcp_nodelay(true);
+        client->set_connection_timeout(m_connect_timeout);
+    }
+    client->set_read_timeout(request.idle_timeout);
+    client->set_write_timeout(request.idle_timeout);
+
+    httplib::Request converted = convert(request, sink);
+    httplib::Response response;
+    httplib::Error fault = httplib::Error::Success;
+    if (!client->send(converted, response, fault))
+    {
+        return describe(fault, address);
+    }
+    m_idle->give_back(address, std::move(client));
+    return ports::upstream_end{response.status};
+}
+
+} // namespace turmeric::adapters
--- /dev/null
+++ b/libraries/adapters/settings/daemon_options.cpp
@@ -0,0 +1,102 @@
+#include "libraries/adapters/settings/daemon_options.hpp"
+
+#include "libraries/adapters/settings/settings_file.hpp"
+
+#include <cxxopts.hpp>
+#include <fmt/format.h>
+
+namespace turmeric::adapters
+{
+
+namespace
+{
+
+exit_code print_failure(const std::string& program, const error& failure)
+{
+    fmt::print(stderr, "{}: {} ({}): {}: {}\n", program,
+               static_cast<int>(failure.code), name_of(failure.code),
+               failure.field, failure.detail);
+    return exit_code::usage;
+}
+
+} // namespace
+
+std::variant<json, exit_code> read_daemon_options(int argc, char** argv,
+                                                  const std::string& program,
+                                                  const std::string& purpose,
+                                                  const json& schema)
+{
+    cxxopts::Options options(program, purpose);
+    options.add_options()("settings", "Settings file (JSON)",
+                          cxxopts::value<std::string>(), "FILE")(
+        "check-settings", "Check the settings file and exit")(
+        "help", "Print this help")("version", "Print the version");
+    try
+    {
+        cxxopts::ParseResult parsed = options.parse(argc, argv);
+        if (parsed.count("help") != 0)
+        {
+            fmt::print("{}", options.help());
+            return exit_code::success;
+        }
+        if (parsed.count("version") != 0)
+        {
+            fmt::print("{} {}\n", program, TURMERIC_VERSION);
+            return exit_code::success;
+        }
+        if (parsed.count("settings") == 0)
+        {
+            return print_failure(program, {result_code::bad_argument,
+                                           "--settings", "a file is needed"});
+        }
+        result<json> settings =
+            read_settings(parsed["settings"].as<std::string>(), schema);
+        if (!settings)
+        {
+            return print_failure(program, settings.failure());
+        }
+        if (parsed.count("check-settings") != 0)
+        {
+            fmt::print("{}: the settings are valid\n", program);
+            return exit_code::success;
+        }
+        return std::move(settings.value());
+    }
+    catch (const cxxopts::OptionException& fault)
+    {
+        return print_failure(
+            program, {result_code::bad_argument, "command line", fault.what()});
+    }
+}
+
+json common_settings_properties()
+{
+    return json::parse(R"({
+        "name": {"type": "string", "minLength": 1, "maxLength": 64},
+        "vm": {"type": "string", "minLength": 1},
+        "data_centre": {"type": "string", "minLength": 1},
+        "log": {
+            "type": "object",
+            "additionalProperties": false,
+            "properties": {
+                "level": {"enum": ["debug", "info", "warning", "error"]},
+                "format": {"enum": ["text", "json"]}
+            }
+        },
+        "platform": {
+            "type": "object",
+            "additionalProperties": false,
+            "required": ["key_value", "vm_list"],
+            "properties": {
+                "key_value": {
+                    "type": "array", "minItems": 1,
+                    "items": {"type": "string", "pattern": "^.+:[0-9]+$"}
+                },
+                "vm_list": {"type": "string", "pattern": "^.+:[0-9]+$"},
+                "timeout_ms": {"type": "integer", "minimum": 10}
+            }
+        }
+    })");
+}
+
+} // namespace turmeric::adapters
--- /dev/null
+++ b/libraries/drivers/threads/control_thread.hpp
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <chrono>
+#include <condition_variable>
+#include <deque>
+#include <functional>
+#include <future>
+#include <mutex>
+#include <thread>
+#include <type_traits>
+
+namespace turmeric::drivers
+{
+
+/// The one thread that owns control state. Other threads hand it jobs, which
+/// run one after another. Thread safe.
+class control_thread
+{
+public:
+    /// Starts the thread; it also runs `on_tick` every `tick`. Precondition:
+    /// `on_tick` is set and `tick` is positive.
+    control_thread(std::chrono::milliseconds tick,
+                   std::function<void()> on_tick);
+
+    control_thread(const control_thread&) = delete;
+    control_thread& operator=(const control_thread&) = delete;
+
+    /// Runs the jobs at hand and ends the thread.
+    ~control_thread();
+
+    /// Queues a job. A job given after `stop` runs on the caller's thread
+    /// once the control thread has ended. Thread safe.
+    void post(std::function<void()> job);
+
+    /// Runs `question` on the control thread and returns its answer.
+    /// Precondition: not called on the control thread. Thread safe; blocks.
+    template <class Question>
+    auto ask(Question question) -> std::invoke_result_t<Question>
+    {
+        using answer = std::invoke_result_t<Question>;
+        std::packaged_task<answer()> task(std::move(question));
+        std::future<answer> future = task.get_future();
+        post([&task] { task(); });
+        return future.get();
+    }
+
+    /// Runs the jobs at hand and ends the thread. Thread safe.
+    void stop();
+
+private:
+    void run();
+
+    const std::chrono::milliseconds m_tick;
+    const std::function<void()> m_on_tick;
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    std::deque<std::function<void()>> m_jobs;
+    bool m_is_stopping = false;
+    bool m_has_ended = false;
+    std::mutex m_stop_mutex;
+    std::mutex m_late_mutex;
+    std::thread m_thread;
+};
+
+} // namespace turmeric::drivers
--- a/libraries/ports/upstream.hpp
+++ b/libraries/ports/upstream.hpp
@@ -23,6 +23,9 @@
     std::string content_type;
     /// The longest silence allowed before and between parts of the answer.
     std::chrono::milliseconds idle_timeout{0};
+    /// Set for a call that may run at most once: a kept connection may be
+    /// closed while the request is written, with its outcome unknown.
+    bool needs_new_connection = false;
 };
 
 /// What an upstream says before its body.
