Peer: Call other processes over kept HTTP/2 streams

One thread owns all connections of a process. A connection that stays silent past its pings is dropped and its calls end with peer_unavailable, so a path that lost track of a connection is found by lack of traffic.

Seen to fail first: without check_time the silent-peer test never ends.

--- /dev/null
+++ b/libraries/adapters/nghttp2/http2_connection.hpp
@@ -0,0 +1,108 @@
+#pragma once
+
+#include "libraries/core/result.hpp"
+#include "libraries/ports/clock.hpp"
+#include "libraries/ports/peer.hpp"
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <nghttp2/nghttp2.h>
+#include <string>
+
+namespace turmeric::adapters
+{
+
+/// Which end of a connection asks.
+enum class http2_role : std::uint8_t
+{
+    client,
+    server,
+};
+
+/// Gets the answer to one call.
+using peer_reply = std::function<void(result<std::string>)>;
+
+/// One HTTP/2 connection on a non-blocking socket. Owned by one thread; not
+/// thread safe.
+class http2_connection
+{
+public:
+    /// Takes over `socket`. Precondition: it is non-blocking; `handler` is
+    /// set for a server.
+    http2_connection(int socket, http2_role role, ports::peer_handler handler,
+                     ports::steady_time now);
+
+    http2_connection(const http2_connection&) = delete;
+    http2_connection& operator=(const http2_connection&) = delete;
+
+    /// Closes the socket; open calls end with `peer_unavailable`.
+    ~http2_connection();
+
+    /// Starts a call; `reply` runs once. Precondition: the role is client.
+    void call(const ports::peer_message& message, ports::steady_time deadline,
+              peer_reply reply);
+
+    /// Reads what has come. Returns false when the connection has ended.
+    bool receive(ports::steady_time now);
+
+    /// Writes what is due. Returns false when the connection has ended.
+    bool flush();
+
+    /// Ends calls past their deadline and pings a silent peer. Returns false
+    /// when the peer has been silent for too long.
+    bool check_time(ports::steady_time now);
+
+    /// Returns the socket. No precondition.
+    [[nodiscard]] int socket() const;
+
+    /// Tells whether there is something to write. No precondition.
+    [[nodiscard]] bool wants_write() const;
+
+private:
+    struct stream
+    {
+        std::string kind;
+        std::string received;
+        std::string to_send;
+        std::size_t sent = 0;
+        int status = 0;
+        bool is_too_long = false;
+        ports::steady_time deadline;
+        peer_reply reply;
+    };
+
+    stream& stream_of(std::int32_t id);
+    void answer(std::int32_t id);
+    void finish(std::int32_t id, bool is_whole);
+    void submit_answer(std::int32_t id, int status);
+
+    static int on_header(nghttp2_session* session, const nghttp2_frame* frame,
+                         const std::uint8_t* name, std::size_t name_length,
+                         const std::uint8_t* value, std::size_t value_length,
+                         std::uint8_t flags, void* user_data);
+    static int on_data(nghttp2_session* session, std::uint8_t flags,
+                       std::int32_t id, const std::uint8_t* data,
+                       std::size_t length, void* user_data);
+    static int on_frame(nghttp2_session* session, const nghttp2_frame* frame,
+                        void* user_data);
+    static int on_close(nghttp2_session* session, std::int32_t id,
+                        std::uint32_t code, void* user_data);
+    static ssize_t read_body(nghttp2_session* session, std::int32_t id,
+                             std::uint8_t* buffer, std::size_t length,
+                             std::uint32_t* flags, nghttp2_data_source* source,
+                             void* user_data);
+
+    const int m_socket;
+    const http2_role m_role;
+    const ports::peer_handler m_handler;
+    nghttp2_session* m_session = nullptr;
+    std::map<std::int32_t, stream> m_streams;
+    std::string m_output;
+    ports::steady_time m_last_received;
+    ports::steady_time m_last_ping;
+};
+
+} // namespace turmeric::adapters
--- /dev/null
+++ b/libraries/adapters/nghttp2/peer_node.hpp
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "libraries/adapters/nghttp2/http2_connection.hpp"
+#include "libraries/ports/clock.hpp"
+#include "libraries/ports/peer.hpp"
+
+#include <atomic>
+#include <deque>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+
+namespace turmeric::adapters
+{
+
+/// Both ends of the streams between the system's processes: one thread with
+/// all connections. A connection is kept open, pinged when silent, and
+/// dropped when no traffic proves it alive. Thread safe.
+class peer_node final : public ports::peer_caller
+{
+public:
+    /// Precondition: `handler` is set and does not block, since it runs on
+    /// the node's thread; `clock` outlives this.
+    peer_node(const ports::clock& clock, ports::peer_handler handler);
+
+    peer_node(const peer_node&) = delete;
+    peer_node& operator=(const peer_node&) = delete;
+
+    /// Stops the node.
+    ~peer_node() override;
+
+    /// Listens on `host` and `port` (0: any) and starts the thread; returns
+    /// the port. Error: `settings_invalid`. Not thread safe.
+    result<int> start(const std::string& host, int port);
+
+    /// Ends all connections and the thread. Not thread safe.
+    void stop();
+
+    /// See `ports::peer_caller`. Precondition: not called by the handler.
+    /// Thread safe; blocks.
+    result<std::string> call(const std::string& address,
+                             const ports::peer_message& message,
+                             std::chrono::milliseconds timeout) override;
+
+    /// Returns the number of open connections. Thread safe.
+    [[nodiscard]] std::size_t open_connections() const;
+
+private:
+    struct pending_call
+    {
+        std::string address;
+        ports::peer_message message;
+        ports::steady_time deadline;
+        peer_reply reply;
+    };
+
+    void run();
+    void wait_for_traffic();
+    void accept_connections();
+    void start_calls();
+    void check_times();
+    http2_connection* connection_to(const std::string& address);
+
+    const ports::clock& m_clock;
+    const ports::peer_handler m_handler;
+    int m_listen_socket = -1;
+    int m_wake_read = -1;
+    int m_wake_write = -1;
+    std::atomic<bool> m_is_stopping{false};
+    std::atomic<std::size_t> m_open{0};
+    std::mutex m_mutex;
+    std::deque<pending_call> m_calls;
+    std::list<std::unique_ptr<http2_connection>> m_incoming;
+    std::map<std::string, std::unique_ptr<http2_connection>> m_outgoing;
+    std::thread m_thread;
+};
+
+} // namespace turmeric::adapters
--- a/libraries/adapters/settings/daemon_options.cpp
+++ b/libraries/adapters/settings/daemon_options.cpp
@@ -62,7 +62,7 @@
         }
         return std::move(settings.value());
     }
-    catch (const cxxopts::OptionException& fault)
+    catch (const cxxopts::exceptions::exception& fault)
     {
         return print_failure(
             program, {result_code::bad_argument, "command line", fault.what()});
