Configuration: Add the writer, leadership and the operators' schema

The head before is kept as a part and named by its successor, so a change made against an older version is merged against what it saw, and a write whose reply was lost is found in the chain of heads, or is not there.

--- a/libraries/domain/configuration/changes.cpp
+++ b/libraries/domain/configuration/changes.cpp
@@ -54,13 +54,9 @@
 
 void keep_key_digests(const configuration& base, configuration& wanted)
 {
-    const object_list<account_declaration> accounts{object_kind::account,
-                                                    &configuration::accounts,
-                                                    &account_declaration::name};
     for (account_declaration& account : wanted.accounts)
     {
-        const account_declaration* old =
-            find_object(base, accounts, account.name);
+        const account_declaration* old = find_account(base, account.name);
         if (old != nullptr && account.key_digests.empty())
         {
             account.key_digests = old->key_digests;
--- a/libraries/domain/configuration/object_lists.cpp
+++ b/libraries/domain/configuration/object_lists.cpp
@@ -12,6 +12,15 @@
     return names.at(static_cast<std::size_t>(kind));
 }
 
+const account_declaration* find_account(const configuration& owner,
+                                        const std::string& name)
+{
+    const object_list<account_declaration> accounts{object_kind::account,
+                                                    &configuration::accounts,
+                                                    &account_declaration::name};
+    return find_object(owner, accounts, name);
+}
+
 void sort_objects(configuration& owner)
 {
     visit_object_lists(
--- a/libraries/domain/configuration/object_lists.hpp
+++ b/libraries/domain/configuration/object_lists.hpp
@@ -66,6 +66,10 @@
     return found == list.end() ? nullptr : &*found;
 }
 
+/// Returns the account called `name`, or null. Thread safe.
+[[nodiscard]] const account_declaration*
+find_account(const configuration& owner, const std::string& name);
+
 /// Sorts each list by name, so that equal sets have equal forms. Thread safe.
 void sort_objects(configuration& owner);
 
--- /dev/null
+++ b/libraries/drivers/configuration/configuration_writer.cpp
@@ -0,0 +1,345 @@
+#include "libraries/drivers/configuration/configuration_writer.hpp"
+
+#include "libraries/codecs/configuration/configuration_codec.hpp"
+#include "libraries/domain/configuration/validation.hpp"
+#include "libraries/drivers/configuration/configuration_keys.hpp"
+
+#include <utility>
+
+namespace turmeric::drivers
+{
+
+namespace
+{
+
+constexpr int max_merge_attempts = 16;
+constexpr int max_resolve_attempts = 20;
+/// The oldest version that a change may be based on, counted back.
+constexpr int max_history = 256;
+
+change_outcome rejected(error fault)
+{
+    return rejected_change{{std::move(fault)}};
+}
+
+/// Keys are made apart from declarations, so an account declared without
+/// them is based on the keys that it has now.
+void adopt_key_digests(const domain::configuration& current,
+                       const domain::configuration& declared,
+                       domain::configuration& base)
+{
+    for (domain::account_declaration& account : base.accounts)
+    {
+        const domain::account_declaration* now =
+            domain::find_account(current, account.name);
+        const domain::account_declaration* wanted =
+            domain::find_account(declared, account.name);
+        if (now != nullptr && wanted != nullptr && wanted->key_digests.empty())
+        {
+            account.key_digests = now->key_digests;
+        }
+    }
+}
+
+} // namespace
+
+configuration_writer::configuration_writer(ports::key_value_store& store,
+                                           std::string writer,
+                                           std::function<void()> pause)
+    : m_store(store)
+    , m_writer(std::move(writer))
+    , m_pause(std::move(pause))
+    , m_parts(store)
+{
+}
+
+change_outcome configuration_writer::apply(const configuration_change& change)
+{
+    std::int64_t base_version = change.base_version;
+    if (base_version == 0)
+    {
+        result<head_reading> newest = read_head();
+        if (!newest)
+        {
+            return rejected(newest.failure());
+        }
+        base_version = newest.value().head.version;
+    }
+    for (int count = 0; count < max_merge_attempts; ++count)
+    {
+        std::optional<change_outcome> outcome = attempt(change, base_version);
+        if (outcome)
+        {
+            return *outcome;
+        }
+    }
+    return rejected(error{result_code::platform_conflict, "",
+                          "other operators kept changing the configuration"});
+}
+
+result<domain::configuration> configuration_writer::read(std::int64_t version)
+{
+    result<head_reading> newest = read_head();
+    if (!newest)
+    {
+        return newest.failure();
+    }
+    if (version == 0)
+    {
+        return m_parts.load(newest.value().head);
+    }
+    result<domain::configuration_head> found =
+        find_version(newest.value(), version);
+    if (!found)
+    {
+        return found.failure();
+    }
+    return m_parts.load(found.value());
+}
+
+result<configuration_writer::head_reading> configuration_writer::read_head()
+{
+    result<std::optional<ports::key_value>> read =
+        m_store.get(std::string(head_key));
+    if (!read)
+    {
+        return read.failure();
+    }
+    if (!read.value())
+    {
+        return head_reading{};
+    }
+    result<domain::configuration_head> head =
+        codecs::decode_head(read.value()->value);
+    if (!head)
+    {
+        return head.failure();
+    }
+    return head_reading{read.value()->value, read.value()->modified,
+                        std::move(head.value())};
+}
+
+result<domain::configuration_head>
+configuration_writer::find_version(const head_reading& newest,
+                                   std::int64_t version)
+{
+    domain::configuration_head head = newest.head;
+    if (version == 0)
+    {
+        return domain::configuration_head{};
+    }
+    for (int step = 0; step < max_history && head.version > version; ++step)
+    {
+        result<domain::configuration_head> previous =
+            m_parts.load_previous(head);
+        if (!previous)
+        {
+            return previous.failure();
+        }
+        head = std::move(previous.value());
+    }
+    if (head.version != version)
+    {
+        return error{result_code::unknown_object, "base_version",
+                     "expected a version of the last " +
+                         std::to_string(max_history) + ", up to " +
+                         std::to_string(newest.head.version)};
+    }
+    return head;
+}
+
+result<std::optional<std::int64_t>>
+configuration_writer::find_operation(const head_reading& newest,
+                                     const configuration_change& change)
+{
+    domain::configuration_head head = newest.head;
+    for (int step = 0; step < max_history && !change.operation.empty(); ++step)
+    {
+        if (head.operation == change.operation)
+        {
+            return std::optional(head.version);
+        }
+        if (head.version <= change.base_version || head.previous.empty())
+        {
+            break;
+        }
+        result<domain::configuration_head> previous =
+            m_parts.load_previous(head);
+        if (!previous)
+        {
+            return previous.failure();
+        }
+        head = std::move(previous.value());
+    }
+    return std::optional<std::int64_t>();
+}
+
+std::optional<change_outcome>
+configuration_writer::attempt(const configuration_change& change,
+                              std::int64_t base_version)
+{
+    result<head_reading> newest = read_head();
+    if (!newest)
+    {
+        return rejected(newest.failure());
+    }
+    result<std::optional<std::int64_t>> done =
+        find_operation(newest.value(), change);
+    if (done && done.value())
+    {
+        return accepted_change{*done.value(), {}, true};
+    }
+    result<domain::configuration> current = m_parts.load(newest.value().head);
+    result<domain::configuration_head> base_head =
+        find_version(newest.value(), base_version);
+    if (!current || !base_head)
+    {
+        return rejected(current ? base_head.failure() : current.failure());
+    }
+    result<domain::configuration> base = m_parts.load(base_head.value());
+    if (!base)
+    {
+        return rejected(base.failure());
+    }
+    adopt_key_digests(current.value(), change.declared, base.value());
+    const domain::configuration wanted = domain::with_declarations(
+        base.value(), change.declared, change.is_complete);
+    domain::merge_result merged =
+        domain::merge(base.value(), current.value(), wanted);
+    if (!merged.conflicts.empty())
+    {
+        return conflicting_change{base_version, std::move(merged.conflicts),
+                                  std::move(current.value()), wanted};
+    }
+    std::vector<error> faults = domain::validate(merged.merged);
+    if (!faults.empty())
+    {
+        return rejected_change{std::move(faults)};
+    }
+    accepted_change accepted{
+        newest.value().head.version,
+        domain::changes_between(current.value(), merged.merged), false};
+    if (change.is_dry_run || accepted.changes.empty())
+    {
+        return accepted;
+    }
+    return write_version(newest.value(), merged.merged, change.operation,
+                         std::move(accepted));
+}
+
+std::optional<change_outcome> configuration_writer::write_version(
+    const head_reading& before, const domain::configuration& wanted,
+    const std::string& operation, accepted_change accepted)
+{
+    result<domain::configuration_head> head = write_parts(before, wanted);
+    if (!head)
+    {
+        return rejected(head.failure());
+    }
+    head.value().writer = m_writer;
+    head.value().operation = operation;
+    result<bool> swapped = swap_head(before, head.value());
+    if (!swapped)
+    {
+        return rejected(swapped.failure());
+    }
+    if (!swapped.value())
+    {
+        return std::nullopt;
+    }
+    accepted.version = head.value().version;
+    accepted.is_written = true;
+    return accepted;
+}
+
+result<domain::configuration_head>
+configuration_writer::write_parts(const head_reading& before,
+                                  const domain::configuration& wanted)
+{
+    domain::configuration_head head;
+    head.version = before.head.version + 1;
+    if (!before.text.empty())
+    {
+        result<std::string> previous = m_parts.write(before.text);
+        if (!previous)
+        {
+            return previous.failure();
+        }
+        head.previous = std::move(previous.value());
+    }
+    for (const domain::configuration_part& part :
+         domain::split_configuration(wanted))
+    {
+        result<std::string> text = codecs::encode_part(part);
+        if (!text)
+        {
+            return text.failure();
+        }
+        result<std::string> digest = m_parts.write(text.value());
+        if (!digest)
+        {
+            return digest.failure();
+        }
+        head.parts[part.name] = std::move(digest.value());
+    }
+    return head;
+}
+
+result<bool>
+configuration_writer::swap_head(const head_reading& before,
+                                const domain::configuration_head& head)
+{
+    constexpr ports::lease_id no_lease = 0;
+    const std::string text = codecs::encode_head(head);
+    bool may_have_happened = false;
+    for (int count = 0; count < max_resolve_attempts; ++count)
+    {
+        result<ports::revision> swapped = m_store.compare_and_swap(
+            std::string(head_key), text, before.modified, no_lease);
+        if (swapped)
+        {
+            return true;
+        }
+        const result_code code = swapped.failure().code;
+        if (code == result_code::platform_conflict && !may_have_happened)
+        {
+            return false;
+        }
+        if (code == result_code::platform_conflict)
+        {
+            result<head_reading> newest = read_head();
+            result<bool> found = newest ? is_in_chain(newest.value(), head)
+                                        : result<bool>(newest.failure());
+            if (found)
+            {
+                return found;
+            }
+        }
+        else if (code != result_code::platform_outcome_unknown &&
+                 !may_have_happened)
+        {
+            return swapped.failure();
+        }
+        may_have_happened = true;
+        m_pause();
+    }
+    return error{result_code::platform_outcome_unknown, std::string(head_key),
+                 "the change may have taken effect; repeat it under the same "
+                 "operation to learn",
+                 outcome::outcome_unknown};
+}
+
+result<bool>
+configuration_writer::is_in_chain(const head_reading& newest,
+                                  const domain::configuration_head& head)
+{
+    result<domain::configuration_head> found =
+        find_version(newest, head.version);
+    if (!found)
+    {
+        return found.failure();
+    }
+    return found.value() == head;
+}
+
+} // namespace turmeric::drivers
--- /dev/null
+++ b/libraries/drivers/configuration/configuration_writer.hpp
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "libraries/drivers/configuration/configuration_change.hpp"
+#include "libraries/drivers/configuration/part_store.hpp"
+#include "libraries/ports/key_value_store.hpp"
+
+#include <functional>
+#include <optional>
+#include <string>
+
+namespace turmeric::drivers
+{
+
+/// Puts operators' changes in force: writes the parts, then swaps the head.
+/// Thread safe.
+class configuration_writer
+{
+public:
+    /// `writer` names this process in the heads that it writes; `pause` is
+    /// called between attempts to learn an unknown outcome. Precondition:
+    /// `store` outlives this object and `writer` is unique.
+    configuration_writer(ports::key_value_store& store, std::string writer,
+                         std::function<void()> pause);
+
+    /// Applies a change made against its base version. A change of other
+    /// objects meanwhile is merged; a change of the same ones is a conflict.
+    /// An unknown outcome is resolved by reading; when that is not possible
+    /// the fault is `platform_outcome_unknown`, and a repeat with the same
+    /// operation is safe. Thread safe; blocks.
+    change_outcome apply(const configuration_change& change);
+
+    /// Reads a version, 0 meaning the newest. Errors: `unknown_object` when
+    /// it is not kept; those of the store. Thread safe; blocks.
+    result<domain::configuration> read(std::int64_t version);
+
+private:
+    /// The head as read, and what it names.
+    struct head_reading
+    {
+        std::string text;
+        ports::revision modified = 0;
+        domain::configuration_head head;
+    };
+
+    result<head_reading> read_head();
+    result<domain::configuration_head> find_version(const head_reading& newest,
+                                                    std::int64_t version);
+    result<std::optional<std::int64_t>>
+    find_operation(const head_reading& newest,
+                   const configuration_change& change);
+    std::optional<change_outcome> attempt(const configuration_change& change,
+                                          std::int64_t base_version);
+    std::optional<change_outcome>
+    write_version(const head_reading& before,
+                  const domain::configuration& wanted,
+                  const std::string& operation, accepted_change accepted);
+    result<domain::configuration_head>
+    write_parts(const head_reading& before,
+                const domain::configuration& wanted);
+    result<bool> swap_head(const head_reading& before,
+                           const domain::configuration_head& head);
+    result<bool> is_in_chain(const head_reading& newest,
+                             const domain::configuration_head& head);
+
+    ports::key_value_store& m_store;
+    std::string m_writer;
+    std::function<void()> m_pause;
+    part_store m_parts;
+};
+
+} // namespace turmeric::drivers
--- /dev/null
+++ b/libraries/drivers/configuration/part_store.cpp
@@ -0,0 +1,144 @@
+#include "libraries/drivers/configuration/part_store.hpp"
+
+#include "libraries/codecs/configuration/configuration_codec.hpp"
+#include "libraries/drivers/configuration/configuration_keys.hpp"
+
+namespace turmeric::drivers
+{
+
+namespace
+{
+
+constexpr std::size_t max_known_parts = 512;
+constexpr int max_write_attempts = 4;
+
+} // namespace
+
+part_store::part_store(ports::key_value_store& store)
+    : m_store(store)
+{
+}
+
+result<std::string> part_store::write(const std::string& text)
+{
+    const std::string digest = domain::part_digest(text);
+    {
+        std::lock_guard<std::mutex> lock(m_mutex);
+        if (m_known.count(digest) != 0)
+        {
+            return digest;
+        }
+    }
+    result<std::string> written = write_once(digest, text);
+    for (int attempt = 1; attempt < max_write_attempts && !written; ++attempt)
+    {
+        // A repeated create finds what the lost one wrote.
+        if (written.failure().code != result_code::platform_outcome_unknown)
+        {
+            break;
+        }
+        written = write_once(digest, text);
+    }
+    if (written)
+    {
+        remember(digest, text);
+    }
+    return written;
+}
+
+result<std::string> part_store::write_once(const std::string& digest,
+                                           const std::string& text)
+{
+    constexpr ports::revision must_not_exist = 0;
+    constexpr ports::lease_id no_lease = 0;
+    result<ports::revision> created = m_store.compare_and_swap(
+        part_key(digest), text, must_not_exist, no_lease);
+    if (created)
+    {
+        return digest;
+    }
+    if (created.failure().code != result_code::platform_conflict)
+    {
+        return created.failure();
+    }
+    result<std::string> existing = read(digest);
+    if (!existing)
+    {
+        return existing.failure();
+    }
+    if (existing.value() != text)
+    {
+        return error{result_code::corrupt_value, part_key(digest),
+                     "another text has the same digest"};
+    }
+    return digest;
+}
+
+result<std::string> part_store::read(const std::string& digest)
+{
+    {
+        std::lock_guard<std::mutex> lock(m_mutex);
+        auto known = m_known.find(digest);
+        if (known != m_known.end())
+        {
+            return known->second;
+        }
+    }
+    result<std::optional<ports::key_value>> found =
+        m_store.get(part_key(digest));
+    if (!found)
+    {
+        return found.failure();
+    }
+    if (!found.value())
+    {
+        return error{result_code::unknown_object, part_key(digest),
+                     "the part is not kept"};
+    }
+    remember(digest, found.value()->value);
+    return found.value()->value;
+}
+
+result<domain::configuration>
+part_store::load(const domain::configuration_head& head)
+{
+    domain::part_texts texts;
+    for (const auto& [name, digest] : head.parts)
+    {
+        result<std::string> text = read(digest);
+        if (!text)
+        {
+            return text.failure();
+        }
+        texts.emplace(digest, std::move(text.value()));
+    }
+    return codecs::assemble_configuration(head, texts);
+}
+
+result<domain::configuration_head>
+part_store::load_previous(const domain::configuration_head& head)
+{
+    if (head.previous.empty())
+    {
+        return error{result_code::unknown_object, "version",
+                     "there is no version before"};
+    }
+    result<std::string> text = read(head.previous);
+    if (!text)
+    {
+        return text.failure();
+    }
+    return codecs::decode_head(text.value());
+}
+
+void part_store::remember(const std::string& digest, const std::string& text)
+{
+    std::lock_guard<std::mutex> lock(m_mutex);
+    if (m_known.size() >= max_known_parts)
+    {
+        m_known.clear();
+    }
+    m_known.emplace(digest, text);
+}
+
+} // namespace turmeric::drivers
--- /dev/null
+++ b/libraries/drivers/leadership/leadership.cpp
@@ -0,0 +1,173 @@
+#include "libraries/drivers/leadership/leadership.hpp"
+
+#include <utility>
+
+namespace turmeric::drivers
+{
+
+leadership::leadership(ports::key_value_store& store, const ports::clock& clock,
+                       logger& log, leadership_settings settings)
+    : m_store(store)
+    , m_clock(clock)
+    , m_log(log)
+    , m_settings(std::move(settings))
+    , m_key("/turmericfront/leaders/" + m_settings.duty)
+{
+}
+
+leadership::~leadership()
+{
+    stop();
+}
+
+void leadership::start()
+{
+    m_thread = std::thread([this] { run(); });
+}
+
+void leadership::stop()
+{
+    m_stop.request_stop();
+    if (m_thread.joinable())
+    {
+        m_thread.join();
+    }
+    if (m_lease != 0)
+    {
+        lose("stopping");
+        (void)m_store.revoke_lease(std::exchange(m_lease, 0));
+    }
+}
+
+std::optional<ports::revision> leadership::fencing() const
+{
+    std::lock_guard<std::mutex> lock(m_mutex);
+    if (m_fencing == 0 || m_clock.steady_now() >= m_acts_until)
+    {
+        return std::nullopt;
+    }
+    return m_fencing;
+}
+
+void leadership::step()
+{
+    const ports::steady_time asked_at = m_clock.steady_now();
+    const bool has_lease =
+        m_lease != 0 ? renew(asked_at) : obtain_lease(asked_at);
+    bool is_leading = false;
+    {
+        std::lock_guard<std::mutex> lock(m_mutex);
+        is_leading = m_fencing != 0;
+    }
+    if (has_lease && !is_leading)
+    {
+        contend();
+    }
+}
+
+void leadership::run()
+{
+    do
+    {
+        step();
+    } while (m_stop.sleep_for(m_settings.period));
+}
+
+bool leadership::renew(ports::steady_time asked_at)
+{
+    const status renewed = m_store.renew_lease(m_lease);
+    if (renewed)
+    {
+        extend(asked_at);
+        return true;
+    }
+    if (renewed.failure().code == result_code::lease_lost)
+    {
+        m_lease = 0;
+        lose("lapsed");
+    }
+    return false;
+}
+
+bool leadership::obtain_lease(ports::steady_time asked_at)
+{
+    const result<ports::lease_id> created =
+        m_store.create_lease(m_settings.time_to_live);
+    if (!created)
+    {
+        return false;
+    }
+    m_lease = created.value();
+    extend(asked_at);
+    return true;
+}
+
+void leadership::contend()
+{
+    constexpr ports::revision must_not_exist = 0;
+    const result<ports::revision> written = m_store.compare_and_swap(
+        m_key, m_settings.holder, must_not_exist, m_lease);
+    if (written)
+    {
+        lead(written.value());
+        return;
+    }
+    // A conflict may be with an own write whose reply was lost.
+    const result_code code = written.failure().code;
+    if (code == result_code::platform_outcome_unknown ||
+        code == result_code::platform_conflict)
+    {
+        resolve_contention();
+    }
+}
+
+void leadership::resolve_contention()
+{
+    const result<std::optional<ports::key_value>> read = m_store.get(m_key);
+    const bool is_own =
+        read && read.value() && read.value()->value == m_settings.holder;
+    if (!is_own)
+    {
+        return;
+    }
+    // The key may be bound to a lease of this process that has lapsed or was
+    // given up since; only one bound to the present lease counts.
+    const result<ports::revision> rebound = m_store.compare_and_swap(
+        m_key, m_settings.holder, read.value()->modified, m_lease);
+    if (rebound)
+    {
+        lead(rebound.value());
+    }
+}
+
+void leadership::lead(ports::revision fencing_number)
+{
+    {
+        std::lock_guard<std::mutex> lock(m_mutex);
+        m_fencing = fencing_number;
+    }
+    m_log.write(log_level::info, log_event::lease_acquired,
+                {{"duty", m_settings.duty}, {"fencing", fencing_number}});
+}
+
+void leadership::lose(const std::string& reason)
+{
+    bool was_leading = false;
+    {
+        std::lock_guard<std::mutex> lock(m_mutex);
+        was_leading = std::exchange(m_fencing, 0) != 0;
+    }
+    if (was_leading)
+    {
+        m_log.write(log_level::warning, log_event::lease_lost,
+                    {{"duty", m_settings.duty}, {"reason", reason}});
+    }
+}
+
+void leadership::extend(ports::steady_time asked_at)
+{
+    std::lock_guard<std::mutex> lock(m_mutex);
+    m_acts_until = asked_at + m_settings.time_to_live - m_settings.margin;
+}
+
+} // namespace turmeric::drivers
