Answers: Keep each answer apart from the connection that reads it

The writer of an answer and its reader are two threads joined by a record that keeps all pieces. A repeated request joins the record or replays it; a slow reader holds back the writer at a bound of unread bytes.

--- /dev/null
+++ b/libraries/codecs/openai/chat_request.cpp
@@ -0,0 +1,165 @@
+#include "libraries/codecs/openai/chat_request.hpp"
+
+#include "libraries/codecs/common/json_reader.hpp"
+#include "libraries/domain/digest.hpp"
+
+#include <algorithm>
+
+namespace turmeric::codecs
+{
+
+namespace
+{
+
+// Enough to tell conversations and system prompts apart.
+constexpr std::size_t prefix_bytes = 512;
+constexpr std::size_t most_messages = 4096;
+constexpr std::size_t role_tokens = 8;
+
+error fault(const std::string& field, const std::string& expectation)
+{
+    return {result_code::invalid_field, field, expectation};
+}
+
+status read_content(const json& content, const std::string& field,
+                    std::string& prompt)
+{
+    if (content.is_string())
+    {
+        prompt += content.get_ref<const std::string&>();
+        return success();
+    }
+    if (content.is_array())
+    {
+        for (const json& part : content)
+        {
+            prompt += part.dump();
+        }
+        return success();
+    }
+    if (content.is_null())
+    {
+        return success();
+    }
+    return fault(field, "expected a text or an array of parts");
+}
+
+status read_messages(const json& body, std::string& prompt)
+{
+    auto found = body.find("messages");
+    if (found == body.end() || !found->is_array() || found->empty() ||
+        found->size() > most_messages)
+    {
+        return fault("messages", "expected an array of 1 to 4096 messages");
+    }
+    for (std::size_t i = 0; i < found->size(); ++i)
+    {
+        std::string field = "messages[" + std::to_string(i) + "]";
+        const json& message = found->at(i);
+        if (!message.is_object() || !message.contains("role") ||
+            !message.at("role").is_string())
+        {
+            return fault(field + ".role", "expected a text");
+        }
+        status read = read_content(message.value("content", json()),
+                                   field + ".content", prompt);
+        if (!read)
+        {
+            return read;
+        }
+    }
+    return success();
+}
+
+result<std::optional<domain::tokens>> read_max_tokens(const json& body)
+{
+    for (const char* name : {"max_completion_tokens", "max_tokens"})
+    {
+        auto found = body.find(name);
+        if (found == body.end() || found->is_null())
+        {
+            continue;
+        }
+        constexpr std::uint64_t most = 1U << 30U;
+        // An integer too large for 64 bits is parsed as a floating number.
+        if (!found->is_number_unsigned() || found->get<std::uint64_t>() == 0 ||
+            found->get<std::uint64_t>() > most)
+        {
+            return fault(name, "expected an integer from 1 to 1073741824");
+        }
+        return std::optional<domain::tokens>(found->get<domain::tokens>());
+    }
+    return std::optional<domain::tokens>();
+}
+
+} // namespace
+
+result<chat_request> parse_chat_request(std::string_view body)
+{
+    result<json> parsed = parse_json(body, result_code::malformed_body, "body");
+    if (!parsed)
+    {
+        return parsed.failure();
+    }
+    if (!parsed.value().is_object())
+    {
+        return error{result_code::malformed_body, "body",
+                     "expected a JSON object"};
+    }
+    chat_request request;
+    request.body = std::move(parsed.value());
+    auto model = request.body.find("model");
+    if (model == request.body.end() || !model->is_string() ||
+        model->get_ref<const std::string&>().empty())
+    {
+        return fault("model", "expected the name of a route");
+    }
+    request.model = model->get<std::string>();
+    auto stream = request.body.find("stream");
+    if (stream != request.body.end() && !stream->is_boolean())
+    {
+        return fault("stream", "expected true or false");
+    }
+    request.is_streamed = request.body.value("stream", false);
+    result<std::optional<domain::tokens>> most = read_max_tokens(request.body);
+    if (!most)
+    {
+        return most.failure();
+    }
+    request.max_tokens = most.value();
+    std::string prompt;
+    status read = read_messages(request.body, prompt);
+    if (!read)
+    {
+        return read.failure();
+    }
+    request.prompt_bytes = prompt.size();
+    request.prefix_digest =
+        domain::digest_of(std::string_view(prompt).substr(0, prefix_bytes));
+    return request;
+}
+
+domain::tokens prompt_bound(const chat_request& request,
+                            std::size_t bytes_per_token)
+{
+    std::size_t messages = request.body.at("messages").size();
+    return static_cast<domain::tokens>(request.prompt_bytes / bytes_per_token +
+                                       1 + messages * role_tokens);
+}
+
+std::string make_engine_body(const chat_request& request,
+                             const std::string& version,
+                             domain::tokens max_tokens, std::int32_t priority)
+{
+    json body = request.body;
+    body["model"] = version;
+    body["stream"] = true;
+    body["stream_options"] = {{"include_usage", true}};
+    body.erase("max_completion_tokens");
+    body["max_tokens"] = max_tokens;
+    body["priority"] = priority;
+    constexpr int compact = -1;
+    return body.dump(compact, ' ', false, json::error_handler_t::replace);
+}
+
+} // namespace turmeric::codecs
--- /dev/null
+++ b/libraries/codecs/openai/event_stream.cpp
@@ -0,0 +1,60 @@
+#include "libraries/codecs/openai/event_stream.hpp"
+
+namespace turmeric::codecs
+{
+
+namespace
+{
+
+constexpr std::string_view field_name = "data:";
+
+/// Returns the data of one line, or an empty view for any other line.
+std::string_view data_of(std::string_view line)
+{
+    if (!line.empty() && line.back() == '\r')
+    {
+        line.remove_suffix(1);
+    }
+    if (!line.starts_with(field_name))
+    {
+        return {};
+    }
+    line.remove_prefix(field_name.size());
+    if (line.starts_with(' '))
+    {
+        line.remove_prefix(1);
+    }
+    return line;
+}
+
+} // namespace
+
+result<std::vector<std::string>>
+event_stream_reader::accept(std::string_view bytes)
+{
+    m_pending.append(bytes);
+    std::vector<std::string> events;
+    std::size_t start = 0;
+    std::size_t end = m_pending.find('\n');
+    while (end != std::string::npos)
+    {
+        std::string_view data =
+            data_of(std::string_view(m_pending).substr(start, end - start));
+        if (!data.empty())
+        {
+            events.emplace_back(data);
+        }
+        start = end + 1;
+        end = m_pending.find('\n', start);
+    }
+    m_pending.erase(0, start);
+    if (m_pending.size() > most_event_bytes)
+    {
+        return error{result_code::stream_broken, "event",
+                     "an event of the stream is too long",
+                     outcome::outcome_unknown};
+    }
+    return events;
+}
+
+} // namespace turmeric::codecs
--- /dev/null
+++ b/libraries/drivers/answers/answer_store.hpp
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "libraries/core/result.hpp"
+#include "libraries/drivers/answers/answer_record.hpp"
+#include "libraries/ports/clock.hpp"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <list>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <unordered_map>
+
+namespace turmeric::drivers
+{
+
+/// Bounds of an answer store.
+struct answer_store_settings
+{
+    std::size_t most_answers = 20'000;
+    /// Bytes of ended answers kept for callers that repeat a request.
+    std::size_t most_kept_bytes = std::size_t{32} * 1024 * 1024;
+    std::chrono::seconds keep_time{60};
+    std::size_t most_unread_bytes = std::size_t{64} * 1024;
+};
+
+/// An answer and whether the request is new here.
+struct opened_answer
+{
+    std::shared_ptr<answer_record> record;
+    bool is_new = false;
+};
+
+/// The answers in flight and those that ended lately, by client account and
+/// request id, so that a repeated request joins or replays its answer.
+/// Thread safe.
+class answer_store
+{
+public:
+    /// Precondition: `clock` outlives this.
+    answer_store(const answer_store_settings& settings,
+                 const ports::clock& clock);
+
+    /// Finds or makes the record of a request. Errors: `request_id_reused`
+    /// for another body, `ledger_full`. Thread safe.
+    result<opened_answer> open(const std::string& account,
+                               const std::string& request_id,
+                               std::uint64_t body_digest);
+
+    /// Records that the answer ended. One that is not `is_kept` is forgotten,
+    /// so that a repeated request runs anew. Thread safe.
+    void close(const std::string& account, const std::string& request_id,
+               bool is_kept);
+
+    /// Returns how many answers are in flight. Thread safe.
+    [[nodiscard]] std::size_t in_flight() const;
+
+    /// Returns the bytes written and not yet read, over all answers. Thread
+    /// safe.
+    [[nodiscard]] std::size_t unread_bytes() const;
+
+private:
+    struct entry
+    {
+        std::shared_ptr<answer_record> record;
+        std::uint64_t body_digest = 0;
+        bool is_ended = false;
+        std::size_t kept_bytes = 0;
+        ports::steady_time ended_at;
+    };
+
+    void forget_old_locked();
+
+    const answer_store_settings m_settings;
+    const ports::clock& m_clock;
+    mutable std::mutex m_mutex;
+    std::unordered_map<std::string, entry> m_entries;
+    /// Keys of ended answers, oldest first.
+    std::list<std::string> m_ended;
+    std::size_t m_kept_bytes = 0;
+};
+
+} // namespace turmeric::drivers
