--- /dev/null
+++ b/libraries/adapters/etcd/etcd_watch.cpp
@@ -0,0 +1,103 @@
+#include "libraries/adapters/etcd/etcd_watch.hpp"
+
+#include "libraries/adapters/etcd/etcd_messages.hpp"
+#include "libraries/codecs/common/json_reader.hpp"
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+namespace turmeric::adapters
+{
+
+etcd_watch::etcd_watch(ports::revision start,
+                       std::chrono::steady_clock::time_point deadline)
+    : m_start(start)
+    , m_deadline(deadline)
+{
+}
+
+bool etcd_watch::take(std::string_view data)
+{
+    m_pending.append(data);
+    std::size_t begin = 0;
+    std::size_t end = m_pending.find('\n');
+    while (end != std::string::npos)
+    {
+        if (!take_line(m_pending.substr(begin, end - begin)))
+        {
+            return false;
+        }
+        begin = end + 1;
+        end = m_pending.find('\n', begin);
+    }
+    m_pending.erase(0, begin);
+    return std::chrono::steady_clock::now() < m_deadline;
+}
+
+bool etcd_watch::take_line(const std::string& line)
+{
+    result<json> parsed =
+        codecs::parse_json(line, result_code::platform_unavailable, "watch");
+    if (!parsed || !parsed.value().contains("result"))
+    {
+        m_is_broken = true;
+        return false;
+    }
+    const json& reply = parsed.value()["result"];
+    if (read_int64(reply, "compact_revision").value_or(0) > 0)
+    {
+        m_batch.is_compacted = true;
+        return false;
+    }
+    if (reply.contains("created"))
+    {
+        m_is_created = true;
+        m_created_at =
+            read_int64(reply.value("header", json::object()), "revision")
+                .value_or(0);
+    }
+    const auto events = reply.find("events");
+    return events == reply.end() || take_events(*events);
+}
+
+bool etcd_watch::take_events(const json& events)
+{
+    for (const json& event : events)
+    {
+        std::optional<ports::key_event> read = read_etcd_event(event);
+        if (!read)
+        {
+            m_is_broken = true;
+            return false;
+        }
+        m_batch.store_revision =
+            std::max(m_batch.store_revision, read->entry.modified);
+        m_batch.events.push_back(std::move(*read));
+    }
+    return m_batch.events.empty();
+}
+
+result<ports::watch_batch> etcd_watch::finish() const
+{
+    if (m_is_broken)
+    {
+        return error{result_code::platform_unavailable, "watch",
+                     "the watch's answer cannot be read"};
+    }
+    if (m_batch.is_compacted || !m_batch.events.empty())
+    {
+        return m_batch;
+    }
+    if (!m_is_created)
+    {
+        return error{result_code::platform_timeout, "watch",
+                     "the watch was not confirmed in time"};
+    }
+    ports::watch_batch empty;
+    // A later number would skip changes that were not delivered yet.
+    empty.store_revision = m_start > 0 ? m_start - 1 : m_created_at;
+    return empty;
+}
+
+} // namespace turmeric::adapters
--- /dev/null
+++ b/libraries/adapters/vm_list/http_vm_list.cpp
@@ -0,0 +1,127 @@
+#include "libraries/adapters/vm_list/http_vm_list.hpp"
+
+#include "libraries/adapters/etcd/address.hpp"
+#include "libraries/codecs/common/json_reader.hpp"
+
+#include <httplib.h>
+
+#include <utility>
+
+namespace turmeric::adapters
+{
+
+namespace
+{
+
+constexpr int http_ok = 200;
+
+error fault_at(std::string field, std::string detail)
+{
+    return error{result_code::corrupt_value, std::move(field),
+                 std::move(detail)};
+}
+
+std::string label_of(const json& group, const char* name)
+{
+    const auto labels = group.find("labels");
+    if (labels == group.end() || !labels->is_object())
+    {
+        return {};
+    }
+    const auto label = labels->find(name);
+    if (label == labels->end() || !label->is_string())
+    {
+        return {};
+    }
+    return label->get<std::string>();
+}
+
+status append_group(const json& group, std::vector<ports::vm_entry>& entries)
+{
+    if (!group.is_object() || !group.contains("targets") ||
+        !group["targets"].is_array())
+    {
+        return fault_at("targets", "each group needs a list of targets");
+    }
+    const std::string state = label_of(group, "state");
+    if (state != "live" && state != "leaving")
+    {
+        return fault_at("labels.state", "neither live nor leaving");
+    }
+    ports::vm_entry entry;
+    entry.vm = label_of(group, "vm");
+    entry.data_centre = label_of(group, "data_centre");
+    entry.state =
+        state == "live" ? ports::vm_state::live : ports::vm_state::leaving;
+    for (const json& target : group["targets"])
+    {
+        if (!target.is_string())
+        {
+            return fault_at("targets", "each target is a text host:port");
+        }
+        entry.address = target.get<std::string>();
+        entries.push_back(entry);
+    }
+    return success();
+}
+
+} // namespace
+
+result<std::vector<ports::vm_entry>> parse_vm_list(const std::string& text)
+{
+    result<json> document =
+        codecs::parse_json(text, result_code::corrupt_value, "vms");
+    if (!document)
+    {
+        return document.failure();
+    }
+    if (!document.value().is_array())
+    {
+        return fault_at("vms", "not a list");
+    }
+    std::vector<ports::vm_entry> entries;
+    for (const json& group : document.value())
+    {
+        const status appended = append_group(group, entries);
+        if (!appended)
+        {
+            return appended.failure();
+        }
+    }
+    return entries;
+}
+
+http_vm_list::http_vm_list(http_vm_list_settings settings)
+    : m_settings(std::move(settings))
+{
+}
+
+result<std::vector<ports::vm_entry>> http_vm_list::read()
+{
+    const std::optional<host_port> address =
+        parse_host_port(m_settings.address);
+    if (!address)
+    {
+        return error{result_code::bad_argument, "address", "not host:port"};
+    }
+    httplib::Client client(address->host, address->port);
+    client.set_connection_timeout(m_settings.connect_timeout);
+    client.set_read_timeout(m_settings.call_timeout);
+    client.set_tcp_nodelay(true);
+    const httplib::Result reply = client.Get("/vms");
+    if (!reply)
+    {
+        const bool was_connected = reply.error() == httplib::Error::Read;
+        return error{was_connected ? result_code::platform_timeout
+                                   : result_code::platform_unavailable,
+                     "vms", "the VM list gave no answer"};
+    }
+    if (reply->status != http_ok)
+    {
+        return error{result_code::platform_unavailable, "vms",
+                     "the VM list answered " + std::to_string(reply->status)};
+    }
+    return parse_vm_list(reply->body);
+}
+
+} // namespace turmeric::adapters
