Budget: Add the decisions of shards, router ledgers and claims

A shard value is one key changed by compare-and-swap; a router's batch is applied as a whole and once for each operation number, so that a lost reply or a late delivery is harmless. A router spends only from what a shard granted it.

--- /dev/null
+++ b/libraries/domain/budget/apply_top_up.cpp
@@ -0,0 +1,68 @@
+#include "libraries/domain/budget/shard_changes.hpp"
+
+#include <algorithm>
+
+namespace turmeric::domain
+{
+
+namespace
+{
+
+/// Far below the range of the type, so that sums cannot overflow.
+constexpr tokens max_budget_tokens = 1'000'000'000'000'000;
+
+result<change> repeat_of(const top_up_record& known, const top_up& added)
+{
+    if (known.amount == added.amount)
+    {
+        return change::none;
+    }
+    return error{result_code::top_up_reused, "id",
+                 "the top-up id was used with another amount"};
+}
+
+} // namespace
+
+result<change> apply_top_up(budget_shard& shard, const top_up& added,
+                            sys_seconds now, const shard_limits& limits)
+{
+    if (added.amount <= 0 || added.amount > max_budget_tokens)
+    {
+        return error{result_code::amount_overflow, "amount",
+                     "the amount is not positive or too large"};
+    }
+    trim(shard, now, limits);
+    const std::string key = budget_key(added.account, added.budget);
+    auto place = shard.budgets.find(key);
+    if (place == shard.budgets.end())
+    {
+        if (shard.budgets.size() >= limits.budgets)
+        {
+            return error{result_code::ledger_full, "budget",
+                         "the shard holds as many budgets as it may"};
+        }
+        place = shard.budgets.emplace(key, budget_account{}).first;
+    }
+    budget_account& account = place->second;
+    auto known = std::find_if(account.top_ups.begin(), account.top_ups.end(),
+                              [&added](const top_up_record& candidate)
+                              { return candidate.id == added.id; });
+    if (known != account.top_ups.end())
+    {
+        return repeat_of(*known, added);
+    }
+    if (account.top_ups.size() >= limits.top_ups_per_budget)
+    {
+        return error{result_code::ledger_full, "id",
+                     "the budget remembers as many top-ups as it may"};
+    }
+    if (total_of(account) > max_budget_tokens - added.amount)
+    {
+        return error{result_code::amount_overflow, "amount",
+                     "the budget would grow past its bound"};
+    }
+    account.top_ups.push_back({added.id, added.amount, now});
+    return change::made;
+}
+
+} // namespace turmeric::domain
--- /dev/null
+++ b/libraries/domain/budget/grant_policy.hpp
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "libraries/domain/configuration/declarations.hpp"
+
+#include <chrono>
+
+namespace turmeric::domain
+{
+
+/// What the size of a grant depends on.
+struct grant_situation
+{
+    /// Tokens of the budget that are not settled.
+    tokens remaining = 0;
+    /// The incarnation's spend rate, tokens per minute.
+    tokens rate = 0;
+    /// All incarnations' spend rates, tokens per minute.
+    tokens total_rate = 0;
+    /// Some request waits for tokens that others hold.
+    bool is_recalled = false;
+};
+
+/// Says how many tokens an incarnation should hold from a budget beyond
+/// what waiting requests need. Implementations are thread safe.
+class grant_policy
+{
+public:
+    grant_policy() = default;
+    grant_policy(const grant_policy&) = delete;
+    grant_policy& operator=(const grant_policy&) = delete;
+    virtual ~grant_policy() = default;
+
+    /// Returns the tokens to hold. Thread safe.
+    [[nodiscard]] virtual tokens
+    target(const grant_situation& situation) const = 0;
+};
+
+/// Settings of `rate_share_policy`.
+struct rate_share_settings
+{
+    /// Spending that a grant covers without the platform.
+    std::chrono::seconds horizon{4500};
+    /// Part of the remaining tokens that is never granted ahead.
+    double reserve = 0.03;
+    /// Nothing is granted ahead when the fleet would spend the remaining
+    /// tokens within this time.
+    std::chrono::seconds exact_below{20};
+    /// Nothing is granted ahead when fewer tokens remain.
+    tokens exact_below_tokens = 20'000;
+};
+
+/// A grant covers the horizon at the incarnation's own rate, and at most its
+/// share, by rate, of what remains. Thread safe.
+class rate_share_policy final : public grant_policy
+{
+public:
+    /// Precondition: `reserve` is within 0 and 1.
+    explicit rate_share_policy(const rate_share_settings& settings);
+
+    [[nodiscard]] tokens
+    target(const grant_situation& situation) const override;
+
+private:
+    rate_share_settings m_settings;
+};
+
+} // namespace turmeric::domain
--- /dev/null
+++ b/libraries/domain/budget/router_ledger.cpp
@@ -0,0 +1,304 @@
+#include "libraries/domain/budget/router_ledger.hpp"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace turmeric::domain
+{
+
+namespace
+{
+
+constexpr tokens max_hold_tokens = 1'000'000'000'000;
+
+error full(const char* field)
+{
+    return error{result_code::ledger_full, field,
+                 "the ledger holds as many entries as it may"};
+}
+
+} // namespace
+
+router_ledger::router_ledger(const router_ledger_settings& settings,
+                             std::string incarnation,
+                             const grant_policy& policy)
+    : m_settings(settings)
+    , m_incarnation(std::move(incarnation))
+    , m_policy(policy)
+{
+    assert(settings.shard_count > 0);
+}
+
+result<hold_id> router_ledger::place_hold(const hold_request& request,
+                                          ledger_time now)
+{
+    const std::uint64_t key = bill_key(request.account, request.request_id);
+    status checked = check_request(request, key);
+    if (!checked)
+    {
+        return checked.failure();
+    }
+    const std::string name = budget_key(request.account, request.budget);
+    result<budget_state*> opened = open_budget(request, name);
+    if (!opened)
+    {
+        return opened.failure();
+    }
+    budget_state& budget = *opened.value();
+    const bool is_covered =
+        free_of(budget) >= request.upper_bound + waiting_before(budget, key);
+    if (is_covered && !is_expired(budget, now))
+    {
+        return open_hold_for(budget, request, name, key);
+    }
+    return wait_for_grant(budget, request, key, now);
+}
+
+status router_ledger::check_request(const hold_request& request,
+                                    std::uint64_t key) const
+{
+    if (request.upper_bound < 0 || request.upper_bound > max_hold_tokens)
+    {
+        return error{result_code::amount_overflow, "upper_bound",
+                     "the upper bound is negative or too large"};
+    }
+    if (m_is_fenced)
+    {
+        return error{result_code::grant_expired, "",
+                     "this router's grants were closed"};
+    }
+    if (m_is_draining)
+    {
+        return error{result_code::router_stopping, "",
+                     "this router gives its grants back"};
+    }
+    auto known = m_keys.find(key);
+    if (known != m_keys.end())
+    {
+        const bool is_same = known->second == request.body_digest;
+        return error{is_same ? result_code::duplicate_request
+                             : result_code::request_id_reused,
+                     "request_id", "a request of this id is in flight"};
+    }
+    if (m_holds.size() >= m_settings.holds)
+    {
+        return full("holds");
+    }
+    return success();
+}
+
+result<router_ledger::budget_state*>
+router_ledger::open_budget(const hold_request& request, const std::string& key)
+{
+    auto known = m_budgets.find(key);
+    if (known != m_budgets.end())
+    {
+        return &known->second;
+    }
+    if (m_budgets.size() >= m_settings.budgets)
+    {
+        return full("budgets");
+    }
+    budget_state& made =
+        m_budgets.emplace(key, budget_state(m_settings.rate_window))
+            .first->second;
+    made.shard = shard_for(request.account);
+    m_shards[made.shard].budgets.insert(key);
+    return &made;
+}
+
+hold_id router_ledger::open_hold_for(budget_state& budget,
+                                     const hold_request& request,
+                                     const std::string& name, std::uint64_t key)
+{
+    m_waiting -=
+        std::erase_if(budget.waiting, [key](const waiting_need& candidate)
+                      { return candidate.key == key; });
+    const hold_id made = m_next_hold++;
+    m_holds.emplace(
+        made, open_hold{name, key, request.body_digest, request.upper_bound});
+    m_keys.emplace(key, request.body_digest);
+    budget.held += request.upper_bound;
+    return made;
+}
+
+error router_ledger::wait_for_grant(budget_state& budget,
+                                    const hold_request& request,
+                                    std::uint64_t key, ledger_time now)
+{
+    auto mine = std::find_if(budget.waiting.begin(), budget.waiting.end(),
+                             [key](const waiting_need& candidate)
+                             { return candidate.key == key; });
+    const bool is_new = mine == budget.waiting.end();
+    const ports::steady_time since =
+        is_new ? now.steady - m_settings.exhausted_age : mine->since;
+    if (is_exhausted(budget, request.upper_bound, since))
+    {
+        return give_up(request, now);
+    }
+    if (is_new && budget.waiting.size() >= m_settings.waiting_per_budget)
+    {
+        return full("waiting");
+    }
+    if (is_new)
+    {
+        budget.waiting.push_back({key, request.upper_bound, now.steady});
+        ++m_waiting;
+        mark_dirty(budget);
+    }
+    return error{is_expired(budget, now) ? result_code::grant_expired
+                                         : result_code::grant_unavailable,
+                 "budget", "a grant must be got first"};
+}
+
+error router_ledger::give_up(const hold_request& request, ledger_time now)
+{
+    const std::uint64_t key = bill_key(request.account, request.request_id);
+    const std::string name = budget_key(request.account, request.budget);
+    error unavailable{result_code::grant_unavailable, "budget",
+                      "no grant could be got in time"};
+    auto place = m_budgets.find(name);
+    if (place == m_budgets.end())
+    {
+        return unavailable;
+    }
+    budget_state& budget = place->second;
+    ports::steady_time since = now.steady - m_settings.exhausted_age;
+    auto mine = std::find_if(budget.waiting.begin(), budget.waiting.end(),
+                             [key](const waiting_need& candidate)
+                             { return candidate.key == key; });
+    if (mine != budget.waiting.end())
+    {
+        since = mine->since;
+        budget.waiting.erase(mine);
+        --m_waiting;
+    }
+    const bool is_read = budget.reading.has_value() && budget.read_at >= since;
+    if (is_read && budget.reading->pool + free_of(budget) < request.upper_bound)
+    {
+        return error{result_code::budget_exhausted, "budget",
+                     "the budget has too few tokens left"};
+    }
+    if (is_expired(budget, now))
+    {
+        unavailable.code = result_code::grant_expired;
+    }
+    return unavailable;
+}
+
+status router_ledger::settle(hold_id hold, tokens used, ledger_time now)
+{
+    auto place = m_holds.find(hold);
+    if (place == m_holds.end())
+    {
+        return error{result_code::invalid_field, "hold", "no such hold",
+                     outcome::outcome_unknown};
+    }
+    if (m_pending_bills >= m_settings.pending_bills)
+    {
+        error refusal = full("pending_bills");
+        refusal.effect = outcome::outcome_unknown;
+        return refusal;
+    }
+    const open_hold& open = place->second;
+    budget_state& budget = m_budgets.at(open.budget);
+    const tokens billed = std::clamp<tokens>(used, 0, open.bound);
+    budget.held -= open.bound;
+    budget.unsettled += billed;
+    budget.rate.add(billed, now.steady);
+    m_shards[budget.shard].bills.push_back(
+        {hold, {open.budget, open.key, open.body_digest, billed}});
+    ++m_pending_bills;
+    mark_dirty(budget);
+    m_holds.erase(place);
+    return success();
+}
+
+void router_ledger::release(hold_id hold)
+{
+    auto place = m_holds.find(hold);
+    if (place == m_holds.end())
+    {
+        return;
+    }
+    budget_state& budget = m_budgets.at(place->second.budget);
+    budget.held -= place->second.bound;
+    m_keys.erase(place->second.key);
+    m_holds.erase(place);
+    mark_dirty(budget);
+}
+
+tokens router_ledger::free_of(const budget_state& budget)
+{
+    return budget.granted - budget.held - budget.unsettled;
+}
+
+tokens router_ledger::waiting_before(const budget_state& budget,
+                                     std::uint64_t key)
+{
+    tokens sum = 0;
+    for (const waiting_need& need : budget.waiting)
+    {
+        if (need.key == key)
+        {
+            break;
+        }
+        sum += need.bound;
+    }
+    return sum;
+}
+
+bool router_ledger::is_exhausted(const budget_state& budget, tokens bound,
+                                 ports::steady_time since)
+{
+    if (!budget.reading.has_value() || budget.read_at < since)
+    {
+        return false;
+    }
+    const tokens reachable =
+        budget.reading->pool + budget.reading->others + free_of(budget);
+    return reachable < bound;
+}
+
+bool router_ledger::is_expired(const budget_state& budget,
+                               ledger_time now) const
+{
+    auto shard = m_shards.find(budget.shard);
+    return budget.granted > 0 && (shard == m_shards.end() ||
+                                  now.steady >= shard->second.spendable_until);
+}
+
+void router_ledger::mark_dirty(budget_state& budget)
+{
+    budget.is_dirty = true;
+    m_shards[budget.shard].is_dirty = true;
+}
+
+bool router_ledger::is_fenced() const
+{
+    return m_is_fenced;
+}
+
+std::int32_t router_ledger::shard_for(const std::string& account) const
+{
+    return shard_of(account, m_settings.shard_count);
+}
+
+ledger_counts router_ledger::counts() const
+{
+    ledger_counts counts;
+    counts.holds = m_holds.size();
+    counts.waiting = m_waiting;
+    counts.pending_bills = m_pending_bills;
+    counts.budgets = m_budgets.size();
+    counts.is_fenced = m_is_fenced;
+    for (const auto& [name, budget] : m_budgets)
+    {
+        counts.granted += budget.granted;
+        counts.held += budget.held;
+    }
+    return counts;
+}
+
+} // namespace turmeric::domain
--- /dev/null
+++ b/libraries/domain/budget/spend_rate.cpp
@@ -0,0 +1,49 @@
+#include "libraries/domain/budget/spend_rate.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace turmeric::domain
+{
+
+using seconds_double = std::chrono::duration<double>;
+
+spend_rate::spend_rate(std::chrono::seconds window)
+    : m_window(window)
+{
+}
+
+double spend_rate::decayed(ports::steady_time now) const
+{
+    const seconds_double elapsed = now - m_last;
+    return m_sum * std::exp(-elapsed / m_window);
+}
+
+void spend_rate::add(tokens spent, ports::steady_time now)
+{
+    if (!m_first.has_value())
+    {
+        m_first = now;
+        m_last = now;
+    }
+    m_sum = decayed(now) + static_cast<double>(spent);
+    m_last = now;
+}
+
+tokens spend_rate::per_minute(ports::steady_time now) const
+{
+    if (!m_first.has_value())
+    {
+        return 0;
+    }
+    constexpr seconds_double minute = std::chrono::minutes(1);
+    constexpr seconds_double shortest = std::chrono::seconds(10);
+    // Until a whole window has passed the sum covers only the time so far.
+    const seconds_double elapsed =
+        std::max<seconds_double>(now - *m_first, shortest);
+    const double covered = 1.0 - std::exp(-elapsed / m_window);
+    const double rate = decayed(now) / (m_window.count() * covered);
+    return static_cast<tokens>(rate * minute.count());
+}
+
+} // namespace turmeric::domain
--- /dev/null
+++ b/libraries/domain/budget/spend_rate.hpp
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "libraries/domain/configuration/declarations.hpp"
+#include "libraries/ports/clock.hpp"
+
+#include <chrono>
+#include <optional>
+
+namespace turmeric::domain
+{
+
+/// An exponentially decaying average of spending. Not thread safe.
+class spend_rate
+{
+public:
+    /// Precondition: `window` is positive.
+    explicit spend_rate(std::chrono::seconds window);
+
+    /// Adds spending at `now`. Not thread safe.
+    void add(tokens spent, ports::steady_time now);
+
+    /// Returns the rate in tokens per minute. Not thread safe.
+    [[nodiscard]] tokens per_minute(ports::steady_time now) const;
+
+private:
+    [[nodiscard]] double decayed(ports::steady_time now) const;
+
+    std::chrono::duration<double> m_window;
+    std::optional<ports::steady_time> m_first;
+    ports::steady_time m_last;
+    double m_sum = 0.0;
+};
+
+} // namespace turmeric::domain
--- /dev/null
+++ b/libraries/domain/claim/claim_book.cpp
@@ -0,0 +1,91 @@
+#include "libraries/domain/claim/claim_book.hpp"
+
+#include <cassert>
+#include <utility>
+
+namespace turmeric::domain
+{
+
+claim_attempt::claim_attempt(claim_value value, std::int32_t most_calls)
+    : m_value(std::move(value))
+    , m_calls_left(most_calls)
+{
+    assert(most_calls > 0);
+}
+
+claim_step claim_attempt::next() const
+{
+    return m_step;
+}
+
+const claim_value& claim_attempt::value() const
+{
+    return m_value;
+}
+
+void claim_attempt::go_on(claim_step step)
+{
+    --m_calls_left;
+    const bool is_final =
+        step == claim_step::granted || step == claim_step::refused;
+    m_step = m_calls_left > 0 || is_final ? step : claim_step::unresolved;
+}
+
+void claim_attempt::on_created(claim_event event)
+{
+    assert(m_step == claim_step::create);
+    switch (event)
+    {
+    case claim_event::created:
+        go_on(claim_step::granted);
+        return;
+    case claim_event::conflicted:
+    case claim_event::unknown:
+        // A conflict may be with this attempt's own earlier creation whose
+        // reply was lost, so only the value tells.
+        go_on(claim_step::read);
+        return;
+    case claim_event::failed:
+        go_on(claim_step::create);
+        return;
+    }
+}
+
+void claim_attempt::on_read(const std::optional<claim_value>& found)
+{
+    assert(m_step == claim_step::read);
+    if (!found.has_value())
+    {
+        go_on(claim_step::create);
+        return;
+    }
+    const bool is_mine = found->incarnation == m_value.incarnation &&
+                         found->attempt == m_value.attempt;
+    go_on(is_mine ? claim_step::granted : claim_step::refused);
+}
+
+void claim_attempt::on_read_failed()
+{
+    assert(m_step == claim_step::read);
+    go_on(claim_step::read);
+}
+
+void claim_attempt::on_timeout()
+{
+    const bool is_open =
+        m_step == claim_step::create || m_step == claim_step::read;
+    m_step = is_open ? claim_step::unresolved : m_step;
+}
+
+std::string claim_key(const std::string& account, const std::string& request_id)
+{
+    return "/turmericfront/claims/" + account + "/" + request_id;
+}
+
+bool is_collectable(const claim_value& value, sys_seconds now,
+                    std::chrono::seconds clock_skew)
+{
+    return now > value.kept_until + clock_skew;
+}
+
+} // namespace turmeric::domain
