Moves: Add the evidence, the test and the state machine

The decisions of a version move, without threads or sockets. The sequential test is a mixture probability ratio test that depends on sums alone, so that counts of many routers add up in any order.

--- /dev/null
+++ b/libraries/domain/move/latency_limits.hpp
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <chrono>
+
+namespace turmeric::domain
+{
+
+/// Past these a request counts as slow; taken from the old version when a
+/// move starts and the same for the whole fleet.
+struct latency_limits
+{
+    std::chrono::microseconds first_token{0};
+    std::chrono::microseconds token_gap{0};
+
+    bool operator==(const latency_limits&) const = default;
+};
+
+} // namespace turmeric::domain
--- /dev/null
+++ b/libraries/domain/move/local_guard.cpp
@@ -0,0 +1,144 @@
+#include "libraries/domain/move/local_guard.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace turmeric::domain
+{
+
+local_guard::local_guard(guard_settings settings, move_state state,
+                         time_point now)
+    : m_settings(settings)
+    , m_state(std::move(state))
+    , m_confirmed_share(std::min(m_state.share, m_state.capped_share))
+    , m_marked(now)
+{
+}
+
+void local_guard::apply(const move_state& state, time_point now)
+{
+    if (state.identity != m_state.identity ||
+        state.sequence <= m_state.sequence || state.fencing < m_state.fencing)
+    {
+        return;
+    }
+    if (state.limits != m_state.limits)
+    {
+        m_judge.reset();
+    }
+    m_state = state;
+    if (has_heard_within(m_settings.stale_after, now) ||
+        state.share < m_confirmed_share)
+    {
+        m_confirmed_share = state.share;
+    }
+}
+
+void local_guard::hear_controller(std::int64_t fencing, time_point now)
+{
+    if (fencing < m_state.fencing)
+    {
+        return;
+    }
+    m_heard = now;
+    m_confirmed_share = m_state.share;
+}
+
+bool local_guard::has_heard_within(std::chrono::seconds age,
+                                   time_point now) const
+{
+    return m_heard && now - *m_heard <= age;
+}
+
+std::int32_t local_guard::share(time_point now) const
+{
+    if (m_state.phase == move_phase::finished)
+    {
+        return whole_share;
+    }
+    if (!m_cut_reason.empty())
+    {
+        return 0;
+    }
+    if (!has_heard_within(m_settings.capped_after, now))
+    {
+        return std::min(m_confirmed_share, m_state.capped_share);
+    }
+    return m_confirmed_share;
+}
+
+bool local_guard::record(bool is_new_version, const request_observation& seen,
+                         time_point now)
+{
+    (is_new_version ? m_to : m_from).record(seen);
+    if (!is_new_version || !m_cut_reason.empty())
+    {
+        return false;
+    }
+    if (argues_against(seen))
+    {
+        judge(now);
+    }
+    if (m_judge && now - m_marked >= m_settings.mark_interval)
+    {
+        m_judge->mark(tally());
+        m_marked = now;
+    }
+    return !m_cut_reason.empty();
+}
+
+bool local_guard::argues_against(const request_observation& seen) const
+{
+    const bool is_slow =
+        m_state.limits &&
+        (seen.first_token.value_or(std::chrono::microseconds(0)) >
+             m_state.limits->first_token ||
+         seen.worst_gap.value_or(std::chrono::microseconds(0)) >
+             m_state.limits->token_gap);
+    return seen.is_failure || is_slow;
+}
+
+void local_guard::judge(time_point now)
+{
+    const tally_pair counted = tally();
+    if (!m_judge)
+    {
+        m_judge.emplace(m_settings.judge, tally_pair{});
+        m_marked = now;
+    }
+    const version_verdict verdict = m_judge->judge(counted);
+    if (verdict.is_bad)
+    {
+        m_cut_reason = name_of(verdict.property);
+    }
+}
+
+tally_pair local_guard::tally() const
+{
+    constexpr std::chrono::microseconds unlimited = std::chrono::hours(1);
+    const latency_limits limits =
+        m_state.limits.value_or(latency_limits{unlimited, unlimited});
+    return {m_from.tally(limits), m_to.tally(limits)};
+}
+
+const std::string& local_guard::cut_reason() const
+{
+    return m_cut_reason;
+}
+
+const version_evidence& local_guard::from_evidence() const
+{
+    return m_from;
+}
+
+const version_evidence& local_guard::to_evidence() const
+{
+    return m_to;
+}
+
+const move_state& local_guard::state() const
+{
+    return m_state;
+}
+
+} // namespace turmeric::domain
--- /dev/null
+++ b/libraries/domain/move/sequential_test.cpp
@@ -0,0 +1,37 @@
+#include "libraries/domain/move/sequential_test.hpp"
+
+#include <algorithm>
+#include <boost/math/distributions/beta.hpp>
+#include <cmath>
+
+namespace turmeric::domain
+{
+
+double sequential_test::log_ratio(const proportion& seen, double null_rate)
+{
+    const auto hits = static_cast<double>(seen.hits);
+    const auto misses = static_cast<double>(seen.trials - seen.hits);
+    if (hits <= null_rate * (hits + misses))
+    {
+        return 0;
+    }
+    const double a = hits + 1;
+    const double b = misses + 1;
+    const double log_beta =
+        std::lgamma(a) + std::lgamma(b) - std::lgamma(a + b);
+    const double mixture =
+        log_beta + std::log(boost::math::ibetac(a, b, null_rate));
+    const double null =
+        hits * std::log(null_rate) + misses * std::log1p(-null_rate);
+    return std::max(0.0, mixture - std::log1p(-null_rate) - null);
+}
+
+double sequential_test::rate_bound(const proportion& seen, double level)
+{
+    constexpr double jeffreys = 0.5;
+    const double a = static_cast<double>(seen.hits) + jeffreys;
+    const double b = static_cast<double>(seen.trials - seen.hits) + jeffreys;
+    return boost::math::ibeta_inv(a, b, level);
+}
+
+} // namespace turmeric::domain
--- /dev/null
+++ b/libraries/domain/move/version_evidence.cpp
@@ -0,0 +1,35 @@
+#include "libraries/domain/move/version_evidence.hpp"
+
+namespace turmeric::domain
+{
+
+void version_evidence::record(const request_observation& seen)
+{
+    ++requests;
+    failures += seen.is_failure ? 1 : 0;
+    if (seen.first_token)
+    {
+        first_token.record(*seen.first_token);
+    }
+    if (seen.worst_gap)
+    {
+        worst_gap.record(*seen.worst_gap);
+    }
+}
+
+void version_evidence::merge(const version_evidence& other)
+{
+    requests += other.requests;
+    failures += other.failures;
+    first_token.merge(other.first_token);
+    worst_gap.merge(other.worst_gap);
+}
+
+version_tally version_evidence::tally(const latency_limits& limits) const
+{
+    return {{proportion{requests, failures},
+             first_token.above(limits.first_token),
+             worst_gap.above(limits.token_gap)}};
+}
+
+} // namespace turmeric::domain
--- /dev/null
+++ b/libraries/domain/move/version_judge.cpp
@@ -0,0 +1,106 @@
+#include "libraries/domain/move/version_judge.hpp"
+
+#include "libraries/domain/move/sequential_test.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace turmeric::domain
+{
+
+namespace
+{
+
+/// Half of the level is for the test over the whole move.
+constexpr double whole_move_weight = 0.5;
+
+/// Returns log(exp(a) + exp(b)).
+double log_sum(double a, double b)
+{
+    const double larger = std::max(a, b);
+    return larger + std::log1p(std::exp(std::min(a, b) - larger));
+}
+
+} // namespace
+
+version_judge::version_judge(judge_settings settings, const tally_pair& start)
+    : m_settings(settings)
+    , m_starts{start}
+{
+}
+
+void version_judge::mark(const tally_pair& now)
+{
+    if (m_starts.size() <= m_settings.windows)
+    {
+        m_starts.push_back(now);
+    }
+}
+
+double version_judge::with_margin(judged_property property, double rate) const
+{
+    constexpr double highest = 0.999;
+    const double margin =
+        m_settings.margins[static_cast<std::size_t>(property)];
+    return std::min(highest, rate + (1 - rate) * margin);
+}
+
+double version_judge::window_ratio(judged_property property, double from_rate,
+                                   const tally_pair& window) const
+{
+    const proportion& seen = window.to.of(property);
+    const double ratio =
+        sequential_test::log_ratio(seen, with_margin(property, from_rate));
+    if (ratio <= 0)
+    {
+        return 0;
+    }
+    // A trouble that the old version has as well is no fault of the new one.
+    const double confidence = m_settings.baseline_confidence;
+    const proportion& baseline = window.from.of(property);
+    if (sequential_test::rate_bound(baseline, 1 - confidence) <= from_rate)
+    {
+        return ratio;
+    }
+    const double window_rate =
+        sequential_test::rate_bound(baseline, confidence);
+    return sequential_test::log_ratio(seen, with_margin(property, window_rate));
+}
+
+double version_judge::total_ratio(judged_property property,
+                                  const tally_pair& now) const
+{
+    const double from_rate = sequential_test::rate_bound(
+        now.from.of(property), m_settings.baseline_confidence);
+    const double mark_weight =
+        (1 - whole_move_weight) / static_cast<double>(m_settings.windows);
+    double total = std::log(whole_move_weight) +
+                   window_ratio(property, from_rate, now - m_starts.front());
+    for (std::size_t index = 1; index < m_starts.size(); ++index)
+    {
+        total = log_sum(total, std::log(mark_weight) +
+                                   window_ratio(property, from_rate,
+                                                now - m_starts[index]));
+    }
+    return total;
+}
+
+version_verdict version_judge::judge(const tally_pair& now) const
+{
+    const double threshold =
+        std::log(static_cast<double>(judged_property_count) / m_settings.level);
+    version_verdict verdict;
+    for (std::size_t index = 0; index < judged_property_count; ++index)
+    {
+        const auto property = static_cast<judged_property>(index);
+        const double evidence =
+            std::max(0.0, total_ratio(property, now)) / threshold;
+        if (evidence > verdict.evidence)
+        {
+            verdict = {evidence >= 1, property, evidence};
+        }
+    }
+    return verdict;
+}
+
+} // namespace turmeric::domain
--- /dev/null
+++ b/libraries/domain/move/version_judge.hpp
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "libraries/domain/move/judge_settings.hpp"
+#include "libraries/domain/move/version_tally.hpp"
+
+#include <vector>
+
+namespace turmeric::domain
+{
+
+/// What a judge makes of the new version.
+struct version_verdict
+{
+    bool is_bad = false;
+    /// The property with the most evidence against the version.
+    judged_property property = judged_property::failure;
+    /// From 0 (none) to 1 and more (found bad).
+    double evidence = 0;
+};
+
+/// Judges the new version of one move on one route from cumulative counts.
+/// The sequential test runs over the whole move and anew from each of a
+/// bounded number of marks; half of the level goes to the first and the rest
+/// is shared among the others, so the level holds for all together. Not
+/// thread safe.
+class version_judge
+{
+public:
+    /// Starts a judgement. Precondition: `start` is what was counted when the
+    /// new version got its first request; the old version's counts within
+    /// `start` still serve as its baseline.
+    version_judge(judge_settings settings, const tally_pair& start);
+
+    /// Starts the test anew from here on, besides the ones that run; without
+    /// effect once all windows are in use.
+    void mark(const tally_pair& now);
+
+    /// Judges what was counted up to now.
+    [[nodiscard]] version_verdict judge(const tally_pair& now) const;
+
+private:
+    [[nodiscard]] double with_margin(judged_property property,
+                                     double rate) const;
+    [[nodiscard]] double window_ratio(judged_property property,
+                                      double from_rate,
+                                      const tally_pair& window) const;
+    [[nodiscard]] double total_ratio(judged_property property,
+                                     const tally_pair& now) const;
+
+    judge_settings m_settings;
+    std::vector<tally_pair> m_starts;
+};
+
+} // namespace turmeric::domain
--- /dev/null
+++ b/libraries/domain/move/version_tally.hpp
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "libraries/domain/move/proportion.hpp"
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+
+namespace turmeric::domain
+{
+
+/// What a version is judged by.
+enum class judged_property : std::uint8_t
+{
+    failure,
+    slow_first_token,
+    slow_token_gap,
+};
+
+inline constexpr std::size_t judged_property_count = 3;
+
+/// Returns the name used in reports. Thread safe.
+[[nodiscard]] constexpr std::string_view name_of(judged_property property)
+{
+    constexpr std::array<std::string_view, judged_property_count> names = {
+        "failure", "slow_first_token", "slow_token_gap"};
+    return names[static_cast<std::size_t>(property)];
+}
+
+/// A version's record on one route, reduced to three proportions. A plain
+/// value.
+struct version_tally
+{
+    std::array<proportion, judged_property_count> counts;
+
+    /// Returns the count of one property.
+    [[nodiscard]] const proportion& of(judged_property property) const
+    {
+        return counts[static_cast<std::size_t>(property)];
+    }
+
+    /// Adds another, disjoint record.
+    version_tally& operator+=(const version_tally& other)
+    {
+        for (std::size_t index = 0; index < counts.size(); ++index)
+        {
+            counts[index] += other.counts[index];
+        }
+        return *this;
+    }
+
+    bool operator==(const version_tally&) const = default;
+};
+
+/// Returns what was counted after `earlier` was taken. Thread safe.
+[[nodiscard]] constexpr version_tally operator-(const version_tally& later,
+                                                const version_tally& earlier)
+{
+    version_tally result;
+    for (std::size_t index = 0; index < result.counts.size(); ++index)
+    {
+        result.counts[index] = later.counts[index] - earlier.counts[index];
+    }
+    return result;
+}
+
+/// The old and the new version side by side. A plain value.
+struct tally_pair
+{
+    version_tally from;
+    version_tally to;
+
+    /// Adds another, disjoint record.
+    tally_pair& operator+=(const tally_pair& other)
+    {
+        from += other.from;
+        to += other.to;
+        return *this;
+    }
+
+    bool operator==(const tally_pair&) const = default;
+};
+
+/// Returns what was counted after `earlier` was taken. Thread safe.
+[[nodiscard]] constexpr tally_pair operator-(const tally_pair& later,
+                                             const tally_pair& earlier)
+{
+    return {later.from - earlier.from, later.to - earlier.to};
+}
+
+} // namespace turmeric::domain
--- /dev/null
+++ b/libraries/ports/order_sender.hpp
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "libraries/core/result.hpp"
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace turmeric::ports
+{
+
+/// What an engine is told to do with a version.
+enum class order_kind : std::uint8_t
+{
+    load,
+    unload,
+};
+
+/// Returns the name used on the wire. Thread safe.
+[[nodiscard]] constexpr std::string_view name_of(order_kind kind)
+{
+    return kind == order_kind::load ? "load" : "unload";
+}
+
+/// An order to an engine; repeating it does no harm.
+struct upstream_order
+{
+    order_kind kind = order_kind::load;
+    std::string version;
+    /// Of the controller that sends it; engines that check it refuse a lower
+    /// one than they have seen.
+    std::int64_t fencing = 0;
+};
+
+/// Sends orders to engines by `POST /v1/orders`. Implementations are thread
+/// safe.
+///
+/// Errors: `upstream_refused_order` (an older fencing number),
+/// `upstream_failed` with effect `not_run`, `upstream_timeout` or
+/// `stream_broken` when the order may have taken effect.
+class order_sender
+{
+public:
+    order_sender() = default;
+    order_sender(const order_sender&) = delete;
+    order_sender& operator=(const order_sender&) = delete;
+    virtual ~order_sender() = default;
+
+    /// Sends `order` to `address` ("host:port") and waits until the engine
+    /// has carried it out. Thread safe; blocks up to `timeout`.
+    virtual status send(const std::string& address, const upstream_order& order,
+                        std::chrono::milliseconds timeout) = 0;
+};
+
+} // namespace turmeric::ports
