--- /dev/null
+++ b/libraries/adapters/protobuf/declaration_messages.hpp
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "libraries/core/json.hpp"
+#include "libraries/core/result.hpp"
+#include "libraries/domain/configuration/declarations.hpp"
+
+#include <google/protobuf/repeated_ptr_field.h>
+
+namespace turmericfront::v1
+{
+class Declaration;
+} // namespace turmericfront::v1
+
+namespace turmeric::adapters
+{
+
+using declaration_messages =
+    google::protobuf::RepeatedPtrField<turmericfront::v1::Declaration>;
+
+/// Reads declarations. Errors: `configuration_invalid` with a path such as
+/// `declarations[3].versions[0].version`. Thread safe.
+result<domain::configuration>
+read_declarations(const declaration_messages& messages);
+
+/// Writes each object of a configuration as a declaration. Thread safe for
+/// different `into`.
+void write_declarations(const domain::configuration& from,
+                        declaration_messages& into);
+
+/// Turns the JSON form of the files, `{"kind": "route", ...}`, into a
+/// message. Errors: `malformed_body`. Precondition: `from` has a known kind.
+/// Thread safe for different `into`.
+status file_form_to_message(const json& from,
+                            turmericfront::v1::Declaration& into);
+
+/// Turns a message into the JSON form of the files. Thread safe.
+[[nodiscard]] json
+message_to_file_form(const turmericfront::v1::Declaration& message);
+
+} // namespace turmeric::adapters
--- /dev/null
+++ b/services/controller/operator_result.hpp
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "libraries/core/error.hpp"
+#include "libraries/core/json.hpp"
+
+#include <utility>
+#include <variant>
+
+namespace turmeric::controller
+{
+
+/// A refusal of an operator's call, with further members for its problem
+/// document.
+struct operator_fault
+{
+    error failure;
+    json members = json::object();
+};
+
+/// The reply of an operator's call, or why there is none.
+template <class Reply>
+using operator_result = std::variant<Reply, operator_fault>;
+
+/// Makes a refusal without further members. Thread safe.
+[[nodiscard]] inline operator_fault fault_of(error failure)
+{
+    return operator_fault{std::move(failure)};
+}
+
+} // namespace turmeric::controller
--- /dev/null
+++ b/services/controller/operator_service.cpp
@@ -0,0 +1,204 @@
+#include "services/controller/operator_service.hpp"
+
+#include "libraries/adapters/openssl/digests.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace turmeric::controller
+{
+
+namespace
+{
+
+constexpr std::string_view path_prefix = "/turmericfront.v1.Operator/";
+constexpr std::string_view bearer = "Bearer ";
+
+adapters::http_reply problem_of(const operator_fault& fault)
+{
+    adapters::http_reply reply = adapters::make_problem(fault.failure);
+    if (!fault.members.empty())
+    {
+        json document = json::parse(reply.body);
+        document.update(fault.members);
+        reply.body = document.dump();
+    }
+    return reply;
+}
+
+adapters::http_reply refuse(result_code code, const std::string& field,
+                            const std::string& detail)
+{
+    return adapters::make_problem(error{code, field, detail});
+}
+
+} // namespace
+
+const std::vector<operator_service::method_row> operator_service::method_table =
+    {
+        {"Apply", &operator_service::apply},
+        {"Diff", &operator_service::diff},
+        {"Export", &operator_service::export_declarations},
+        {"CreateKey", &operator_service::create_key},
+        {"Drain", &operator_service::drain},
+        {"TopUp", &operator_service::top_up},
+        {"GetBudget", &operator_service::get_budget},
+        {"ListBudgets", &operator_service::list_budgets},
+        {"ListMoves", &operator_service::list_moves},
+        {"GetStatus", &operator_service::get_status},
+};
+
+operator_service::operator_service(operator_calls calls,
+                                   std::vector<std::string> key_digests,
+                                   logger& log)
+    : m_calls(calls)
+    , m_key_digests(std::move(key_digests))
+    , m_log(log)
+{
+}
+
+bool operator_service::has_path(std::string_view path)
+{
+    return path.starts_with(path_prefix);
+}
+
+adapters::http_reply
+operator_service::answer(const adapters::http_request& request)
+{
+    adapters::http_reply reply = dispatch(request);
+    m_log.write(log_level::info, log_event::operator_call,
+                {{"path", request.path},
+                 {"status", std::int64_t{reply.status}},
+                 {"remote", request.remote_address}});
+    return reply;
+}
+
+adapters::http_reply
+operator_service::dispatch(const adapters::http_request& request)
+{
+    if (!is_authorized(request.header("Authorization")))
+    {
+        return refuse(result_code::operator_unauthorized, "Authorization",
+                      "expected the bearer key of an operator");
+    }
+    const std::string_view name =
+        std::string_view(request.path).substr(path_prefix.size());
+    auto row = std::find_if(method_table.begin(), method_table.end(),
+                            [name](const method_row& candidate)
+                            { return candidate.name == name; });
+    if (row == method_table.end())
+    {
+        return refuse(result_code::unknown_method, "path",
+                      "no method has that name");
+    }
+    if (request.method != "POST")
+    {
+        return refuse(result_code::unsupported_method, "method",
+                      "expected POST");
+    }
+    const std::optional<adapters::body_format> format =
+        adapters::body_format_of(request.header("Content-Type"));
+    if (!format)
+    {
+        return refuse(result_code::malformed_body, "Content-Type",
+                      "expected application/json or application/proto");
+    }
+    return (this->*row->run)({request.body, *format});
+}
+
+bool operator_service::is_authorized(const std::string& authorization) const
+{
+    if (!authorization.starts_with(bearer))
+    {
+        return false;
+    }
+    const std::string digest =
+        adapters::sha256_hex(authorization.substr(bearer.size()));
+    bool is_known = false;
+    for (const std::string& known : m_key_digests)
+    {
+        // Every digest is compared, so that the time tells nothing.
+        const bool is_equal =
+            adapters::is_equal_in_constant_time(known, digest);
+        is_known = is_known || is_equal;
+    }
+    return is_known;
+}
+
+template <class Request, class Group, class Reply>
+adapters::http_reply
+operator_service::invoke(const accepted_call& call, Group& group,
+                         operator_result<Reply> (Group::*run)(const Request&))
+{
+    Request request;
+    const status read = adapters::read_body(call.body, call.format, request);
+    if (!read)
+    {
+        return adapters::make_problem(read.failure());
+    }
+    const operator_result<Reply> result = (group.*run)(request);
+    const auto* fault = std::get_if<operator_fault>(&result);
+    if (fault != nullptr)
+    {
+        return problem_of(*fault);
+    }
+    adapters::http_reply reply;
+    reply.content_type = std::string(adapters::content_type_of(call.format));
+    reply.body = adapters::write_body(std::get<Reply>(result), call.format);
+    return reply;
+}
+
+adapters::http_reply operator_service::apply(const accepted_call& call)
+{
+    return invoke(call, m_calls.configuration, &configuration_calls::apply);
+}
+
+adapters::http_reply operator_service::diff(const accepted_call& call)
+{
+    return invoke(call, m_calls.configuration, &configuration_calls::diff);
+}
+
+adapters::http_reply
+operator_service::export_declarations(const accepted_call& call)
+{
+    return invoke(call, m_calls.configuration,
+                  &configuration_calls::export_declarations);
+}
+
+adapters::http_reply operator_service::create_key(const accepted_call& call)
+{
+    return invoke(call, m_calls.configuration,
+                  &configuration_calls::create_key);
+}
+
+adapters::http_reply operator_service::drain(const accepted_call& call)
+{
+    return invoke(call, m_calls.configuration, &configuration_calls::drain);
+}
+
+adapters::http_reply operator_service::top_up(const accepted_call& call)
+{
+    return invoke(call, m_calls.budgets, &budget_calls::top_up);
+}
+
+adapters::http_reply operator_service::get_budget(const accepted_call& call)
+{
+    return invoke(call, m_calls.budgets, &budget_calls::get_budget);
+}
+
+adapters::http_reply operator_service::list_budgets(const accepted_call& call)
+{
+    return invoke(call, m_calls.budgets, &budget_calls::list_budgets);
+}
+
+adapters::http_reply operator_service::list_moves(const accepted_call& call)
+{
+    return invoke(call, m_calls.status, &status_calls::list_moves);
+}
+
+adapters::http_reply operator_service::get_status(const accepted_call& call)
+{
+    return invoke(call, m_calls.status, &status_calls::get_status);
+}
+
+} // namespace turmeric::controller
--- /dev/null
+++ b/services/controller/operator_service.hpp
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "libraries/adapters/httplib/http_types.hpp"
+#include "libraries/adapters/protobuf/message_body.hpp"
+#include "libraries/core/logger.hpp"
+#include "services/controller/budget_calls.hpp"
+#include "services/controller/configuration_calls.hpp"
+#include "services/controller/status_calls.hpp"
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace turmeric::controller
+{
+
+/// The groups of calls that a service answers from.
+struct operator_calls
+{
+    configuration_calls& configuration;
+    budget_calls& budgets;
+    status_calls& status;
+};
+
+/// Answers `POST /turmericfront.v1.Operator/{Method}`. Thread safe.
+class operator_service
+{
+public:
+    /// `key_digests` are the SHA-256 digests of the operators' keys.
+    /// Precondition: the calls and `log` outlive this object.
+    operator_service(operator_calls calls, std::vector<std::string> key_digests,
+                     logger& log);
+
+    /// Answers a request; errors are problem documents. Thread safe;
+    /// blocks.
+    [[nodiscard]] adapters::http_reply
+    answer(const adapters::http_request& request);
+
+    /// Tells whether a path belongs to the service. Thread safe.
+    [[nodiscard]] static bool has_path(std::string_view path);
+
+private:
+    /// A call whose method, key and content type are accepted.
+    struct accepted_call
+    {
+        std::string_view body;
+        adapters::body_format format;
+    };
+
+    using method = adapters::http_reply (operator_service::*)(
+        const accepted_call& call);
+
+    struct method_row
+    {
+        std::string_view name;
+        method run;
+    };
+
+    template <class Request, class Group, class Reply>
+    adapters::http_reply
+    invoke(const accepted_call& call, Group& group,
+           operator_result<Reply> (Group::*run)(const Request&));
+
+    adapters::http_reply apply(const accepted_call& call);
+    adapters::http_reply diff(const accepted_call& call);
+    adapters::http_reply export_declarations(const accepted_call& call);
+    adapters::http_reply create_key(const accepted_call& call);
+    adapters::http_reply drain(const accepted_call& call);
+    adapters::http_reply top_up(const accepted_call& call);
+    adapters::http_reply get_budget(const accepted_call& call);
+    adapters::http_reply list_budgets(const accepted_call& call);
+    adapters::http_reply list_moves(const accepted_call& call);
+    adapters::http_reply get_status(const accepted_call& call);
+
+    [[nodiscard]] adapters::http_reply
+    dispatch(const adapters::http_request& request);
+    [[nodiscard]] bool is_authorized(const std::string& authorization) const;
+
+    static const std::vector<method_row> method_table;
+
+    operator_calls m_calls;
+    std::vector<std::string> m_key_digests;
+    logger& m_log;
+};
+
+} // namespace turmeric::controller
