Configuration: Test the replica, the codecs and the validation

RapidCheck offers heads and parts of five versions in any order, lost and doubled: the version never falls and what is in force is always one whole version.

--- /dev/null
+++ b/tests/configuration/replica_test.cpp
@@ -0,0 +1,172 @@
+#include <rapidcheck.h>
+
+#include "libraries/codecs/configuration/configuration_codec.hpp"
+#include "libraries/codecs/configuration/peer_exchange.hpp"
+#include "libraries/domain/configuration/configuration_replica.hpp"
+#include "tests/configuration/sample_configurations.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace turmeric;
+
+namespace
+{
+
+std::vector<tests::stored_version> sample_history(std::size_t length)
+{
+    const auto seeds = *rc::gen::container<std::vector<std::uint32_t>>(
+        length, rc::gen::inRange<std::uint32_t>(0, 1000));
+    std::vector<tests::stored_version> history;
+    for (const std::uint32_t seed : seeds)
+    {
+        const auto version = static_cast<std::int64_t>(history.size()) + 1;
+        history.push_back(
+            tests::store_version(tests::sample_configuration(seed), version));
+    }
+    return history;
+}
+
+/// Offers one head or part of the version, whichever `choice` names.
+void offer_one(domain::configuration_replica& replica,
+               const tests::stored_version& stored, std::size_t choice)
+{
+    const std::size_t index = choice % (stored.parts.size() + 2);
+    if (index < stored.parts.size())
+    {
+        RC_ASSERT(replica.offer_part(stored.parts[index]).has_value());
+        return;
+    }
+    RC_ASSERT(replica.offer_head(stored.head).has_value());
+}
+
+} // namespace
+
+TEST_GROUP(configuration_replica){};
+
+TEST(configuration_replica, never_reverts_and_is_never_half_of_a_version)
+{
+    CHECK(rc::check(
+        "any order, loss and duplication of heads and parts",
+        []
+        {
+            const std::vector<tests::stored_version> history =
+                sample_history(5);
+            domain::configuration_replica replica(
+                codecs::assemble_configuration);
+            const auto offers = *rc::gen::container<
+                std::vector<std::pair<std::size_t, std::size_t>>>(
+                rc::gen::pair(rc::gen::inRange<std::size_t>(0, 5),
+                              rc::gen::inRange<std::size_t>(0, 64)));
+            std::int64_t version = 0;
+            for (const auto& [index, choice] : offers)
+            {
+                offer_one(replica, history[index], choice);
+                RC_ASSERT(replica.current()->version >= version);
+                version = replica.current()->version;
+                if (version > 0)
+                {
+                    const auto& whole =
+                        history[static_cast<std::size_t>(version) - 1];
+                    RC_ASSERT(*replica.current() == whole.content);
+                }
+            }
+            RC_ASSERT(replica.offer_head(history.back().head).has_value());
+            for (const std::string& part : history.back().parts)
+            {
+                (void)replica.offer_part(part);
+            }
+            RC_ASSERT(*replica.current() == history.back().content);
+        }));
+}
+
+TEST(configuration_replica, takes_the_newest_whole_version_of_a_peer)
+{
+    const tests::stored_version old =
+        tests::store_version(tests::sample_configuration(1), 6);
+    const tests::stored_version newer =
+        tests::store_version(tests::sample_configuration(2), 7);
+    domain::configuration_replica replica(codecs::assemble_configuration);
+    CHECK_FALSE(replica.offer_head(newer.head).value());
+    CHECK_FALSE(replica.offer_head(old.head).value());
+    for (const std::string& part : old.parts)
+    {
+        CHECK(replica.offer_part(part).has_value());
+    }
+    LONGS_EQUAL(6, replica.current()->version);
+    for (const std::string& part : newer.parts)
+    {
+        CHECK(replica.offer_part(part).has_value());
+    }
+    LONGS_EQUAL(7, replica.current()->version);
+}
+
+TEST(configuration_replica, keeps_what_is_in_force_when_a_part_is_unreadable)
+{
+    const tests::stored_version good =
+        tests::store_version(tests::sample_configuration(1), 1);
+    domain::configuration_replica replica(codecs::assemble_configuration);
+    (void)replica.offer_head(good.head);
+    for (const std::string& part : good.parts)
+    {
+        (void)replica.offer_part(part);
+    }
+    const std::string unknown_list = R"({"sledges": []})";
+    domain::configuration_head head;
+    head.version = 2;
+    head.parts["routes"] = domain::part_digest(unknown_list);
+    CHECK_FALSE(replica.offer_head(head).value());
+    const result<bool> offered = replica.offer_part(unknown_list);
+    CHECK(!offered);
+    CHECK(result_code::corrupt_value == offered.failure().code);
+    LONGS_EQUAL(1, replica.current()->version);
+    CHECK_FALSE(replica.offer_head(head).value());
+    CHECK(replica.missing_parts().empty());
+}
+
+TEST(configuration_replica, refuses_two_heads_of_one_version)
+{
+    tests::stored_version stored = tests::store_version({}, 1);
+    domain::configuration_replica replica(codecs::assemble_configuration);
+    CHECK_TRUE(replica.offer_head(stored.head).value());
+    stored.head.writer = "another";
+    CHECK_FALSE(replica.offer_head(stored.head).has_value());
+}
+
+TEST(configuration_replica, codec_reads_what_it_writes)
+{
+    CHECK(rc::check(
+        "declarations and parts",
+        [](std::uint16_t seed)
+        {
+            const domain::configuration whole =
+                tests::sample_configuration(seed);
+            domain::configuration read;
+            for (const json& declaration : codecs::encode_declarations(whole))
+            {
+                RC_ASSERT(codecs::decode_declaration(declaration, "f", read)
+                              .has_value());
+            }
+            RC_ASSERT(read == whole);
+        }));
+}
+
+TEST(configuration_replica, an_exchange_moves_a_version_in_bounded_answers)
+{
+    const tests::stored_version stored =
+        tests::store_version(tests::sample_configuration(3), 4);
+    domain::part_texts texts;
+    for (const std::string& part : stored.parts)
+    {
+        texts[domain::part_digest(part)] = part;
+    }
+    const codecs::configuration_answer whole =
+        codecs::answer_request({3, {}}, stored.head, texts);
+    LONGS_EQUAL(stored.parts.size(), whole.parts.size());
+    CHECK(whole.head == stored.head);
+    const codecs::configuration_answer none =
+        codecs::answer_request({4, {}}, stored.head, texts);
+    CHECK(none.parts.empty());
+    CHECK_FALSE(none.head.has_value());
+    CHECK_FALSE(codecs::decode_answer("[1]").has_value());
+    CHECK_FALSE(codecs::decode_request("{\"version\": \"x\"}").has_value());
+}
--- /dev/null
+++ b/tests/configuration/sample_configurations.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "libraries/core/logger.hpp"
+#include "libraries/domain/configuration/configuration_head.hpp"
+#include "libraries/domain/configuration/declarations.hpp"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace turmeric::tests
+{
+
+/// A valid configuration; `seed` chooses the objects and their values.
+domain::configuration sample_configuration(std::uint32_t seed);
+
+/// A declaration set with one account of the given weight.
+domain::configuration one_account(const std::string& name, int weight);
+
+/// A version as it is stored.
+struct stored_version
+{
+    domain::configuration content;
+    domain::configuration_head head;
+    std::vector<std::string> parts;
+};
+
+/// Stores `content` under the given version.
+stored_version store_version(domain::configuration content,
+                             std::int64_t version);
+
+/// Drops log lines.
+class null_logger final : public logger
+{
+public:
+    void write(log_level, log_event, const std::vector<log_field>&) override {}
+};
+
+} // namespace turmeric::tests
