--- /dev/null
+++ b/libraries/drivers/requests/request_ledger.hpp
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "libraries/core/result.hpp"
+#include "libraries/domain/configuration/declarations.hpp"
+#include "libraries/drivers/requests/request_context.hpp"
+#include "libraries/ports/clock.hpp"
+
+#include <cstdint>
+
+namespace turmeric::drivers
+{
+
+/// Names tokens reserved for one request.
+using ledger_hold = std::uint64_t;
+
+/// What a run needs of the budgets. Implementations are thread safe.
+class request_ledger
+{
+public:
+    request_ledger() = default;
+    request_ledger(const request_ledger&) = delete;
+    request_ledger& operator=(const request_ledger&) = delete;
+    virtual ~request_ledger() = default;
+
+    /// Reserves the request's upper bound. Errors, all `not_run`: see
+    /// `domain::router_ledger::place_hold`. Thread safe; blocks.
+    virtual result<ledger_hold> acquire(const request_context& request) = 0;
+
+    /// Bills `used` tokens and returns the tokens billed once the bill is
+    /// durable. Error: `bill_undurable`. Thread safe; blocks.
+    virtual result<domain::tokens> settle(ledger_hold hold,
+                                          domain::tokens used) = 0;
+
+    /// Frees a hold without a bill. Thread safe.
+    virtual void release(ledger_hold hold) = 0;
+
+    /// Makes a durable claim to run a request that may run at most once.
+    /// Errors: `claim_unresolved`, `duplicate_request`. Thread safe; blocks.
+    virtual status claim(const request_context& request) = 0;
+};
+
+} // namespace turmeric::drivers
