--- /dev/null
+++ b/libraries/codecs/membership/membership_json.cpp
@@ -0,0 +1,264 @@
+#include "libraries/codecs/membership/membership_json.hpp"
+
+#include "libraries/codecs/common/json_reader.hpp"
+#include "libraries/core/json.hpp"
+
+#include <algorithm>
+#include <array>
+#include <optional>
+
+namespace turmeric::codecs
+{
+
+namespace
+{
+
+constexpr std::array<domain::member_state, 3> member_states{
+    domain::member_state::live,
+    domain::member_state::leaving,
+    domain::member_state::stopped,
+};
+
+std::int64_t to_milliseconds(ports::system_time time)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+               time.time_since_epoch())
+        .count();
+}
+
+json to_json(const domain::member& value)
+{
+    return json{
+        {"incarnation", value.incarnation},
+        {"address", value.address},
+        {"peer_address", value.peer_address},
+        {"vm", value.vm},
+        {"data_centre", value.data_centre},
+        {"started_ms", to_milliseconds(value.started)},
+    };
+}
+
+json to_json(const domain::epoch_record& value)
+{
+    json epochs = json::array();
+    for (const domain::router_epoch& epoch : value.epochs)
+    {
+        epochs.push_back(
+            {{"number", epoch.number}, {"routers", epoch.routers}});
+    }
+    return json{
+        {"epochs", epochs},
+        {"vms", value.vms},
+        {"ended", value.ended},
+        {"revision", value.revision},
+    };
+}
+
+json to_json(const domain::member_row& value)
+{
+    return json{
+        {"who", to_json(value.who)},
+        {"version", value.version},
+        {"state", std::string(name_of(value.state))},
+        {"share", value.share},
+        {"acknowledged", value.acknowledged},
+        {"configuration_version", value.configuration_version},
+        {"configuration_digest", value.configuration_digest},
+        {"silent_to", value.silent_to},
+    };
+}
+
+/// Reads typed fields of one JSON object and keeps the first fault.
+class field_reader
+{
+public:
+    field_reader(const json& object, std::optional<std::string>& fault)
+        : m_object(object)
+        , m_fault(fault)
+    {
+    }
+
+    template <class Value>
+    void read(const char* name, Value& into)
+    {
+        try
+        {
+            m_object.at(name).get_to(into);
+        }
+        catch (const json::exception&)
+        {
+            fail(name);
+        }
+    }
+
+    [[nodiscard]] const json& object(const char* name)
+    {
+        static const json empty = json::object();
+        auto found = m_object.find(name);
+        if (!m_object.is_object() || found == m_object.end())
+        {
+            fail(name);
+            return empty;
+        }
+        return *found;
+    }
+
+    void fail(const char* name)
+    {
+        m_fault = m_fault.value_or(name);
+    }
+
+private:
+    const json& m_object;
+    std::optional<std::string>& m_fault;
+};
+
+void from_json(const json& text, domain::member& value,
+               std::optional<std::string>& fault)
+{
+    field_reader fields(text, fault);
+    fields.read("incarnation", value.incarnation);
+    fields.read("address", value.address);
+    fields.read("peer_address", value.peer_address);
+    fields.read("vm", value.vm);
+    fields.read("data_centre", value.data_centre);
+    std::int64_t started = 0;
+    fields.read("started_ms", started);
+    value.started = ports::system_time(std::chrono::milliseconds(started));
+}
+
+void from_json(const json& text, domain::epoch_record& value,
+               std::optional<std::string>& fault)
+{
+    field_reader fields(text, fault);
+    for (const json& item : fields.object("epochs"))
+    {
+        domain::router_epoch& epoch = value.epochs.emplace_back();
+        field_reader epoch_fields(item, fault);
+        epoch_fields.read("number", epoch.number);
+        epoch_fields.read("routers", epoch.routers);
+        if (!std::is_sorted(epoch.routers.begin(), epoch.routers.end()))
+        {
+            epoch_fields.fail("routers");
+        }
+    }
+    fields.read("vms", value.vms);
+    fields.read("ended", value.ended);
+    fields.read("revision", value.revision);
+}
+
+void from_json(const json& text, domain::member_row& value,
+               std::optional<std::string>& fault)
+{
+    field_reader fields(text, fault);
+    from_json(fields.object("who"), value.who, fault);
+    fields.read("version", value.version);
+    std::string state;
+    fields.read("state", state);
+    auto known = std::find_if(member_states.begin(), member_states.end(),
+                              [&state](domain::member_state candidate)
+                              { return name_of(candidate) == state; });
+    if (known == member_states.end())
+    {
+        fields.fail("state");
+        return;
+    }
+    value.state = *known;
+    fields.read("share", value.share);
+    fields.read("acknowledged", value.acknowledged);
+    fields.read("configuration_version", value.configuration_version);
+    fields.read("configuration_digest", value.configuration_digest);
+    fields.read("silent_to", value.silent_to);
+}
+
+void from_json(const json& text, domain::heartbeat& value,
+               std::optional<std::string>& fault)
+{
+    field_reader fields(text, fault);
+    fields.read("sender", value.sender);
+    fields.read("index", value.index);
+    fields.read("received", value.received);
+    fields.read("record_revision", value.record_revision);
+    for (const json& item : fields.object("rows"))
+    {
+        from_json(item, value.rows.emplace_back(), fault);
+    }
+    if (text.is_object() && text.contains("record"))
+    {
+        from_json(text.at("record"), value.record.emplace(), fault);
+    }
+}
+
+template <class Value>
+result<Value> read(std::string_view text, result_code code,
+                   std::string_view place)
+{
+    result<json> parsed = parse_json(text, code, place);
+    if (!parsed)
+    {
+        return parsed.failure();
+    }
+    Value value;
+    std::optional<std::string> fault;
+    from_json(parsed.value(), value, fault);
+    if (fault)
+    {
+        return error{code, *fault, "missing or of the wrong type"};
+    }
+    return value;
+}
+
+} // namespace
+
+std::string write_member(const domain::member& value,
+                         domain::member_state state)
+{
+    json written = to_json(value);
+    written["state"] = std::string(name_of(state));
+    return written.dump();
+}
+
+result<domain::member> read_member(std::string_view text)
+{
+    return read<domain::member>(text, result_code::corrupt_value, "member");
+}
+
+std::string write_epochs(const domain::epoch_record& value)
+{
+    return to_json(value).dump();
+}
+
+result<domain::epoch_record> read_epochs(std::string_view text)
+{
+    return read<domain::epoch_record>(text, result_code::corrupt_value,
+                                      "epochs");
+}
+
+std::string write_heartbeat(const domain::heartbeat& value)
+{
+    json rows = json::array();
+    for (const domain::member_row& row : value.rows)
+    {
+        rows.push_back(to_json(row));
+    }
+    json written{
+        {"sender", value.sender},
+        {"index", value.index},
+        {"received", value.received},
+        {"record_revision", value.record_revision},
+        {"rows", rows},
+    };
+    if (value.record)
+    {
+        written["record"] = to_json(*value.record);
+    }
+    return written.dump();
+}
+
+result<domain::heartbeat> read_heartbeat(std::string_view text)
+{
+    return read<domain::heartbeat>(text, result_code::peer_protocol,
+                                   "heartbeat");
+}
+
+} // namespace turmeric::codecs
--- /dev/null
+++ b/libraries/domain/membership/membership_epochs.cpp
@@ -0,0 +1,220 @@
+// The part of membership_view that decides on epochs.
+
+#include "libraries/domain/membership/membership_view.hpp"
+
+#include <algorithm>
+
+namespace turmeric::domain
+{
+
+namespace
+{
+
+bool contains(const std::vector<std::string>& names, const std::string& name)
+{
+    return std::find(names.begin(), names.end(), name) != names.end();
+}
+
+void forget_unused(epoch_record& record)
+{
+    std::set<std::string> used;
+    for (const router_epoch& epoch : record.epochs)
+    {
+        used.insert(epoch.routers.begin(), epoch.routers.end());
+    }
+    std::erase_if(record.vms, [&used](const auto& item)
+                  { return !used.contains(item.first); });
+    std::erase_if(record.ended, [&used](const std::string& router)
+                  { return !used.contains(router); });
+}
+
+} // namespace
+
+bool membership_view::has_successor(const std::string& incarnation,
+                                    const std::string& vm) const
+{
+    auto known = m_members.find(incarnation);
+    if (known == m_members.end())
+    {
+        return false;
+    }
+    ports::system_time started = known->second.row.who.started;
+    return std::any_of(m_members.begin(), m_members.end(),
+                       [&vm, started](const auto& item)
+                       {
+                           const known_member& other = item.second;
+                           return other.has_lease && other.row.who.vm == vm &&
+                                  other.row.who.started > started;
+                       });
+}
+
+bool membership_view::has_evidence(const std::string& incarnation,
+                                   const std::string& vm,
+                                   ports::steady_time now) const
+{
+    auto known = m_members.find(incarnation);
+    bool is_heard = known != m_members.end() &&
+                    (known->second.has_lease || !is_silent(known->second, now));
+    if (is_heard || !m_leases_read || !m_vms_read)
+    {
+        return false;
+    }
+    if (has_successor(incarnation, vm))
+    {
+        return true;
+    }
+    auto sighting = m_vms.find(vm);
+    return sighting != m_vms.end() && !sighting->second.is_listed &&
+           *m_vms_read - sighting->second.seen >= m_limits.vm_gone_after;
+}
+
+void membership_view::update_evidence(ports::steady_time now)
+{
+    std::map<std::string, ports::steady_time> since;
+    for (const auto& [incarnation, vm] : m_record.vms)
+    {
+        if (has_evidence(incarnation, vm, now))
+        {
+            auto known = m_ended_since.find(incarnation);
+            since[incarnation] =
+                known == m_ended_since.end() ? now : known->second;
+        }
+    }
+    m_ended_since = std::move(since);
+}
+
+bool membership_view::has_ended(const std::string& incarnation,
+                                ports::steady_time now) const
+{
+    auto known = m_members.find(incarnation);
+    if (known != m_members.end() &&
+        known->second.row.state == member_state::stopped)
+    {
+        return true;
+    }
+    auto since = m_ended_since.find(incarnation);
+    return since != m_ended_since.end() &&
+           now - since->second >= m_limits.longest_request;
+}
+
+std::size_t membership_view::own_turn(ports::steady_time now) const
+{
+    std::size_t earlier = 0;
+    for (const auto& [incarnation, entry] : m_members)
+    {
+        if (incarnation == m_self)
+        {
+            break;
+        }
+        earlier += is_located(entry, now) ? 1 : 0;
+    }
+    return earlier;
+}
+
+std::vector<std::string>
+membership_view::next_routers(const epoch_record& next,
+                              ports::steady_time now) const
+{
+    std::set<std::string> routers;
+    if (!m_record.epochs.empty())
+    {
+        for (const std::string& router : m_record.epochs.back().routers)
+        {
+            auto known = m_members.find(router);
+            bool is_going = known != m_members.end() &&
+                            known->second.row.state != member_state::live;
+            // A router that is only silent keeps its slots: it may be cut
+            // off and still use them.
+            if (!is_going && !contains(next.ended, router))
+            {
+                routers.insert(router);
+            }
+        }
+    }
+    for (const auto& [incarnation, entry] : m_members)
+    {
+        if (is_located(entry, now))
+        {
+            routers.insert(incarnation);
+        }
+    }
+    return {routers.begin(), routers.end()};
+}
+
+void membership_view::drop_released(epoch_record& record) const
+{
+    auto has_released = [this, &record](const std::string& router)
+    {
+        auto known = m_members.find(router);
+        epoch_number acknowledged =
+            known == m_members.end() ? 0 : known->second.row.acknowledged;
+        return acknowledged > record.epochs.front().number ||
+               contains(record.ended, router);
+    };
+    while (record.epochs.size() > 1 &&
+           std::all_of(record.epochs.front().routers.begin(),
+                       record.epochs.front().routers.end(), has_released))
+    {
+        record.epochs.erase(record.epochs.begin());
+    }
+    forget_unused(record);
+}
+
+epoch_record membership_view::next_record(ports::steady_time now) const
+{
+    epoch_record next = m_record;
+    for (const auto& [incarnation, vm] : m_record.vms)
+    {
+        if (has_ended(incarnation, now) && !contains(next.ended, incarnation))
+        {
+            next.ended.push_back(incarnation);
+        }
+    }
+    std::vector<std::string> routers = next_routers(next, now);
+    drop_released(next);
+    bool is_changed =
+        next.epochs.empty() || next.epochs.back().routers != routers;
+    if (is_changed && next.epochs.size() < m_limits.most_epochs)
+    {
+        next.epochs.push_back(router_epoch{next.newest() + 1, routers});
+    }
+    for (const std::string& router : next.epochs.back().routers)
+    {
+        auto known = m_members.find(router);
+        if (known != m_members.end())
+        {
+            next.vms[router] = known->second.row.who.vm;
+        }
+    }
+    return next;
+}
+
+std::optional<epoch_record> membership_view::propose(ports::steady_time now)
+{
+    update_evidence(now);
+    auto own = m_members.find(m_self);
+    if (!m_leases_read || !m_vms_read || !is_located(own->second, now))
+    {
+        return std::nullopt;
+    }
+    epoch_record next = next_record(now);
+    if (next == m_record)
+    {
+        m_lagging_since.reset();
+        return std::nullopt;
+    }
+    if (!m_lagging_since)
+    {
+        m_lagging_since = now;
+    }
+    std::chrono::milliseconds wait =
+        m_limits.turn * static_cast<std::int64_t>(own_turn(now));
+    if (now - *m_lagging_since < wait)
+    {
+        return std::nullopt;
+    }
+    ++next.revision;
+    return next;
+}
+
+} // namespace turmeric::domain
--- /dev/null
+++ b/libraries/domain/membership/membership_view.hpp
@@ -0,0 +1,164 @@
+#pragma once
+
+#include "libraries/domain/membership/member.hpp"
+#include "libraries/ports/clock.hpp"
+#include "libraries/ports/vm_list.hpp"
+
+#include <chrono>
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace turmeric::domain
+{
+
+/// Times and sizes of membership.
+struct membership_limits
+{
+    /// Peers on each side of the ring.
+    std::size_t neighbours = 8;
+    /// A peer not heard from for this long is silent to this router.
+    std::chrono::milliseconds silent_after{2'000};
+    /// Each router raises its row's version at least this often.
+    std::chrono::milliseconds refresh{15'000};
+    /// A row not raised for this long counts as silent.
+    std::chrono::milliseconds stale_after{45'000};
+    /// How long a VM must be missing from the VM list to count as gone; more
+    /// than the list's lag.
+    std::chrono::milliseconds vm_gone_after{60'000};
+    /// The longest that an upstream may work on after its router ended.
+    std::chrono::milliseconds longest_request{300'000};
+    /// Epochs that may be in use at a time.
+    std::size_t most_epochs = 8;
+    /// How much longer each next router waits before it writes the record.
+    std::chrono::milliseconds turn{2'000};
+    /// Rows of members that ended are kept this long.
+    std::chrono::milliseconds forget_after{900'000};
+};
+
+/// Decides from leases, the VM list and peers' heartbeats who is live, whom
+/// to exchange heartbeats with and which epoch comes next. During a platform
+/// outage heartbeats alone decide; epochs then stand still. Not thread safe.
+class membership_view
+{
+public:
+    /// Precondition: `self` names this router. Not thread safe.
+    membership_view(const member& self, const membership_limits& limits,
+                    ports::steady_time now);
+
+    /// Sets what this router says of itself; a state never moves back. Not
+    /// thread safe.
+    void set_state(member_state state);
+    /// Sets the weight of this router in locate answers. Not thread safe.
+    void set_share(std::int64_t share);
+    /// Sets the epoch that this router keeps to. Not thread safe.
+    void set_acknowledged(epoch_number number);
+    /// Sets the configuration in force here. Not thread safe.
+    void set_configuration(std::int64_t version, const std::string& digest);
+
+    /// Takes the members that hold a lease, as read from the platform. Not
+    /// thread safe.
+    void update_leases(const std::vector<member>& registered,
+                       ports::steady_time now);
+
+    /// Takes the VM list as read from the platform. Not thread safe.
+    void update_vms(const std::vector<ports::vm_entry>& vms,
+                    ports::steady_time now);
+
+    /// Takes an epoch record; an older one is ignored. Not thread safe.
+    void update_record(const epoch_record& record);
+
+    /// Returns the message for a peer. Not thread safe.
+    [[nodiscard]] heartbeat make_heartbeat(const std::string& receiver,
+                                           ports::steady_time now);
+
+    /// Takes a peer's message or its answer. Not thread safe.
+    void receive(const heartbeat& message, ports::steady_time now);
+
+    /// Raises this router's version when due and marks silent peers. Call it
+    /// once a round. Not thread safe.
+    void advance(ports::steady_time now);
+
+    /// Returns the members to exchange heartbeats with. Not thread safe.
+    [[nodiscard]] std::vector<member> peers() const;
+
+    /// Returns the record to write by compare-and-swap, if the routers that
+    /// share capacity are to change and it is this router's turn to write:
+    /// the first located one at once, the others after waiting in order.
+    /// Not thread safe.
+    [[nodiscard]] std::optional<epoch_record> propose(ports::steady_time now);
+
+    /// Returns what is known now. Not thread safe.
+    [[nodiscard]] membership_snapshot snapshot(ports::steady_time now) const;
+
+private:
+    struct known_member
+    {
+        member_row row;
+        /// This router's count of changes when the row last changed.
+        std::uint64_t changed = 0;
+        ports::steady_time heard{};
+        ports::steady_time raised{};
+        bool has_lease = false;
+    };
+
+    struct vm_sighting
+    {
+        ports::steady_time seen{};
+        bool is_listed = false;
+        bool is_leaving = false;
+    };
+
+    struct peer_progress
+    {
+        std::uint64_t received = 0;
+        std::uint64_t acknowledged = 0;
+        std::int64_t record_revision = 0;
+    };
+
+    known_member& self();
+    void touch(known_member& entry);
+    void raise_self();
+    void merge(const member_row& row, ports::steady_time now);
+    void mark_silent(known_member& entry, const std::string& observer);
+    void forget(ports::steady_time now);
+    [[nodiscard]] bool is_silent(const known_member& entry,
+                                 ports::steady_time now) const;
+    [[nodiscard]] bool is_located(const known_member& entry,
+                                  ports::steady_time now) const;
+    [[nodiscard]] bool has_evidence(const std::string& incarnation,
+                                    const std::string& vm,
+                                    ports::steady_time now) const;
+    [[nodiscard]] bool has_successor(const std::string& incarnation,
+                                     const std::string& vm) const;
+    void update_evidence(ports::steady_time now);
+    [[nodiscard]] bool has_ended(const std::string& incarnation,
+                                 ports::steady_time now) const;
+    [[nodiscard]] std::size_t own_turn(ports::steady_time now) const;
+    [[nodiscard]] std::vector<std::string>
+    next_routers(const epoch_record& next, ports::steady_time now) const;
+    [[nodiscard]] epoch_record next_record(ports::steady_time now) const;
+    void drop_released(epoch_record& record) const;
+    [[nodiscard]] std::vector<std::string> ring_members() const;
+
+    membership_limits m_limits;
+    std::string m_self;
+    std::map<std::string, known_member> m_members;
+    std::map<std::string, vm_sighting> m_vms;
+    std::map<std::string, peer_progress> m_progress;
+    std::set<std::string> m_peers;
+    epoch_record m_record;
+    std::uint64_t m_changes = 0;
+    ports::steady_time m_refreshed{};
+    /// Since when each router of the record is known to have ended.
+    std::map<std::string, ports::steady_time> m_ended_since;
+    /// Since when the record lags behind what this router sees.
+    std::optional<ports::steady_time> m_lagging_since;
+    std::optional<ports::steady_time> m_leases_read;
+    std::optional<ports::steady_time> m_vms_read;
+};
+
+} // namespace turmeric::domain
--- /dev/null
+++ b/libraries/domain/streaming/answer_assembler.cpp
@@ -0,0 +1,78 @@
+#include "libraries/domain/streaming/answer_assembler.hpp"
+
+#include <algorithm>
+
+namespace turmeric::domain
+{
+
+namespace
+{
+
+error broken(const char* detail)
+{
+    return error{result_code::stream_broken, "offset", detail,
+                 outcome::outcome_unknown};
+}
+
+} // namespace
+
+result<std::vector<std::string>>
+answer_assembler::accept(const answer_chunk& chunk)
+{
+    tokens end = chunk.offset + static_cast<tokens>(chunk.texts.size());
+    if (chunk.offset < 0 || (m_total && end > *m_total))
+    {
+        return broken("tokens outside of the answer");
+    }
+    tokens reach = m_next + static_cast<tokens>(most_pending);
+    if (end > reach && chunk.offset > m_next)
+    {
+        return broken("too many tokens behind a gap");
+    }
+    std::vector<std::string> ready;
+    tokens position = chunk.offset;
+    for (const std::string& text : chunk.texts)
+    {
+        if (position == m_next)
+        {
+            ready.push_back(text);
+            ++m_next;
+        }
+        else if (position > m_next)
+        {
+            m_pending.emplace(position, text);
+        }
+        ++position;
+    }
+    m_pending.erase(m_pending.begin(), m_pending.lower_bound(m_next));
+    while (!m_pending.empty() && m_pending.begin()->first == m_next)
+    {
+        ready.push_back(std::move(m_pending.begin()->second));
+        m_pending.erase(m_pending.begin());
+        ++m_next;
+    }
+    return ready;
+}
+
+status answer_assembler::end_at(tokens total)
+{
+    tokens seen = m_pending.empty() ? m_next : m_pending.rbegin()->first + 1;
+    if (total < seen || (m_total && *m_total != total))
+    {
+        return broken("attempts disagree on the answer's end");
+    }
+    m_total = total;
+    return success();
+}
+
+tokens answer_assembler::delivered() const
+{
+    return m_next;
+}
+
+bool answer_assembler::is_whole() const
+{
+    return m_total == m_next;
+}
+
+} // namespace turmeric::domain
--- /dev/null
+++ b/libraries/drivers/membership/member_lease.hpp
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "libraries/core/logger.hpp"
+#include "libraries/domain/membership/member.hpp"
+#include "libraries/drivers/membership/membership_settings.hpp"
+#include "libraries/ports/clock.hpp"
+#include "libraries/ports/key_value_store.hpp"
+
+#include <optional>
+#include <string>
+
+namespace turmeric::drivers
+{
+
+/// Keeps this router's member key in the platform's service under a lease.
+/// Not thread safe.
+class member_lease
+{
+public:
+    /// Precondition: the references outlive it. Not thread safe.
+    member_lease(const domain::member& self,
+                 const membership_settings& settings,
+                 ports::key_value_store& store, logger& log);
+
+    /// Registers, renews or rewrites the key when that is due: a write for
+    /// each third of the lease and each change of state. Blocks for platform
+    /// calls. Errors: those of the store; call again later. Not thread safe.
+    status keep(domain::member_state state, ports::steady_time now);
+
+    /// Gives the lease back, which deletes the key. Not thread safe.
+    void release();
+
+    /// Tells whether the key is registered as far as is known. Not thread
+    /// safe.
+    [[nodiscard]] bool is_registered() const;
+
+private:
+    status acquire(ports::steady_time now);
+    status write(domain::member_state state);
+    status renew(ports::steady_time now);
+
+    domain::member m_self;
+    const membership_settings& m_settings;
+    ports::key_value_store& m_store;
+    logger& m_log;
+    ports::lease_id m_lease = 0;
+    ports::steady_time m_renewed{};
+    std::optional<domain::member_state> m_written;
+};
+
+} // namespace turmeric::drivers
