Budget: Add codecs, drivers and the fake key-value store

Callers of one shard share its compare-and-swaps: one of them writes for all that wait. Batches may also be forwarded to one committer a shard; their operation numbers keep a second commit without effect.

--- /dev/null
+++ b/libraries/codecs/budget/batch_codec.cpp
@@ -0,0 +1,250 @@
+#include "libraries/codecs/budget/batch_codec.hpp"
+
+#include "libraries/codecs/common/json_reader.hpp"
+
+#include <utility>
+
+namespace turmeric::codecs
+{
+
+namespace
+{
+
+using domain::batch_reply;
+using domain::bill_line;
+using domain::bill_outcome;
+using domain::budget_line;
+using domain::budget_reading;
+using domain::router_batch;
+using domain::tokens;
+
+error broken(const char* field)
+{
+    return error{result_code::peer_protocol, field,
+                 "the peer's batch message cannot be read",
+                 outcome::outcome_unknown};
+}
+
+bool read_line(const json& row, budget_line& line)
+{
+    constexpr std::size_t columns = 4;
+    if (!row.is_array() || row.size() != columns || !row[0].is_string() ||
+        !row[1].is_array() || !row[2].is_number_integer() ||
+        !row[3].is_number_integer())
+    {
+        return false;
+    }
+    line.budget = row[0].get<std::string>();
+    for (const json& need : row[1])
+    {
+        if (!need.is_number_integer())
+        {
+            return false;
+        }
+        line.needs.push_back(need.get<tokens>());
+    }
+    line.returned = row[2].get<tokens>();
+    line.rate = row[3].get<tokens>();
+    return true;
+}
+
+bool read_bill(const json& row, bill_line& bill)
+{
+    constexpr std::size_t columns = 4;
+    if (!row.is_array() || row.size() != columns || !row[0].is_string() ||
+        !row[1].is_number_unsigned() || !row[2].is_number_unsigned() ||
+        !row[3].is_number_integer())
+    {
+        return false;
+    }
+    bill.budget = row[0].get<std::string>();
+    bill.key = row[1].get<std::uint64_t>();
+    bill.body_digest = row[2].get<std::uint32_t>();
+    bill.used = row[3].get<tokens>();
+    return true;
+}
+
+bool read_reading(const json& row, budget_reading& reading)
+{
+    constexpr std::size_t columns = 6;
+    if (!row.is_array() || row.size() != columns || !row[0].is_string() ||
+        !row[5].is_boolean())
+    {
+        return false;
+    }
+    for (std::size_t i = 1; i + 1 < columns; ++i)
+    {
+        if (!row[i].is_number_integer())
+        {
+            return false;
+        }
+    }
+    reading.budget = row[0].get<std::string>();
+    reading.outstanding = row[1].get<tokens>();
+    reading.others = row[2].get<tokens>();
+    reading.pool = row[3].get<tokens>();
+    reading.total_rate = row[4].get<tokens>();
+    reading.is_recalled = row[5].get<bool>();
+    return true;
+}
+
+bool read_outcome(const json& row, bill_outcome& bill)
+{
+    constexpr std::size_t columns = 3;
+    constexpr int last_state = static_cast<int>(domain::bill_state::refused);
+    if (!row.is_array() || row.size() != columns ||
+        !row[0].is_number_unsigned() || !row[1].is_number_unsigned() ||
+        !row[2].is_number_integer() || row[1].get<int>() > last_state)
+    {
+        return false;
+    }
+    bill.key = row[0].get<std::uint64_t>();
+    bill.state = static_cast<domain::bill_state>(row[1].get<int>());
+    bill.used = row[2].get<tokens>();
+    return true;
+}
+
+template <class Row>
+bool read_rows(const json& value, const char* name, std::vector<Row>& rows,
+               bool (*read)(const json&, Row&))
+{
+    if (!value.contains(name) || !value[name].is_array())
+    {
+        return false;
+    }
+    for (const json& row : value[name])
+    {
+        Row made;
+        if (!read(row, made))
+        {
+            return false;
+        }
+        rows.push_back(std::move(made));
+    }
+    return true;
+}
+
+bool has_integer(const json& value, const char* name)
+{
+    return value.contains(name) && value[name].is_number_integer();
+}
+
+bool has_flag(const json& value, const char* name)
+{
+    return value.contains(name) && value[name].is_boolean();
+}
+
+} // namespace
+
+std::string encode_batch(std::int32_t shard, const router_batch& batch)
+{
+    json lines = json::array();
+    for (const budget_line& line : batch.lines)
+    {
+        lines.push_back({line.budget, line.needs, line.returned, line.rate});
+    }
+    json bills = json::array();
+    for (const bill_line& bill : batch.bills)
+    {
+        bills.push_back({bill.budget, bill.key, bill.body_digest, bill.used});
+    }
+    json value;
+    value["shard"] = shard;
+    value["incarnation"] = batch.incarnation;
+    value["operation"] = batch.operation;
+    value["term_end"] = batch.term_end.time_since_epoch().count();
+    value["is_leaving"] = batch.is_leaving;
+    value["lines"] = std::move(lines);
+    value["bills"] = std::move(bills);
+    return value.dump();
+}
+
+result<forwarded_batch> decode_batch(std::string_view text)
+{
+    result<json> parsed = parse_json(text, result_code::peer_protocol, "batch");
+    if (!parsed)
+    {
+        return parsed.failure();
+    }
+    const json& value = parsed.value();
+    if (!value.is_object() || !has_integer(value, "shard") ||
+        !has_integer(value, "operation") || !has_integer(value, "term_end") ||
+        !has_flag(value, "is_leaving") || !value.contains("incarnation") ||
+        !value["incarnation"].is_string())
+    {
+        return broken("batch");
+    }
+    forwarded_batch made;
+    made.shard = value["shard"].get<std::int32_t>();
+    made.batch.incarnation = value["incarnation"].get<std::string>();
+    made.batch.operation = value["operation"].get<std::int64_t>();
+    made.batch.term_end = domain::sys_seconds(
+        std::chrono::seconds(value["term_end"].get<std::int64_t>()));
+    made.batch.is_leaving = value["is_leaving"].get<bool>();
+    if (!read_rows(value, "lines", made.batch.lines, read_line))
+    {
+        return broken("lines");
+    }
+    if (!read_rows(value, "bills", made.batch.bills, read_bill))
+    {
+        return broken("bills");
+    }
+    return made;
+}
+
+std::string encode_reply(const batch_reply& reply)
+{
+    json readings = json::array();
+    for (const budget_reading& reading : reply.readings)
+    {
+        readings.push_back({reading.budget, reading.outstanding, reading.others,
+                            reading.pool, reading.total_rate,
+                            reading.is_recalled});
+    }
+    json bills = json::array();
+    for (const bill_outcome& bill : reply.bills)
+    {
+        bills.push_back(
+            {bill.key, static_cast<unsigned>(bill.state), bill.used});
+    }
+    json value;
+    value["state"] = static_cast<unsigned>(reply.state);
+    value["is_frozen"] = reply.is_frozen;
+    value["readings"] = std::move(readings);
+    value["bills"] = std::move(bills);
+    return value.dump();
+}
+
+result<batch_reply> decode_reply(std::string_view text)
+{
+    constexpr unsigned last_state =
+        static_cast<unsigned>(domain::batch_state::full);
+    result<json> parsed = parse_json(text, result_code::peer_protocol, "reply");
+    if (!parsed)
+    {
+        return parsed.failure();
+    }
+    const json& value = parsed.value();
+    if (!value.is_object() || !value.contains("state") ||
+        !value["state"].is_number_unsigned() ||
+        value["state"].get<unsigned>() > last_state ||
+        !has_flag(value, "is_frozen"))
+    {
+        return broken("reply");
+    }
+    batch_reply reply;
+    reply.state =
+        static_cast<domain::batch_state>(value["state"].get<unsigned>());
+    reply.is_frozen = value["is_frozen"].get<bool>();
+    if (!read_rows(value, "readings", reply.readings, read_reading))
+    {
+        return broken("readings");
+    }
+    if (!read_rows(value, "bills", reply.bills, read_outcome))
+    {
+        return broken("bills");
+    }
+    return reply;
+}
+
+} // namespace turmeric::codecs
--- /dev/null
+++ b/libraries/codecs/budget/compact_number.cpp
@@ -0,0 +1,63 @@
+#include "libraries/codecs/budget/compact_number.hpp"
+
+namespace turmeric::codecs
+{
+
+namespace
+{
+
+constexpr int bits_per_digit = 6;
+constexpr std::uint64_t digit_mask = 63;
+constexpr std::string_view alphabet = "ABCDEFGHIJKLMNOPQRSTUVWXYZ"
+                                      "abcdefghijklmnopqrstuvwxyz"
+                                      "0123456789-_";
+
+int value_of(char digit)
+{
+    if (digit >= 'A' && digit <= 'Z')
+    {
+        return digit - 'A';
+    }
+    if (digit >= 'a' && digit <= 'z')
+    {
+        return digit - 'a' + 26;
+    }
+    if (digit >= '0' && digit <= '9')
+    {
+        return digit - '0' + 52;
+    }
+    if (digit == '-')
+    {
+        return 62;
+    }
+    return digit == '_' ? 63 : -1;
+}
+
+} // namespace
+
+void append_compact(std::string& text, std::uint64_t value, int digits)
+{
+    for (int place = digits - 1; place >= 0; --place)
+    {
+        const std::uint64_t digit =
+            (value >> (place * bits_per_digit)) & digit_mask;
+        text += alphabet[digit];
+    }
+}
+
+std::optional<std::uint64_t> read_compact(std::string_view text)
+{
+    std::uint64_t value = 0;
+    for (const char character : text)
+    {
+        const int digit = value_of(character);
+        if (digit < 0)
+        {
+            return std::nullopt;
+        }
+        value = value << bits_per_digit | static_cast<std::uint64_t>(digit);
+    }
+    return value;
+}
+
+} // namespace turmeric::codecs
--- /dev/null
+++ b/libraries/domain/budget/call_limiter.hpp
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "libraries/ports/clock.hpp"
+
+namespace turmeric::domain
+{
+
+/// A token bucket that bounds calls per second. Not thread safe.
+class call_limiter
+{
+public:
+    /// Preconditions: both are positive.
+    call_limiter(double calls_per_second, double burst);
+
+    /// Takes one call if the bound allows it now. Not thread safe.
+    bool try_take(ports::steady_time now);
+
+private:
+    double m_rate;
+    double m_burst;
+    double m_available;
+    ports::steady_time m_last;
+};
+
+} // namespace turmeric::domain
--- a/libraries/domain/budget/router_ledger.cpp
+++ b/libraries/domain/budget/router_ledger.cpp
@@ -187,7 +187,8 @@
     return unavailable;
 }
 
-status router_ledger::settle(hold_id hold, tokens used, ledger_time now)
+result<bill_line> router_ledger::settle(hold_id hold, tokens used,
+                                        ledger_time now)
 {
     auto place = m_holds.find(hold);
     if (place == m_holds.end())
@@ -207,12 +208,12 @@
     budget.held -= open.bound;
     budget.unsettled += billed;
     budget.rate.add(billed, now.steady);
-    m_shards[budget.shard].bills.push_back(
-        {hold, {open.budget, open.key, open.body_digest, billed}});
+    bill_line bill{open.budget, open.key, open.body_digest, billed};
+    m_shards[budget.shard].bills.push_back({hold, bill});
     ++m_pending_bills;
     mark_dirty(budget);
     m_holds.erase(place);
-    return success();
+    return bill;
 }
 
 void router_ledger::release(hold_id hold)
--- a/libraries/domain/budget/router_ledger.hpp
+++ b/libraries/domain/budget/router_ledger.hpp
@@ -51,6 +51,8 @@
     tokens billed = 0;
     /// The request was billed before and not charged again.
     bool is_duplicate = false;
+    /// Not durable yet; a copy is kept outside this process.
+    bool is_replicated = false;
 };
 
 /// Settings of `router_ledger`.
@@ -114,11 +116,11 @@
     /// few, else `grant_expired` or `grant_unavailable`. Not thread safe.
     error give_up(const hold_request& request, ledger_time now);
 
-    /// Turns the hold into a bill over `used` tokens, at most its bound. The
-    /// receipt comes from `on_reply`. Not thread safe.
+    /// Turns the hold into a bill over `used` tokens, at most its bound, and
+    /// returns the bill. The receipt comes from `on_reply`. Not thread safe.
     ///
     /// Errors: `ledger_full`, `invalid_field` for an unknown hold.
-    status settle(hold_id hold, tokens used, ledger_time now);
+    result<bill_line> settle(hold_id hold, tokens used, ledger_time now);
 
     /// Frees the hold: nothing ran. Not thread safe.
     void release(hold_id hold);
--- /dev/null
+++ b/libraries/drivers/budget/budget_service.cpp
@@ -0,0 +1,236 @@
+#include "libraries/drivers/budget/budget_service.hpp"
+
+#include "libraries/domain/budget/backoff.hpp"
+#include "libraries/drivers/budget/uniform.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace turmeric::drivers
+{
+
+using domain::batch_reply;
+using domain::bill_receipt;
+using domain::bill_state;
+
+namespace
+{
+
+/// How long a thread waits before it looks at the clock again.
+constexpr std::chrono::milliseconds longest_wait{20};
+
+bool is_waiting_code(result_code code)
+{
+    return code == result_code::grant_unavailable ||
+           code == result_code::grant_expired;
+}
+
+error undurable()
+{
+    return error{result_code::bill_undurable, "",
+                 "the bill could not be made durable in time",
+                 outcome::outcome_unknown};
+}
+
+} // namespace
+
+budget_service::budget_service(const budget_ports& ports,
+                               const budget_settings& settings,
+                               std::string incarnation)
+    : m_ports(ports)
+    , m_settings(settings)
+    , m_incarnation(std::move(incarnation))
+    , m_policy(settings.grants)
+    , m_local(ports.store, ports.clock, ports.random, ports.log,
+              settings.committer, m_policy)
+    , m_committer(ports.committer == nullptr ? m_local : *ports.committer)
+    , m_claims(ports.store, ports.clock, ports.random, ports.log,
+               settings.claims, m_incarnation)
+    , m_ledger(settings.ledger, m_incarnation, m_policy)
+{
+    for (std::int32_t i = 0; i < settings.commit_threads; ++i)
+    {
+        m_threads.emplace_back([this] { run(); });
+    }
+}
+
+budget_service::~budget_service()
+{
+    {
+        std::lock_guard<std::mutex> lock(m_mutex);
+        m_is_stopping = true;
+    }
+    m_claims.stop();
+    m_work.notify_all();
+    m_changed.notify_all();
+    for (std::thread& thread : m_threads)
+    {
+        thread.join();
+    }
+}
+
+domain::ledger_time budget_service::now() const
+{
+    return {m_ports.clock.steady_now(), m_ports.clock.system_now()};
+}
+
+result<hold> budget_service::acquire(const domain::hold_request& request,
+                                     ports::steady_time deadline)
+{
+    std::unique_lock<std::mutex> lock(m_mutex);
+    result<domain::hold_id> placed = m_ledger.place_hold(request, now());
+    while (!placed && is_waiting_code(placed.failure().code) &&
+           !m_ledger.is_fenced())
+    {
+        if (m_ports.clock.steady_now() >= deadline || m_is_stopping)
+        {
+            placed = m_ledger.give_up(request, now());
+            break;
+        }
+        m_work.notify_one();
+        m_changed.wait_for(lock, longest_wait);
+        placed = m_ledger.place_hold(request, now());
+    }
+    if (placed)
+    {
+        ++m_counts.holds_placed;
+        return hold{placed.value(), m_ledger.shard_for(request.account)};
+    }
+    const bool is_exhausted =
+        placed.failure().code == result_code::budget_exhausted;
+    ++(is_exhausted ? m_counts.exhausted : m_counts.unavailable);
+    return placed.failure();
+}
+
+result<bill_receipt> budget_service::settle(const hold& held,
+                                            domain::tokens used,
+                                            ports::steady_time deadline)
+{
+    std::unique_lock<std::mutex> lock(m_mutex);
+    result<domain::bill_line> settled = m_ledger.settle(held.id, used, now());
+    if (!settled)
+    {
+        return settled.failure();
+    }
+    m_waiting.emplace(held.id, std::nullopt);
+    m_work.notify_one();
+    const ports::steady_time copy_at =
+        m_ports.replica == nullptr
+            ? deadline
+            : std::min(deadline,
+                       m_ports.clock.steady_now() + m_settings.replica_after);
+    std::optional<bill_receipt> receipt =
+        wait_for_receipt(held.id, copy_at, lock);
+    bool is_copied = false;
+    if (!receipt.has_value() && m_ports.replica != nullptr)
+    {
+        is_copied = keep_copy(settled.value(), deadline, lock);
+        receipt = wait_for_receipt(
+            held.id, is_copied ? m_ports.clock.steady_now() : deadline, lock);
+    }
+    m_waiting.erase(held.id);
+    if (receipt.has_value())
+    {
+        return take_receipt(*receipt);
+    }
+    if (is_copied)
+    {
+        ++m_counts.replicated;
+        return bill_receipt{held.id,
+                            settled.value().key,
+                            bill_state::billed,
+                            settled.value().used,
+                            false,
+                            true};
+    }
+    ++m_counts.undurable;
+    return undurable();
+}
+
+std::optional<bill_receipt>
+budget_service::wait_for_receipt(domain::hold_id id, ports::steady_time until,
+                                 std::unique_lock<std::mutex>& lock)
+{
+    while (!m_waiting.at(id).has_value() && !m_is_stopping &&
+           m_ports.clock.steady_now() < until)
+    {
+        m_changed.wait_for(lock, longest_wait);
+    }
+    return m_waiting.at(id);
+}
+
+bool budget_service::keep_copy(const domain::bill_line& bill,
+                               ports::steady_time deadline,
+                               std::unique_lock<std::mutex>& lock)
+{
+    lock.unlock();
+    const status kept = m_ports.replica->keep(m_incarnation, bill, deadline);
+    lock.lock();
+    return kept.has_value();
+}
+
+result<bill_receipt> budget_service::take_receipt(const bill_receipt& receipt)
+{
+    switch (receipt.state)
+    {
+    case bill_state::billed:
+    case bill_state::duplicate:
+        return receipt;
+    case bill_state::reused:
+        return error{result_code::request_id_reused, "request_id",
+                     "the request id was billed with another body",
+                     outcome::outcome_unknown};
+    case bill_state::refused:
+        break;
+    }
+    return error{result_code::grant_expired, "",
+                 "this router's grants were closed before the bill",
+                 outcome::outcome_unknown};
+}
+
+void budget_service::release(const hold& held)
+{
+    std::lock_guard<std::mutex> lock(m_mutex);
+    m_ledger.release(held.id);
+    m_changed.notify_all();
+}
+
+status budget_service::claim(const std::string& account,
+                             const std::string& request_id,
+                             ports::steady_time deadline)
+{
+    return m_claims.claim(account, request_id, deadline);
+}
+
+status budget_service::drain(ports::steady_time deadline)
+{
+    std::unique_lock<std::mutex> lock(m_mutex);
+    m_ledger.start_drain();
+    m_work.notify_all();
+    while (!m_ledger.is_drained())
+    {
+        if (m_ports.clock.steady_now() >= deadline || m_is_stopping)
+        {
+            return error{result_code::deadline_exceeded, "",
+                         "some bills or grants are not committed yet"};
+        }
+        m_changed.wait_for(lock, longest_wait);
+    }
+    return success();
+}
+
+store_committer& budget_service::local_committer()
+{
+    return m_local;
+}
+
+budget_counts budget_service::counters() const
+{
+    std::lock_guard<std::mutex> lock(m_mutex);
+    budget_counts counts = m_counts;
+    counts.ledger = m_ledger.counts();
+    counts.committer = m_local.counts();
+    return counts;
+}
+
+} // namespace turmeric::drivers
--- /dev/null
+++ b/libraries/drivers/budget/budget_service.hpp
@@ -0,0 +1,180 @@
+#pragma once
+
+#include "libraries/core/logger.hpp"
+#include "libraries/domain/budget/router_ledger.hpp"
+#include "libraries/drivers/budget/batch_committer.hpp"
+#include "libraries/drivers/budget/bill_replica.hpp"
+#include "libraries/drivers/budget/claim_service.hpp"
+#include "libraries/drivers/budget/store_committer.hpp"
+
+#include <condition_variable>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace turmeric::drivers
+{
+
+/// Settings of `budget_service`.
+struct budget_settings
+{
+    domain::router_ledger_settings ledger;
+    domain::rate_share_settings grants;
+    store_committer_settings committer;
+    claim_settings claims;
+    /// The least time between two batches of one shard.
+    std::chrono::milliseconds commit_interval{100};
+    /// How long one commit is tried before its shard backs off.
+    std::chrono::milliseconds commit_timeout{5000};
+    /// How long a bill waits for the platform before a copy is kept
+    /// elsewhere, if there is a replica.
+    std::chrono::milliseconds replica_after{500};
+    std::chrono::milliseconds least_backoff{50};
+    std::chrono::milliseconds most_backoff{3000};
+    /// Threads that wait for commits; each serves one shard at a time.
+    std::int32_t commit_threads = 4;
+};
+
+/// What the service talks to; everything outlives it.
+struct budget_ports
+{
+    ports::key_value_store& store;
+    const ports::clock& clock;
+    ports::random_source& random;
+    logger& log;
+    /// Where batches go; nullptr commits straight to the store.
+    batch_committer* committer = nullptr;
+    /// Keeps copies of bills during an outage; nullptr keeps none.
+    bill_replica* replica = nullptr;
+};
+
+/// Tokens reserved for one request.
+struct hold
+{
+    domain::hold_id id = 0;
+    std::int32_t shard = 0;
+};
+
+/// Counts of the service, for metrics.
+struct budget_counts
+{
+    domain::ledger_counts ledger;
+    committer_counts committer;
+    std::int64_t holds_placed = 0;
+    std::int64_t exhausted = 0;
+    std::int64_t unavailable = 0;
+    std::int64_t bills = 0;
+    std::int64_t duplicates = 0;
+    std::int64_t refused_bills = 0;
+    std::int64_t undurable = 0;
+    std::int64_t replicated = 0;
+    std::int64_t failed_commits = 0;
+    domain::tokens billed_tokens = 0;
+};
+
+/// Spends from budgets on behalf of one router incarnation: holds, bills and
+/// claims. Owns the ledger and the threads that commit its batches. Thread
+/// safe; made for traffic threads that block.
+class budget_service
+{
+public:
+    /// Starts the threads. Precondition: `incarnation` was never used before.
+    budget_service(const budget_ports& ports, const budget_settings& settings,
+                   std::string incarnation);
+    budget_service(const budget_service&) = delete;
+    budget_service& operator=(const budget_service&) = delete;
+
+    /// Ends the threads; what is not drained stays granted.
+    ~budget_service();
+
+    /// Reserves tokens, waiting for a grant until `deadline` if need be. A
+    /// failure has effect `not_run`. Thread safe; blocks.
+    ///
+    /// Errors: `budget_exhausted`, `grant_unavailable`, `grant_expired`,
+    /// `ledger_full`, `request_id_reused`, `duplicate_request`,
+    /// `router_stopping`, `amount_overflow`.
+    result<hold> acquire(const domain::hold_request& request,
+                         ports::steady_time deadline);
+
+    /// Bills `used` tokens, at most the hold's bound, and returns when the
+    /// bill is durable, or copied to the replica with `is_replicated` set. The
+    /// final part of an answer may be released only after success. After
+    /// `bill_undurable` the bill is still committed when the platform returns.
+    /// Thread safe; blocks.
+    ///
+    /// Errors: `bill_undurable`, `grant_expired` when this incarnation was
+    /// closed, `request_id_reused`, `ledger_full`, `invalid_field`.
+    result<domain::bill_receipt> settle(const hold& held, domain::tokens used,
+                                        ports::steady_time deadline);
+
+    /// Frees the hold: nothing was dispatched or nothing is billed. Thread
+    /// safe.
+    void release(const hold& held);
+
+    /// Makes the durable claim of a non-idempotent request; see
+    /// `claim_service::claim`. Thread safe; blocks.
+    status claim(const std::string& account, const std::string& request_id,
+                 ports::steady_time deadline);
+
+    /// Takes no more holds, waits until the open ones are settled, commits
+    /// the bills and gives all grants back. Thread safe; blocks.
+    ///
+    /// Errors: `deadline_exceeded`; the drain goes on.
+    status drain(ports::steady_time deadline);
+
+    /// Returns the committer that other processes' batches may be handed
+    /// to. Thread safe.
+    [[nodiscard]] store_committer& local_committer();
+
+    /// Returns the counts so far. Thread safe.
+    [[nodiscard]] budget_counts counters() const;
+
+private:
+    struct pace
+    {
+        ports::steady_time not_before;
+        std::int32_t failures = 0;
+    };
+
+    void run();
+    std::optional<std::int32_t> next_shard();
+    void commit_one(std::int32_t shard, std::unique_lock<std::mutex>& lock);
+    void take_reply(std::int32_t shard, const domain::batch_reply& reply);
+    void take_failure(std::int32_t shard, const error& failure);
+    void log_fenced();
+    static result<domain::bill_receipt>
+    take_receipt(const domain::bill_receipt& receipt);
+    std::optional<domain::bill_receipt>
+    wait_for_receipt(domain::hold_id id, ports::steady_time until,
+                     std::unique_lock<std::mutex>& lock);
+    bool keep_copy(const domain::bill_line& bill, ports::steady_time deadline,
+                   std::unique_lock<std::mutex>& lock);
+    [[nodiscard]] domain::ledger_time now() const;
+
+    budget_ports m_ports;
+    budget_settings m_settings;
+    std::string m_incarnation;
+    domain::rate_share_policy m_policy;
+    store_committer m_local;
+    batch_committer& m_committer;
+    claim_service m_claims;
+    mutable std::mutex m_mutex;
+    std::condition_variable m_changed;
+    std::condition_variable m_work;
+    domain::router_ledger m_ledger;
+    std::map<std::int32_t, pace> m_paces;
+    /// Receipts that some thread waits for.
+    std::map<domain::hold_id, std::optional<domain::bill_receipt>> m_waiting;
+    budget_counts m_counts;
+    bool m_is_stopping = false;
+    bool m_has_paced = false;
+    bool m_is_fence_logged = false;
+    std::vector<std::thread> m_threads;
+};
+
+} // namespace turmeric::drivers
--- /dev/null
+++ b/libraries/drivers/budget/budget_service_commit.cpp
@@ -0,0 +1,147 @@
+#include "libraries/drivers/budget/budget_service.hpp"
+
+#include "libraries/domain/budget/backoff.hpp"
+#include "libraries/drivers/budget/uniform.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace turmeric::drivers
+{
+
+using domain::batch_reply;
+using domain::bill_receipt;
+using domain::bill_state;
+
+namespace
+{
+
+/// How often refreshes are looked for when nothing else is due.
+constexpr std::chrono::milliseconds idle_tick{20};
+/// How often a paced shard is looked at.
+constexpr std::chrono::milliseconds paced_tick{2};
+
+} // namespace
+
+void budget_service::run()
+{
+    std::unique_lock<std::mutex> lock(m_mutex);
+    while (!m_is_stopping)
+    {
+        const std::optional<std::int32_t> shard = next_shard();
+        if (!shard.has_value())
+        {
+            m_work.wait_for(lock, m_has_paced ? paced_tick : idle_tick);
+            continue;
+        }
+        commit_one(*shard, lock);
+    }
+}
+
+std::optional<std::int32_t> budget_service::next_shard()
+{
+    const domain::ledger_time time = now();
+    std::optional<std::int32_t> oldest;
+    m_has_paced = false;
+    for (const std::int32_t shard : m_ledger.due_shards(time))
+    {
+        if (m_paces[shard].not_before > time.steady)
+        {
+            m_has_paced = true;
+            continue;
+        }
+        if (!oldest.has_value() ||
+            m_paces[shard].not_before < m_paces[*oldest].not_before)
+        {
+            oldest = shard;
+        }
+    }
+    return oldest;
+}
+
+void budget_service::commit_one(std::int32_t shard,
+                                std::unique_lock<std::mutex>& lock)
+{
+    const domain::ledger_time time = now();
+    const std::optional<domain::router_batch> batch =
+        m_ledger.plan(shard, time);
+    if (!batch.has_value())
+    {
+        return;
+    }
+    m_paces[shard].not_before = time.steady + m_settings.commit_interval;
+    lock.unlock();
+    result<batch_reply> reply = m_committer.commit(
+        shard, *batch, time.steady + m_settings.commit_timeout);
+    lock.lock();
+    if (reply)
+    {
+        take_reply(shard, reply.value());
+    }
+    else
+    {
+        take_failure(shard, reply.failure());
+    }
+    m_changed.notify_all();
+}
+
+void budget_service::take_reply(std::int32_t shard, const batch_reply& reply)
+{
+    pace& pacing = m_paces[shard];
+    if (reply.state == domain::batch_state::full)
+    {
+        ++pacing.failures;
+        pacing.not_before =
+            m_ports.clock.steady_now() +
+            domain::backoff_after(pacing.failures, uniform(m_ports.random),
+                                  m_settings.least_backoff,
+                                  m_settings.most_backoff);
+    }
+    else
+    {
+        pacing.failures = 0;
+    }
+    for (const bill_receipt& receipt : m_ledger.on_reply(shard, reply, now()))
+    {
+        m_counts.bills += receipt.state == bill_state::billed ? 1 : 0;
+        m_counts.duplicates += receipt.is_duplicate ? 1 : 0;
+        m_counts.refused_bills += receipt.state == bill_state::refused ? 1 : 0;
+        m_counts.billed_tokens +=
+            receipt.state == bill_state::billed ? receipt.billed : 0;
+        auto waiting = m_waiting.find(receipt.hold);
+        if (waiting != m_waiting.end())
+        {
+            waiting->second = receipt;
+        }
+    }
+    log_fenced();
+}
+
+void budget_service::take_failure(std::int32_t shard, const error& failure)
+{
+    m_ledger.on_unresolved(shard);
+    ++m_counts.failed_commits;
+    pace& pacing = m_paces[shard];
+    ++pacing.failures;
+    pacing.not_before = m_ports.clock.steady_now() +
+                        domain::backoff_after(
+                            pacing.failures, uniform(m_ports.random),
+                            m_settings.least_backoff, m_settings.most_backoff);
+    m_ports.log.write(log_level::warning, log_event::commit_failed,
+                      {{"shard", static_cast<std::int64_t>(shard)},
+                       {"code", std::string(name_of(failure.code))},
+                       {"detail", failure.detail}});
+}
+
+void budget_service::log_fenced()
+{
+    if (m_is_fence_logged || !m_ledger.is_fenced())
+    {
+        return;
+    }
+    m_is_fence_logged = true;
+    m_ports.log.write(log_level::error, log_event::incarnation_fenced,
+                      {{"incarnation", m_incarnation}});
+}
+
+} // namespace turmeric::drivers
--- /dev/null
+++ b/libraries/drivers/budget/grant_reclaimer.hpp
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "libraries/core/logger.hpp"
+#include "libraries/domain/budget/reclaim_rule.hpp"
+#include "libraries/drivers/budget/shard_editor.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <string>
+
+namespace turmeric::drivers
+{
+
+/// Tells what is known of an incarnation by name. An incarnation that the
+/// controller knows nothing of has no lease, no successor and no VM that
+/// left; only its term ends it.
+using evidence_of =
+    std::function<domain::incarnation_evidence(const std::string& incarnation)>;
+
+/// What one run of the reclaimer did.
+struct reclaim_counts
+{
+    std::int32_t frozen = 0;
+    std::int32_t closed = 0;
+};
+
+/// Returns the grants of dead incarnations to their budgets; run by the
+/// controller that leads. Running it twice at once is safe. Thread safe.
+class grant_reclaimer
+{
+public:
+    /// Precondition: all references outlive the reclaimer.
+    grant_reclaimer(shard_editor& editor, const ports::clock& clock,
+                    logger& log, const domain::reclaim_settings& settings);
+
+    /// Freezes and closes in one shard what is due. Thread safe; blocks until
+    /// `deadline` at most.
+    ///
+    /// Errors: those of `shard_editor::apply`.
+    result<reclaim_counts> run(std::int32_t shard, const evidence_of& evidence,
+                               ports::steady_time deadline);
+
+private:
+    reclaim_counts reclaim(domain::budget_shard& shard,
+                           const evidence_of& evidence) const;
+
+    shard_editor& m_editor;
+    const ports::clock& m_clock;
+    logger& m_log;
+    domain::reclaim_settings m_settings;
+};
+
+} // namespace turmeric::drivers
--- /dev/null
+++ b/libraries/drivers/budget/store_committer.hpp
@@ -0,0 +1,111 @@
+#pragma once
+
+#include "libraries/core/logger.hpp"
+#include "libraries/domain/budget/call_limiter.hpp"
+#include "libraries/domain/budget/shard_writer.hpp"
+#include "libraries/drivers/budget/batch_committer.hpp"
+#include "libraries/ports/key_value_store.hpp"
+#include "libraries/ports/random_source.hpp"
+
+#include <atomic>
+#include <condition_variable>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace turmeric::drivers
+{
+
+/// Settings of `store_committer`.
+struct store_committer_settings
+{
+    std::int32_t shard_count = 64;
+    domain::shard_writer_settings writer;
+    /// Bound on this process's calls to the platform for shards.
+    double calls_per_second = 50.0;
+    double call_burst = 20.0;
+    /// A larger value is never written.
+    std::size_t value_bytes = 1'000'000;
+};
+
+/// Counts of a committer, for metrics.
+struct committer_counts
+{
+    std::int64_t reads = 0;
+    std::int64_t writes = 0;
+    std::int64_t conflicts = 0;
+    std::int64_t unknown_outcomes = 0;
+    std::int64_t failures = 0;
+    std::int64_t bytes_written = 0;
+};
+
+/// Commits batches straight to the key-value service. Callers of one shard
+/// share its calls: one of them does the next compare-and-swap for all that
+/// wait. Thread safe.
+class store_committer final : public batch_committer
+{
+public:
+    /// Precondition: all references outlive the committer.
+    store_committer(ports::key_value_store& store, const ports::clock& clock,
+                    ports::random_source& random, logger& log,
+                    const store_committer_settings& settings,
+                    const domain::grant_policy& policy);
+
+    result<domain::batch_reply> commit(std::int32_t shard,
+                                       const domain::router_batch& batch,
+                                       ports::steady_time deadline) override;
+
+    /// Returns the counts so far. Thread safe.
+    [[nodiscard]] committer_counts counts() const;
+
+    /// Returns the key of a shard. Thread safe.
+    [[nodiscard]] static std::string key_of(std::int32_t shard);
+
+private:
+    struct slot
+    {
+        explicit slot(const domain::shard_writer_settings& settings,
+                      const domain::grant_policy& policy)
+            : writer(settings, policy)
+        {
+        }
+
+        std::mutex mutex;
+        std::condition_variable changed;
+        domain::shard_writer writer;
+        bool has_leader = false;
+        std::map<domain::ticket, std::optional<domain::batch_reply>> waiting;
+        std::optional<error> last_failure;
+    };
+
+    void lead(std::int32_t shard, slot& place,
+              std::unique_lock<std::mutex>& lock);
+    void call_read(const std::string& key, slot& place,
+                   std::unique_lock<std::mutex>& lock);
+    void call_write(const std::string& key, const domain::shard_call& call,
+                    slot& place, std::unique_lock<std::mutex>& lock);
+    void fail(slot& place, const error& failure);
+    bool try_take_call();
+    static error timed_out(const slot& place);
+
+    ports::key_value_store& m_store;
+    const ports::clock& m_clock;
+    ports::random_source& m_random;
+    logger& m_log;
+    store_committer_settings m_settings;
+    std::vector<std::unique_ptr<slot>> m_slots;
+    std::mutex m_limiter_mutex;
+    domain::call_limiter m_limiter;
+    std::atomic<std::int64_t> m_reads{0};
+    std::atomic<std::int64_t> m_writes{0};
+    std::atomic<std::int64_t> m_conflicts{0};
+    std::atomic<std::int64_t> m_unknown{0};
+    std::atomic<std::int64_t> m_failures{0};
+    std::atomic<std::int64_t> m_bytes{0};
+};
+
+} // namespace turmeric::drivers
--- /dev/null
+++ b/libraries/drivers/budget/uniform.hpp
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "libraries/ports/random_source.hpp"
+
+namespace turmeric::drivers
+{
+
+/// Returns a number uniform within 0 and 1. Thread safe.
+[[nodiscard]] inline double uniform(ports::random_source& random)
+{
+    constexpr int unused_bits = 11;
+    constexpr double scale = 1.0 / 9007199254740992.0;
+    return static_cast<double>(random.next() >> unused_bits) * scale;
+}
+
+} // namespace turmeric::drivers
--- /dev/null
+++ b/libraries/fakes/fake_key_value_store.hpp
@@ -0,0 +1,133 @@
+#pragma once
+
+#include "libraries/fakes/manual_clock.hpp"
+#include "libraries/ports/key_value_store.hpp"
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace turmeric::fakes
+{
+
+/// What goes wrong with one call.
+enum class store_fault : std::uint8_t
+{
+    none,
+    /// No effect, `platform_unavailable`.
+    unavailable,
+    /// The write takes effect, `platform_outcome_unknown`.
+    lost_reply,
+    /// The write has no effect, `platform_outcome_unknown`.
+    lost_request,
+    /// The write is kept back until `deliver_late`,
+    /// `platform_outcome_unknown`.
+    late_effect,
+    /// No effect, `platform_conflict`.
+    conflict,
+    /// No effect, `platform_rate_limited`.
+    rate_limited,
+};
+
+/// Counts of calls that reached the store.
+struct store_counts
+{
+    std::int64_t reads = 0;
+    std::int64_t writes = 0;
+    std::int64_t bytes_written = 0;
+};
+
+/// A key-value store in memory with scripted faults. Thread safe, but for
+/// the clock's own rules.
+class fake_key_value_store final : public ports::key_value_store
+{
+public:
+    /// Precondition: `clock` outlives the store; it is read for leases.
+    explicit fake_key_value_store(const ports::clock& clock);
+
+    /// The next calls have these faults, in order. Thread safe.
+    void script(const std::vector<store_fault>& faults);
+
+    /// Every call fails until this is taken back. Thread safe.
+    void set_outage(bool is_out);
+
+    /// Every call moves `clock` on by `delay`; a null clock ends this. Thread
+    /// safe.
+    void set_delay(manual_clock* clock, std::chrono::nanoseconds delay);
+
+    /// Runs before each call, outside the store's lock. Not thread safe: set
+    /// it before the store is shared.
+    void set_hook(std::function<void()> hook);
+
+    /// Tries the writes that were kept back. Thread safe.
+    void deliver_late();
+
+    /// Returns the counts so far. Thread safe.
+    [[nodiscard]] store_counts counts() const;
+
+    result<std::optional<ports::key_value>>
+    get(const std::string& key) override;
+    result<ports::key_range> list(const std::string& prefix) override;
+    result<ports::revision> compare_and_swap(const std::string& key,
+                                             const std::string& value,
+                                             ports::revision expected,
+                                             ports::lease_id lease) override;
+    status compare_and_delete(const std::string& key,
+                              ports::revision expected) override;
+    result<ports::lease_id>
+    create_lease(std::chrono::seconds time_to_live) override;
+    status renew_lease(ports::lease_id lease) override;
+    status revoke_lease(ports::lease_id lease) override;
+    result<ports::watch_batch> watch(const std::string& prefix,
+                                     ports::revision start,
+                                     std::chrono::milliseconds wait) override;
+
+private:
+    struct stored
+    {
+        std::string value;
+        ports::revision modified = 0;
+        ports::lease_id lease = 0;
+    };
+
+    struct lease
+    {
+        std::chrono::seconds time_to_live{0};
+        ports::steady_time end;
+    };
+
+    struct late_write
+    {
+        std::string key;
+        std::string value;
+        ports::revision expected = 0;
+        ports::lease_id lease = 0;
+    };
+
+    store_fault begin(bool is_write);
+    void end_lapsed();
+    void erase_bound(ports::lease_id lease);
+    result<ports::revision> swap(const late_write& write);
+
+    const ports::clock& m_clock;
+    mutable std::mutex m_mutex;
+    std::function<void()> m_hook;
+    std::deque<store_fault> m_script;
+    bool m_is_out = false;
+    manual_clock* m_delay_clock = nullptr;
+    std::chrono::nanoseconds m_delay{0};
+    store_counts m_counts;
+    std::map<std::string, stored> m_keys;
+    std::map<ports::lease_id, lease> m_leases;
+    std::vector<late_write> m_late;
+    std::vector<ports::key_event> m_events;
+    ports::revision m_revision = 0;
+    ports::revision m_compacted = 0;
+    ports::lease_id m_next_lease = 1;
+};
+
+} // namespace turmeric::fakes
