Router: Take callers' requests and answer peers on their own threads

Handlers of peer messages may now block, since forwarded budget batches wait for the platform; before, one slow answer would have held up every heartbeat of the process.

--- a/libraries/adapters/nghttp2/http2_connection.cpp
+++ b/libraries/adapters/nghttp2/http2_connection.cpp
@@ -53,11 +53,11 @@
 } // namespace
 
 http2_connection::http2_connection(int socket, http2_role role,
-                                   ports::peer_handler handler,
+                                   peer_request_listener listener,
                                    ports::steady_time now)
     : m_socket(socket)
     , m_role(role)
-    , m_handler(std::move(handler))
+    , m_listener(std::move(listener))
     , m_last_received(now)
     , m_last_ping(now)
 {
@@ -221,20 +221,28 @@
     return m_streams[id];
 }
 
-void http2_connection::answer(std::int32_t id)
+void http2_connection::take_request(std::int32_t id)
 {
     stream& asked = stream_of(id);
     if (asked.is_too_long)
     {
-        asked.to_send = "the message is too long";
-        submit_answer(id, status_failed);
+        respond(id, error{result_code::peer_protocol, "body",
+                          "the message is too long"});
         return;
     }
-    result<std::string> made =
-        m_handler(ports::peer_message{asked.kind, asked.received});
-    asked.received.clear();
-    asked.to_send = made ? std::move(made.value()) : made.failure().detail;
-    submit_answer(id, made ? status_ok : status_failed);
+    m_listener(id, ports::peer_message{asked.kind, std::move(asked.received)});
+}
+
+void http2_connection::respond(std::int32_t stream, result<std::string> answer)
+{
+    auto found = m_streams.find(stream);
+    if (found == m_streams.end())
+    {
+        return;
+    }
+    found->second.to_send =
+        answer ? std::move(answer.value()) : answer.failure().detail;
+    submit_answer(stream, answer ? status_ok : status_failed);
 }
 
 void http2_connection::submit_answer(std::int32_t id, int status)
@@ -322,7 +330,7 @@
         (frame->hd.type == NGHTTP2_DATA || frame->hd.type == NGHTTP2_HEADERS);
     if (ends_message && own.m_role == http2_role::server)
     {
-        own.answer(frame->hd.stream_id);
+        own.take_request(frame->hd.stream_id);
     }
     return 0;
 }
--- a/libraries/adapters/nghttp2/http2_connection.hpp
+++ b/libraries/adapters/nghttp2/http2_connection.hpp
@@ -25,15 +25,19 @@
 /// Gets the answer to one call.
 using peer_reply = std::function<void(result<std::string>)>;
 
+/// Hears of a whole request; it is answered later by `respond`.
+using peer_request_listener =
+    std::function<void(std::int32_t stream, ports::peer_message message)>;
+
 /// One HTTP/2 connection on a non-blocking socket. Owned by one thread; not
 /// thread safe.
 class http2_connection
 {
 public:
-    /// Takes over `socket`. Precondition: it is non-blocking; `handler` is
+    /// Takes over `socket`. Precondition: it is non-blocking; `listener` is
     /// set for a server.
-    http2_connection(int socket, http2_role role, ports::peer_handler handler,
-                     ports::steady_time now);
+    http2_connection(int socket, http2_role role,
+                     peer_request_listener listener, ports::steady_time now);
 
     http2_connection(const http2_connection&) = delete;
     http2_connection& operator=(const http2_connection&) = delete;
@@ -45,6 +49,10 @@
     void call(const ports::peer_message& message, ports::steady_time deadline,
               peer_reply reply);
 
+    /// Answers a request; does nothing when its stream has ended.
+    /// Precondition: the role is server.
+    void respond(std::int32_t stream, result<std::string> answer);
+
     /// Reads what has come. Returns false when the connection has ended.
     bool receive(ports::steady_time now);
 
@@ -75,7 +83,7 @@
     };
 
     stream& stream_of(std::int32_t id);
-    void answer(std::int32_t id);
+    void take_request(std::int32_t id);
     void finish(std::int32_t id, bool is_whole);
     void submit_answer(std::int32_t id, int status);
 
@@ -97,7 +105,7 @@
 
     const int m_socket;
     const http2_role m_role;
-    const ports::peer_handler m_handler;
+    const peer_request_listener m_listener;
     nghttp2_session* m_session = nullptr;
     std::map<std::int32_t, stream> m_streams;
     std::string m_output;
--- a/libraries/adapters/nghttp2/peer_node.cpp
+++ b/libraries/adapters/nghttp2/peer_node.cpp
@@ -19,6 +19,7 @@
 {
 
 constexpr int poll_milliseconds = 200;
+constexpr std::size_t answer_thread_count = 32;
 
 short events_of(const http2_connection& connection)
 {
@@ -36,6 +37,7 @@
 peer_node::peer_node(const ports::clock& clock, ports::peer_handler handler)
     : m_clock(clock)
     , m_handler(std::move(handler))
+    , m_answer_threads(answer_thread_count)
 {
 }
 
@@ -72,8 +74,10 @@
         return;
     }
     m_is_stopping = true;
-    static_cast<void>(::write(m_wake_write, "x", 1) == 1);
+    wake();
     m_thread.join();
+    // Their answers go nowhere, but their threads still use this object.
+    m_answer_threads.shut_down();
     ::close(m_listen_socket);
     ::close(m_wake_read);
     ::close(m_wake_write);
@@ -97,7 +101,7 @@
         }
         m_calls.push_back(std::move(made));
     }
-    static_cast<void>(::write(m_wake_write, "x", 1) == 1);
+    wake();
     // The node's thread answers every call, by its deadline at the latest.
     return answer.get();
 }
@@ -113,6 +117,7 @@
     {
         wait_for_traffic();
         start_calls();
+        send_answers();
         check_times();
         m_open = m_incoming.size() + m_outgoing.size();
     }
@@ -131,7 +136,7 @@
 {
     std::vector<pollfd> waits = {{m_listen_socket, POLLIN, 0},
                                  {m_wake_read, POLLIN, 0}};
-    for (const std::unique_ptr<http2_connection>& connection : m_incoming)
+    for (const auto& [number, connection] : m_incoming)
     {
         waits.push_back({connection->socket(), events_of(*connection), 0});
     }
@@ -150,7 +155,7 @@
     std::size_t next = fixed_waits;
     for (auto it = m_incoming.begin(); it != m_incoming.end(); ++next)
     {
-        bool is_alive = waits[next].revents == 0 || serve(**it, now);
+        bool is_alive = waits[next].revents == 0 || serve(*it->second, now);
         it = is_alive ? std::next(it) : m_incoming.erase(it);
     }
     for (auto it = m_outgoing.begin(); it != m_outgoing.end(); ++next)
@@ -176,8 +181,13 @@
         }
         int on = 1;
         ::setsockopt(made, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-        m_incoming.push_back(std::make_unique<http2_connection>(
-            made, http2_role::server, m_handler, m_clock.steady_now()));
+        std::uint64_t number = m_next_connection++;
+        auto listener =
+            [this, number](std::int32_t stream, ports::peer_message message)
+        { answer(number, stream, std::move(message)); };
+        m_incoming.emplace(number, std::make_unique<http2_connection>(
+                                       made, http2_role::server, listener,
+                                       m_clock.steady_now()));
     }
 }
 
@@ -205,12 +215,58 @@
     }
 }
 
+void peer_node::send_answers()
+{
+    std::deque<ready_answer> answers;
+    {
+        std::lock_guard<std::mutex> lock(m_mutex);
+        answers.swap(m_answers);
+    }
+    for (ready_answer& ready : answers)
+    {
+        auto found = m_incoming.find(ready.connection);
+        if (found != m_incoming.end())
+        {
+            found->second->respond(ready.stream, std::move(ready.answer));
+        }
+    }
+}
+
+void peer_node::answer(std::uint64_t connection, std::int32_t stream,
+                       ports::peer_message message)
+{
+    auto put_back = [this, connection, stream](result<std::string> made)
+    {
+        {
+            std::lock_guard<std::mutex> lock(m_mutex);
+            m_answers.push_back({connection, stream, std::move(made)});
+        }
+        wake();
+    };
+    bool is_started =
+        m_answer_threads.try_run([this, put_back, message = std::move(message)]
+                                 { put_back(m_handler(message)); });
+    if (!is_started)
+    {
+        put_back(error{result_code::peer_unavailable, "threads",
+                       "this process is busy"});
+    }
+}
+
+void peer_node::wake()
+{
+    // A full pipe wakes the thread as well.
+    static_cast<void>(::write(m_wake_write, "x", 1) == 1);
+}
+
 void peer_node::check_times()
 {
     ports::steady_time now = m_clock.steady_now();
-    m_incoming.remove_if(
-        [now](const std::unique_ptr<http2_connection>& connection)
-        { return !connection->check_time(now) || !connection->flush(); });
+    for (auto it = m_incoming.begin(); it != m_incoming.end();)
+    {
+        bool is_alive = it->second->check_time(now) && it->second->flush();
+        it = is_alive ? std::next(it) : m_incoming.erase(it);
+    }
     for (auto it = m_outgoing.begin(); it != m_outgoing.end();)
     {
         bool is_alive = it->second->check_time(now) && it->second->flush();
@@ -232,8 +288,8 @@
     }
     auto made = m_outgoing.emplace(
         address, std::make_unique<http2_connection>(
-                     socket.value(), http2_role::client, ports::peer_handler(),
-                     m_clock.steady_now()));
+                     socket.value(), http2_role::client,
+                     peer_request_listener(), m_clock.steady_now()));
     return made.first->second.get();
 }
 
--- a/libraries/adapters/nghttp2/peer_node.hpp
+++ b/libraries/adapters/nghttp2/peer_node.hpp
@@ -1,13 +1,13 @@
 #pragma once
 
 #include "libraries/adapters/nghttp2/http2_connection.hpp"
+#include "libraries/drivers/threads/thread_pool.hpp"
 #include "libraries/ports/clock.hpp"
 #include "libraries/ports/peer.hpp"
 
 #include <atomic>
 #include <deque>
 #include <functional>
-#include <list>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -18,13 +18,13 @@
 {
 
 /// Both ends of the streams between the system's processes: one thread with
-/// all connections. A connection is kept open, pinged when silent, and
-/// dropped when no traffic proves it alive. Thread safe.
+/// all connections, and a few that answer. A connection is kept open, pinged
+/// when silent, and dropped when no traffic proves it alive. Thread safe.
 class peer_node final : public ports::peer_caller
 {
 public:
-    /// Precondition: `handler` is set and does not block, since it runs on
-    /// the node's thread; `clock` outlives this.
+    /// Precondition: `handler` is set and thread safe; it may block. `clock`
+    /// outlives this.
     peer_node(const ports::clock& clock, ports::peer_handler handler);
 
     peer_node(const peer_node&) = delete;
@@ -58,10 +58,23 @@
         peer_reply reply;
     };
 
+    struct ready_answer
+    {
+        std::uint64_t connection = 0;
+        std::int32_t stream = 0;
+        result<std::string> answer;
+    };
+
+    using connection_pointer = std::unique_ptr<http2_connection>;
+
     void run();
     void wait_for_traffic();
     void accept_connections();
     void start_calls();
+    void send_answers();
+    void answer(std::uint64_t connection, std::int32_t stream,
+                ports::peer_message message);
+    void wake();
     void check_times();
     http2_connection* connection_to(const std::string& address);
 
@@ -74,8 +87,11 @@
     std::atomic<std::size_t> m_open{0};
     std::mutex m_mutex;
     std::deque<pending_call> m_calls;
-    std::list<std::unique_ptr<http2_connection>> m_incoming;
-    std::map<std::string, std::unique_ptr<http2_connection>> m_outgoing;
+    std::deque<ready_answer> m_answers;
+    std::uint64_t m_next_connection = 1;
+    std::map<std::uint64_t, connection_pointer> m_incoming;
+    std::map<std::string, connection_pointer> m_outgoing;
+    drivers::thread_pool m_answer_threads;
     std::thread m_thread;
 };
 
--- a/libraries/drivers/requests/engine_exchange.cpp
+++ b/libraries/drivers/requests/engine_exchange.cpp
@@ -23,10 +23,9 @@
     made.method = "POST";
     made.path = "/v1/chat/completions";
     made.content_type = "application/json";
-    made.body
-        = codecs::make_engine_body(*m_request.chat, version,
-                                   m_request.max_tokens,
-                                   m_request.account.priority);
+    made.body =
+        codecs::make_engine_body(*m_request.chat, version, m_request.max_tokens,
+                                 m_request.account.priority);
     made.idle_timeout = m_request.route.idle_timeout;
     made.needs_new_connection = !m_request.is_idempotent;
     made.headers.emplace_back("X-Request-Id", m_request.request_id);
@@ -44,12 +43,10 @@
 status engine_exchange::accept_head(const ports::upstream_head& head)
 {
     constexpr int status_ok = 200;
-    return head.status == status_ok ? success()
-                                    : error_of_status(head.status);
+    return head.status == status_ok ? success() : error_of_status(head.status);
 }
 
-result<std::vector<std::string>>
-engine_exchange::accept(std::string_view bytes)
+result<std::vector<std::string>> engine_exchange::accept(std::string_view bytes)
 {
     result<std::vector<std::string>> events = m_reader.accept(bytes);
     if (!events)
@@ -119,15 +116,14 @@
 {
     if (!event.text.empty())
     {
-        result<std::vector<std::string>> fresh
-            = m_assembler.accept({m_offset, {event.text}});
+        result<std::vector<std::string>> fresh =
+            m_assembler.accept({m_offset, {event.text}});
         if (!fresh)
         {
             return fresh.failure();
         }
         ++m_offset;
-        pieces.insert(pieces.end(), fresh.value().begin(),
-                      fresh.value().end());
+        pieces.insert(pieces.end(), fresh.value().begin(), fresh.value().end());
     }
     if (event.finish_reason)
     {
--- a/libraries/drivers/requests/request_observer.hpp
+++ b/libraries/drivers/requests/request_observer.hpp
@@ -36,8 +36,8 @@
                         const request_summary& summary) = 0;
 
     /// A request is about to be tried again, at `offset`. Thread safe.
-    virtual void on_retry(const request_context& request,
-                          const error& failure, std::int64_t offset) = 0;
+    virtual void on_retry(const request_context& request, const error& failure,
+                          std::int64_t offset) = 0;
 
     /// A stream waits for its slow reader without an upstream. Thread safe.
     virtual void on_park(const request_context& request) = 0;
--- a/libraries/drivers/requests/request_runner.cpp
+++ b/libraries/drivers/requests/request_runner.cpp
@@ -87,8 +87,8 @@
     /// over, or nothing to go on.
     std::optional<bool> try_once()
     {
-        std::string version
-            = m_parts.versions.pick(m_request.route.name, m_request.request_id);
+        std::string version =
+            m_parts.versions.pick(m_request.route.name, m_request.request_id);
         result<domain::upstream_choice> choice = admit(version);
         if (!choice)
         {
@@ -160,8 +160,8 @@
         m_dispatched = m_parts.clock.steady_now();
         m_last_piece.reset();
         m_summary.timing = domain::request_observation();
-        ports::upstream_request request
-            = m_exchange->start_attempt(m_summary.version);
+        ports::upstream_request request =
+            m_exchange->start_attempt(m_summary.version);
         if (m_summary.attempts == 1)
         {
             m_parts.traffic.record_request(m_request.account.name,
@@ -172,8 +172,8 @@
         { return take(m_exchange->accept_head(head)); };
         sink.on_body = [this](std::string_view bytes)
         { return take(m_exchange->accept(bytes)); };
-        result<ports::upstream_end> ended
-            = m_parts.upstreams.send(choice.address, request, sink);
+        result<ports::upstream_end> ended =
+            m_parts.upstreams.send(choice.address, request, sink);
         if (m_end != attempt_end::whole)
         {
             return m_end;
@@ -189,8 +189,8 @@
     attempt_end fail_attempt(const error& failure)
     {
         m_failure = failure;
-        m_may_have_run = m_may_have_run
-                         || failure.effect == outcome::outcome_unknown;
+        m_may_have_run =
+            m_may_have_run || failure.effect == outcome::outcome_unknown;
         m_end = attempt_end::failed;
         return m_end;
     }
@@ -263,25 +263,25 @@
         using std::chrono::microseconds;
         if (m_last_piece)
         {
-            microseconds gap = std::chrono::duration_cast<microseconds>(
-                now - *m_last_piece);
-            m_summary.timing.worst_gap
-                = std::max(m_summary.timing.worst_gap.value_or(gap), gap);
+            microseconds gap =
+                std::chrono::duration_cast<microseconds>(now - *m_last_piece);
+            m_summary.timing.worst_gap =
+                std::max(m_summary.timing.worst_gap.value_or(gap), gap);
         }
         else
         {
-            m_summary.timing.first_token
-                = std::chrono::duration_cast<microseconds>(now - m_dispatched);
+            m_summary.timing.first_token =
+                std::chrono::duration_cast<microseconds>(now - m_dispatched);
         }
         m_last_piece = now;
     }
 
     void observe(const std::string& version, attempt_end end)
     {
-        bool says_nothing
-            = end == attempt_end::cancelled || end == attempt_end::parked
-              || (end == attempt_end::failed
-                  && m_failure.code == result_code::upstream_overloaded);
+        bool says_nothing =
+            end == attempt_end::cancelled || end == attempt_end::parked ||
+            (end == attempt_end::failed &&
+             m_failure.code == result_code::upstream_overloaded);
         if (!says_nothing)
         {
             m_summary.timing.is_failure = end == attempt_end::failed;
@@ -304,8 +304,7 @@
         domain::retry_decision decision = m_parts.traffic.decide(failed);
         if (decision.action == domain::retry_action::give_up)
         {
-            return give_up(
-                with_effect(decision.failure.value_or(m_failure)));
+            return give_up(with_effect(decision.failure.value_or(m_failure)));
         }
         m_excluded.push_back(upstream);
         m_parts.observer.on_retry(m_request, m_failure, decision.offset);
@@ -334,8 +333,8 @@
     std::optional<bool> settle()
     {
         answer_end end = m_exchange->bill();
-        result<domain::tokens> billed
-            = m_parts.ledger.settle(m_hold, end.billed);
+        result<domain::tokens> billed =
+            m_parts.ledger.settle(m_hold, end.billed);
         if (!billed)
         {
             return end_with(with_effect(billed.failure()));
@@ -360,8 +359,8 @@
             m_parts.ledger.release(m_hold);
             return end_with(gone);
         }
-        result<domain::tokens> billed
-            = m_parts.ledger.settle(m_hold, end.billed);
+        result<domain::tokens> billed =
+            m_parts.ledger.settle(m_hold, end.billed);
         m_summary.billed = billed ? billed.value() : 0;
         m_summary.delivered = end.completion_tokens;
         return end_with(gone);
@@ -379,8 +378,8 @@
         report();
         m_record.fail(failure);
         // A call that may run at most once must not run anew when repeated.
-        return !m_request.is_idempotent
-               && failure.effect == outcome::outcome_unknown;
+        return !m_request.is_idempotent &&
+               failure.effect == outcome::outcome_unknown;
     }
 
     void report()
@@ -388,8 +387,8 @@
         // The caller's wait counts from its arrival, over all attempts.
         if (m_has_head)
         {
-            m_summary.timing.first_token
-                = std::chrono::duration_cast<std::chrono::microseconds>(
+            m_summary.timing.first_token =
+                std::chrono::duration_cast<std::chrono::microseconds>(
                     m_first_piece);
         }
         m_parts.observer.on_end(m_request, m_summary);
--- a/libraries/drivers/requests/upstream_exchange.hpp
+++ b/libraries/drivers/requests/upstream_exchange.hpp
@@ -26,8 +26,7 @@
     /// Starts an attempt and makes its request; an engine goes on after the
     /// pieces read so far. Not thread safe.
     virtual ports::upstream_request
-    start_attempt(const std::string& version)
-        = 0;
+    start_attempt(const std::string& version) = 0;
 
     /// Takes what the upstream says first. An error ends the attempt; its
     /// effect says whether the request may have run. Not thread safe.
@@ -35,8 +34,7 @@
 
     /// Takes bytes and returns the pieces that are new. An error ends the
     /// attempt. Not thread safe.
-    virtual result<std::vector<std::string>> accept(std::string_view bytes)
-        = 0;
+    virtual result<std::vector<std::string>> accept(std::string_view bytes) = 0;
 
     /// Takes the end of an attempt and returns the last pieces; an error when
     /// the answer is not whole. Not thread safe.
--- a/libraries/drivers/traffic/traffic_control.cpp
+++ b/libraries/drivers/traffic/traffic_control.cpp
@@ -153,8 +153,8 @@
         promise.set_value(chosen);
         return;
     }
-    result<domain::admission> admitted
-        = m_queue.offer(ticket, chosen.has_value(), now);
+    result<domain::admission> admitted =
+        m_queue.offer(ticket, chosen.has_value(), now);
     if (admitted && admitted.value() == domain::admission::admitted)
     {
         promise.set_value(chosen);
@@ -192,15 +192,14 @@
         // The slot only proves that there is room; the one whose turn it is
         // chooses by its own prefix and exclusions.
         m_selector.finish(slot.value(), domain::call_result::cancelled, now);
-        std::optional<domain::admission_ticket> next
-            = m_queue.next(lane, now);
+        std::optional<domain::admission_ticket> next = m_queue.next(lane, now);
         if (!next)
         {
             return;
         }
         auto found = m_waiters.find(next->id);
-        result<domain::upstream_choice> chosen
-            = m_selector.choose(found->second.choice, now);
+        result<domain::upstream_choice> chosen =
+            m_selector.choose(found->second.choice, now);
         found->second.promise->set_value(chosen);
         m_waiters.erase(found);
     }
--- /dev/null
+++ b/services/router/caller_directory.hpp
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "libraries/core/result.hpp"
+#include "libraries/domain/configuration/declarations.hpp"
+
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+namespace turmeric::router
+{
+
+/// Finds client accounts by key and routes by name in one version of the
+/// configuration. Does not change once made, so it is thread safe.
+class caller_directory
+{
+public:
+    /// Precondition: `declared` is not null.
+    explicit caller_directory(
+        std::shared_ptr<const domain::configuration> declared);
+
+    /// Finds the account of an `Authorization` header. Errors: `missing_key`,
+    /// `wrong_key`. Thread safe.
+    [[nodiscard]] result<const domain::account_declaration*>
+    authenticate(const std::string& authorization) const;
+
+    /// Finds a route. Error: `unknown_route`. Thread safe.
+    [[nodiscard]] result<const domain::route_declaration*>
+    find_route(const std::string& name, domain::route_kind kind) const;
+
+    /// Returns the version of the configuration. Thread safe.
+    [[nodiscard]] std::int64_t version() const;
+
+private:
+    std::shared_ptr<const domain::configuration> m_declared;
+    /// By the digest of the key.
+    std::unordered_map<std::string, const domain::account_declaration*>
+        m_accounts;
+    std::unordered_map<std::string, const domain::route_declaration*> m_routes;
+};
+
+/// Finds the budget that pays for a call. `wanted` may be empty. Error:
+/// `unknown_budget`. Thread safe.
+result<std::string> find_budget(const domain::account_declaration& account,
+                                const std::string& route,
+                                const std::string& wanted);
+
+} // namespace turmeric::router
--- /dev/null
+++ b/services/router/router_counters.cpp
@@ -0,0 +1,126 @@
+#include "services/router/router_counters.hpp"
+
+namespace turmeric::router
+{
+
+router_counters::router_counters(metrics::registry& registry, logger& log)
+    : m_log(log)
+    , m_requests(registry.make<metrics::counter>(
+          {"turmeric_requests_total",
+           "Requests that ended.",
+           {"route", "version", "account", "code"},
+           512,
+           {}}))
+    , m_first_token(registry.make<metrics::histogram>(
+          {"turmeric_first_token_seconds",
+           "Time from arrival to the first token.",
+           {"route", "version", "account"},
+           256,
+           {std::chrono::milliseconds(370)}}))
+    , m_token_gap(registry.make<metrics::histogram>(
+          {"turmeric_token_gap_seconds",
+           "Longest gap between two tokens of a request.",
+           {"route", "version", "account"},
+           256,
+           {std::chrono::milliseconds(40)}}))
+    , m_billed(registry.make<metrics::counter>({"turmeric_billed_tokens_total",
+                                                "Tokens billed.",
+                                                {"account", "route"},
+                                                512,
+                                                {}}))
+    , m_retries(registry.make<metrics::counter>(
+          {"turmeric_retries_total",
+           "Attempts after the first one, by kind.",
+           {"kind"},
+           8,
+           {}}))
+    , m_parked(registry.make<metrics::counter>(
+          {"turmeric_parked_streams_total",
+           "Streams parked for their slow reader.",
+           {},
+           1,
+           {}}))
+{
+}
+
+void router_counters::on_end(const drivers::request_context& request,
+                             const drivers::request_summary& summary)
+{
+    count(request, summary);
+    log_end(request, summary);
+}
+
+void router_counters::on_retry(const drivers::request_context& request,
+                               const error& failure, std::int64_t offset)
+{
+    bool is_resumed = offset > 0;
+    m_retries.with({is_resumed ? "resume" : "retry"}).add();
+    m_log.write(log_level::info,
+                is_resumed ? log_event::stream_resumed
+                           : log_event::request_retried,
+                {{"request_id", request.request_id},
+                 {"code", static_cast<std::int64_t>(failure.code)},
+                 {"reason", failure.detail},
+                 {"offset", offset}});
+}
+
+void router_counters::on_park(const drivers::request_context& request)
+{
+    m_parked.with({}).add();
+    m_log.write(log_level::info, log_event::stream_parked,
+                {{"request_id", request.request_id}});
+}
+
+void router_counters::count(const drivers::request_context& request,
+                            const drivers::request_summary& summary)
+{
+    const std::string& route = request.route.name;
+    const std::string& account = request.account.name;
+    std::string code(summary.failure ? name_of(summary.failure->code) : "ok");
+    m_requests.with({route, summary.version, account, code}).add();
+    if (summary.timing.first_token)
+    {
+        m_first_token.with({route, summary.version, account})
+            .record(*summary.timing.first_token);
+    }
+    if (summary.timing.worst_gap)
+    {
+        m_token_gap.with({route, summary.version, account})
+            .record(*summary.timing.worst_gap);
+    }
+    if (summary.billed > 0)
+    {
+        m_billed.with({account, route})
+            .add(static_cast<std::uint64_t>(summary.billed));
+    }
+}
+
+void router_counters::log_end(const drivers::request_context& request,
+                              const drivers::request_summary& summary)
+{
+    std::vector<log_field> fields = {
+        {"request_id", request.request_id},
+        {"account", request.account.name},
+        {"route", request.route.name},
+        {"version", summary.version},
+        {"upstream", summary.upstream},
+        {"attempts", std::int64_t{summary.attempts}},
+        {"tokens", summary.delivered},
+        {"billed", summary.billed}};
+    if (!summary.failure)
+    {
+        m_log.write(log_level::info, log_event::request_finished, fields);
+        return;
+    }
+    bool is_gone = summary.failure->code == result_code::caller_gone;
+    fields.push_back(
+        {"code", static_cast<std::int64_t>(summary.failure->code)});
+    fields.push_back({"reason", std::string(name_of(summary.failure->code))});
+    fields.push_back(
+        {"outcome", std::string(name_of(summary.failure->effect))});
+    m_log.write(log_level::info,
+                is_gone ? log_event::caller_gone : log_event::request_refused,
+                fields);
+}
+
+} // namespace turmeric::router
--- /dev/null
+++ b/services/router/router_counters.hpp
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "libraries/core/logger.hpp"
+#include "libraries/core/metrics/registry.hpp"
+#include "libraries/drivers/requests/request_observer.hpp"
+
+namespace turmeric::router
+{
+
+/// Counts requests, and logs one line for each that ends. Thread safe.
+class router_counters final : public drivers::request_observer
+{
+public:
+    /// Adds its families to `registry`. Precondition: both outlive this.
+    router_counters(metrics::registry& registry, logger& log);
+
+    /// See `drivers::request_observer`. Thread safe.
+    void on_end(const drivers::request_context& request,
+                const drivers::request_summary& summary) override;
+
+    /// See `drivers::request_observer`. Thread safe.
+    void on_retry(const drivers::request_context& request, const error& failure,
+                  std::int64_t offset) override;
+
+    /// See `drivers::request_observer`. Thread safe.
+    void on_park(const drivers::request_context& request) override;
+
+private:
+    void count(const drivers::request_context& request,
+               const drivers::request_summary& summary);
+    void log_end(const drivers::request_context& request,
+                 const drivers::request_summary& summary);
+
+    logger& m_log;
+    metrics::family<metrics::counter>& m_requests;
+    metrics::family<metrics::histogram>& m_first_token;
+    metrics::family<metrics::histogram>& m_token_gap;
+    metrics::family<metrics::counter>& m_billed;
+    metrics::family<metrics::counter>& m_retries;
+    metrics::family<metrics::counter>& m_parked;
+};
+
+} // namespace turmeric::router
--- /dev/null
+++ b/services/router/router_settings.cpp
@@ -0,0 +1,181 @@
+#include "services/router/router_settings.hpp"
+
+#include "libraries/adapters/settings/daemon_options.hpp"
+
+namespace turmeric::router
+{
+
+namespace
+{
+
+constexpr const char* own_properties = R"({
+    "listen": {
+        "type": "object",
+        "additionalProperties": false,
+        "required": ["host", "caller_port", "peer_port"],
+        "properties": {
+            "host": {"type": "string", "minLength": 1},
+            "caller_port": {
+                "type": "integer", "minimum": 0, "maximum": 65535
+            },
+            "peer_port": {"type": "integer", "minimum": 0, "maximum": 65535},
+            "tls": {
+                "type": "object",
+                "additionalProperties": false,
+                "required": ["certificate", "private_key"],
+                "properties": {
+                    "certificate": {"type": "string"},
+                    "private_key": {"type": "string"}
+                }
+            }
+        }
+    },
+    "limits": {
+        "type": "object",
+        "additionalProperties": false,
+        "properties": {
+            "connections": {
+                "type": "integer", "minimum": 1, "maximum": 20000
+            },
+            "body_bytes": {"type": "integer", "minimum": 1024},
+            "headers": {"type": "integer", "minimum": 8},
+            "header_bytes": {"type": "integer", "minimum": 1024},
+            "read_timeout_ms": {"type": "integer", "minimum": 10},
+            "write_timeout_ms": {"type": "integer", "minimum": 10},
+            "queue_requests": {"type": "integer", "minimum": 0},
+            "queue_bytes": {"type": "integer", "minimum": 0},
+            "queue_wait_ms": {"type": "integer", "minimum": 0},
+            "account_queue_requests": {"type": "integer", "minimum": 0},
+            "unread_bytes": {"type": "integer", "minimum": 1024},
+            "kept_answer_bytes": {"type": "integer", "minimum": 0},
+            "kept_answer_seconds": {"type": "integer", "minimum": 0},
+            "park_after_ms": {"type": "integer", "minimum": 10},
+            "longest_park_ms": {"type": "integer", "minimum": 10},
+            "bytes_per_token": {
+                "type": "integer", "minimum": 1, "maximum": 8
+            },
+            "connect_timeout_ms": {"type": "integer", "minimum": 10},
+            "stop_ms": {"type": "integer", "minimum": 0}
+        }
+    },
+    "budgets": {
+        "type": "object",
+        "additionalProperties": false,
+        "properties": {
+            "shards": {"type": "integer", "minimum": 1, "maximum": 1000},
+            "grant_term_s": {"type": "integer", "minimum": 60},
+            "hold_wait_ms": {"type": "integer", "minimum": 0},
+            "bill_wait_ms": {"type": "integer", "minimum": 10}
+        }
+    },
+    "lease_s": {"type": "integer", "minimum": 1, "maximum": 300}
+})";
+
+std::chrono::milliseconds read_time(const json& part, const char* name,
+                                    std::chrono::milliseconds otherwise)
+{
+    return std::chrono::milliseconds(part.value(name, otherwise.count()));
+}
+
+void read_listen(const json& listen, router_settings& read)
+{
+    read.caller_server.host = listen.at("host").get<std::string>();
+    read.caller_server.port = listen.at("caller_port").get<int>();
+    read.peer_host = read.caller_server.host;
+    read.peer_port = listen.at("peer_port").get<int>();
+    if (listen.contains("tls"))
+    {
+        const json& tls = listen.at("tls");
+        read.caller_server.tls =
+            adapters::tls_files{tls.at("certificate").get<std::string>(),
+                                tls.at("private_key").get<std::string>()};
+    }
+}
+
+void read_server_limits(const json& limits,
+                        adapters::http_server_settings& server)
+{
+    server.most_connections =
+        limits.value("connections", server.most_connections);
+    server.most_body_bytes = limits.value("body_bytes", server.most_body_bytes);
+    server.most_headers = limits.value("headers", server.most_headers);
+    server.most_header_bytes =
+        limits.value("header_bytes", server.most_header_bytes);
+    server.read_timeout =
+        read_time(limits, "read_timeout_ms", server.read_timeout);
+    server.write_timeout =
+        read_time(limits, "write_timeout_ms", server.write_timeout);
+}
+
+void read_limits(const json& limits, router_settings& read)
+{
+    read_server_limits(limits, read.caller_server);
+    domain::admission_limits& queue = read.traffic.admission;
+    queue.total_requests = limits.value("queue_requests", queue.total_requests);
+    queue.total_bytes = limits.value("queue_bytes", queue.total_bytes);
+    queue.longest_wait = read_time(limits, "queue_wait_ms", queue.longest_wait);
+    queue.account_requests =
+        limits.value("account_queue_requests", queue.account_requests);
+    drivers::answer_store_settings& answers = read.answers;
+    answers.most_unread_bytes =
+        limits.value("unread_bytes", answers.most_unread_bytes);
+    answers.most_kept_bytes =
+        limits.value("kept_answer_bytes", answers.most_kept_bytes);
+    answers.keep_time = std::chrono::seconds(
+        limits.value("kept_answer_seconds", answers.keep_time.count()));
+    read.patience.park_after =
+        read_time(limits, "park_after_ms", read.patience.park_after);
+    read.patience.longest_park =
+        read_time(limits, "longest_park_ms", read.patience.longest_park);
+    read.bytes_per_token =
+        limits.value("bytes_per_token", read.bytes_per_token);
+    read.connect_timeout =
+        read_time(limits, "connect_timeout_ms", read.connect_timeout);
+    read.stop_limit = read_time(limits, "stop_ms", read.stop_limit);
+}
+
+void read_budgets(const json& budgets, router_settings& read)
+{
+    read.budget_shards = budgets.value("shards", read.budget_shards);
+    read.grant_term = std::chrono::seconds(
+        budgets.value("grant_term_s", read.grant_term.count()));
+    read.hold_wait = read_time(budgets, "hold_wait_ms", read.hold_wait);
+    read.bill_wait = read_time(budgets, "bill_wait_ms", read.bill_wait);
+}
+
+} // namespace
+
+json router_settings_schema()
+{
+    json properties = adapters::common_settings_properties();
+    properties.update(json::parse(own_properties));
+    return {{"type", "object"},
+            {"additionalProperties", false},
+            {"required", {"name", "vm", "data_centre", "platform", "listen"}},
+            {"properties", properties}};
+}
+
+router_settings read_router_settings(const json& settings)
+{
+    router_settings read;
+    read.name = settings.at("name").get<std::string>();
+    read.vm = settings.at("vm").get<std::string>();
+    read.data_centre = settings.at("data_centre").get<std::string>();
+    json log = settings.value("log", json::object());
+    read.log_level = log.value("level", "info");
+    read.log_format = log.value("format", "text");
+    const json& platform = settings.at("platform");
+    read.key_value_addresses =
+        platform.at("key_value").get<std::vector<std::string>>();
+    read.vm_list_address = platform.at("vm_list").get<std::string>();
+    read.platform_timeout =
+        read_time(platform, "timeout_ms", read.platform_timeout);
+    read_listen(settings.at("listen"), read);
+    read_limits(settings.value("limits", json::object()), read);
+    read_budgets(settings.value("budgets", json::object()), read);
+    read.lease =
+        std::chrono::seconds(settings.value("lease_s", read.lease.count()));
+    return read;
+}
+
+} // namespace turmeric::router
--- /dev/null
+++ b/services/router/router_settings.hpp
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "libraries/adapters/httplib/http_server.hpp"
+#include "libraries/core/json.hpp"
+#include "libraries/drivers/answers/answer_store.hpp"
+#include "libraries/drivers/requests/request_runner.hpp"
+#include "libraries/drivers/traffic/traffic_control.hpp"
+
+#include <chrono>
+#include <string>
+#include <vector>
+
+namespace turmeric::router
+{
+
+/// A router's settings, as checked against their schema.
+struct router_settings
+{
+    std::string name;
+    std::string vm;
+    std::string data_centre;
+    std::string log_level;
+    std::string log_format;
+    std::vector<std::string> key_value_addresses;
+    std::string vm_list_address;
+    std::chrono::milliseconds platform_timeout{1'000};
+    adapters::http_server_settings caller_server;
+    std::string peer_host;
+    int peer_port = 0;
+    drivers::traffic_limits traffic;
+    drivers::answer_store_settings answers;
+    drivers::runner_patience patience;
+    /// Bytes of a prompt that count as one token in a hold.
+    std::size_t bytes_per_token = 3;
+    std::chrono::milliseconds connect_timeout{500};
+    std::chrono::milliseconds stop_limit{30'000};
+    std::chrono::seconds lease{10};
+    std::int32_t budget_shards = 64;
+    std::chrono::seconds grant_term{3'600};
+    std::chrono::milliseconds hold_wait{2'000};
+    std::chrono::milliseconds bill_wait{10'000};
+};
+
+/// Returns the JSON schema of the settings file. Thread safe.
+[[nodiscard]] json router_settings_schema();
+
+/// Reads settings. Precondition: `settings` satisfies the schema. Thread
+/// safe.
+[[nodiscard]] router_settings read_router_settings(const json& settings);
+
+} // namespace turmeric::router
