Moves: Let a router pick versions and answer for its evidence

version_guard wraps the pure guard for the request path: the version of a request, its record, and the answer to the leading controller.

--- /dev/null
+++ b/libraries/drivers/move/version_guard.cpp
@@ -0,0 +1,172 @@
+#include "libraries/drivers/move/version_guard.hpp"
+
+#include "libraries/codecs/move/evidence_codec.hpp"
+#include "libraries/domain/move/version_picker.hpp"
+
+#include <utility>
+
+namespace turmeric::drivers
+{
+
+version_guard::version_guard(domain::guard_settings settings,
+                             std::string incarnation, const ports::clock& clock,
+                             logger& log)
+    : m_settings(settings)
+    , m_incarnation(std::move(incarnation))
+    , m_clock(clock)
+    , m_log(log)
+{
+}
+
+void version_guard::apply_routes(
+    const std::vector<domain::route_declaration>& routes)
+{
+    const std::lock_guard lock(m_mutex);
+    m_routes.clear();
+    for (const domain::route_declaration& route : routes)
+    {
+        m_routes[route.name] = route.versions;
+    }
+    std::erase_if(m_moves, [this](const auto& entry)
+                  { return !m_routes.contains(entry.first); });
+}
+
+void version_guard::apply_move(const domain::move_state& state)
+{
+    const std::lock_guard lock(m_mutex);
+    const ports::steady_time now = m_clock.steady_now();
+    const auto found = m_moves.find(state.route);
+    if (found == m_moves.end())
+    {
+        m_moves.emplace(state.route,
+                        domain::local_guard(m_settings, state, now));
+        return;
+    }
+    const domain::move_state& known = found->second.state();
+    if (known.identity == state.identity)
+    {
+        found->second.apply(state, now);
+        return;
+    }
+    if (state.fencing >= known.fencing)
+    {
+        found->second = domain::local_guard(m_settings, state, now);
+    }
+}
+
+void version_guard::forget_move(const std::string& route)
+{
+    const std::lock_guard lock(m_mutex);
+    m_moves.erase(route);
+}
+
+std::string version_guard::pick(const std::string& route,
+                                const std::string& request_id)
+{
+    const std::int32_t place =
+        domain::version_picker::place_of(route, request_id);
+    const std::lock_guard lock(m_mutex);
+    return domain::version_picker::pick(shares_locked(route), place);
+}
+
+std::vector<domain::version_share>
+version_guard::shares(const std::string& route)
+{
+    const std::lock_guard lock(m_mutex);
+    return shares_locked(route);
+}
+
+std::vector<domain::version_share>
+version_guard::shares_locked(const std::string& route) const
+{
+    const auto declared = m_routes.find(route);
+    if (declared == m_routes.end())
+    {
+        return {};
+    }
+    const auto move = m_moves.find(route);
+    if (move == m_moves.end())
+    {
+        return declared->second;
+    }
+    const domain::move_state& state = move->second.state();
+    const std::int32_t share = move->second.share(m_clock.steady_now());
+    return {{state.to_version, share},
+            {state.from_version, domain::whole_share - share}};
+}
+
+void version_guard::record(const std::string& route, const std::string& version,
+                           const domain::request_observation& seen)
+{
+    std::string reason;
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto move = m_moves.find(route);
+        if (move == m_moves.end())
+        {
+            return;
+        }
+        domain::local_guard& guard = move->second;
+        const bool is_new = version == guard.state().to_version;
+        if (!is_new && version != guard.state().from_version)
+        {
+            return;
+        }
+        if (!guard.record(is_new, seen, m_clock.steady_now()))
+        {
+            return;
+        }
+        reason = guard.cut_reason();
+    }
+    m_log.write(log_level::warning, log_event::move_cut,
+                {{"route", route}, {"version", version}, {"reason", reason}});
+}
+
+result<std::string> version_guard::answer(const ports::peer_message& message)
+{
+    result<domain::evidence_request> request =
+        codecs::decode_evidence_request(message.body);
+    if (!request)
+    {
+        return request.failure();
+    }
+    domain::evidence_answer answer;
+    answer.incarnation = m_incarnation;
+    const std::lock_guard lock(m_mutex);
+    const ports::steady_time now = m_clock.steady_now();
+    for (const domain::evidence_question& question : request.value().questions)
+    {
+        const auto move = m_moves.find(question.route);
+        if (move == m_moves.end() ||
+            move->second.state().identity != question.identity)
+        {
+            continue;
+        }
+        move->second.hear_controller(request.value().fencing, now);
+        answer.reports.push_back(report_locked(question, move->second));
+    }
+    return codecs::encode(answer);
+}
+
+domain::evidence_report
+version_guard::report_locked(const domain::evidence_question& question,
+                             const domain::local_guard& guard) const
+{
+    constexpr std::chrono::microseconds unlimited = std::chrono::hours(1);
+    const domain::latency_limits limits =
+        question.limits.value_or(domain::latency_limits{unlimited, unlimited});
+    domain::evidence_report report;
+    report.route = question.route;
+    report.identity = question.identity;
+    report.sequence = guard.state().sequence;
+    report.cut_reason = guard.cut_reason();
+    report.tally = {guard.from_evidence().tally(limits),
+                    guard.to_evidence().tally(limits)};
+    if (!question.limits)
+    {
+        report.from_evidence = guard.from_evidence();
+    }
+    return report;
+}
+
+} // namespace turmeric::drivers
