--- a/libraries/drivers/traffic/traffic_control.cpp
+++ b/libraries/drivers/traffic/traffic_control.cpp
@@ -17,12 +17,11 @@
 } // namespace
 
 traffic_control::traffic_control(const traffic_limits& limits,
-                                 std::string incarnation,
                                  const ports::clock& clock,
                                  ports::random_source& random, logger& log)
     : m_clock(clock)
     , m_log(log)
-    , m_selector(std::move(incarnation), limits.selector)
+    , m_selector(limits.selector)
     , m_queue(limits.admission)
     , m_retry(limits.retry, random)
     , m_control(tick, [this] { refuse_overdue(); })
@@ -81,25 +80,12 @@
         { return m_retry.decide(attempt, m_clock.steady_now()); });
 }
 
-void traffic_control::update_upstreams(
-    std::vector<domain::upstream_declaration> upstreams)
+void traffic_control::update_capacity(domain::capacity_plan plan)
 {
     m_control.post(
-        [this, upstreams = std::move(upstreams)]
+        [this, plan = std::move(plan)]
         {
-            m_selector.update_upstreams(upstreams);
-            serve_all_lanes();
-        });
-}
-
-void traffic_control::update_membership(
-    domain::epoch_record record, domain::epoch_acknowledgements acknowledged)
-{
-    m_control.post(
-        [this, record = std::move(record),
-         acknowledged = std::move(acknowledged)]
-        {
-            m_selector.update_membership(record, acknowledged);
+            m_selector.update(plan);
             serve_all_lanes();
         });
 }
@@ -121,9 +107,9 @@
         });
 }
 
-domain::epoch_number traffic_control::acknowledged_epoch()
+domain::epoch_number traffic_control::acknowledge()
 {
-    return m_control.ask([this] { return m_selector.acknowledged_epoch(); });
+    return m_control.ask([this] { return m_selector.acknowledge(); });
 }
 
 traffic_counts traffic_control::counts()
--- a/libraries/drivers/traffic/traffic_control.hpp
+++ b/libraries/drivers/traffic/traffic_control.hpp
@@ -40,11 +40,9 @@
 class traffic_control
 {
 public:
-    /// Precondition: the references outlive this; `incarnation` names this
-    /// router.
-    traffic_control(const traffic_limits& limits, std::string incarnation,
-                    const ports::clock& clock, ports::random_source& random,
-                    logger& log);
+    /// Precondition: the references outlive this.
+    traffic_control(const traffic_limits& limits, const ports::clock& clock,
+                    ports::random_source& random, logger& log);
 
     traffic_control(const traffic_control&) = delete;
     traffic_control& operator=(const traffic_control&) = delete;
@@ -70,12 +68,9 @@
     /// Decides what follows a failed attempt. Thread safe; blocks shortly.
     domain::retry_decision decide(const domain::failed_attempt& attempt);
 
-    /// Takes the declared upstreams. Thread safe.
-    void update_upstreams(std::vector<domain::upstream_declaration> upstreams);
-
-    /// Takes the epochs in use. Thread safe.
-    void update_membership(domain::epoch_record record,
-                           domain::epoch_acknowledgements acknowledged);
+    /// Takes the declared upstreams and this router's shares of them. Thread
+    /// safe.
+    void update_capacity(domain::capacity_plan plan);
 
     /// Takes a load report. Thread safe.
     void update_load(domain::load_report report);
@@ -83,9 +78,9 @@
     /// Gives an upstream no new work. Thread safe.
     void mark_leaving(const std::string& upstream);
 
-    /// Returns the epoch that this router keeps to. Thread safe; blocks
-    /// shortly.
-    domain::epoch_number acknowledged_epoch();
+    /// Returns the epoch that this router keeps to; to be called regularly.
+    /// Thread safe; blocks shortly.
+    domain::epoch_number acknowledge();
 
     /// Returns counts. Thread safe; blocks shortly.
     traffic_counts counts();
--- a/services/controller/configuration_calls.cpp
+++ b/services/controller/configuration_calls.cpp
@@ -19,8 +19,8 @@
         conflicts.push_back(
             {{"kind", name_of(object.kind)},
              {"name", object.name},
-             {"in_force", codecs::encode_declaration(
-                              conflict.current, object.kind, object.name)},
+             {"in_force", codecs::encode_declaration(conflict.current,
+                                                     object.kind, object.name)},
              {"wanted", codecs::encode_declaration(conflict.wanted, object.kind,
                                                    object.name)}});
     }
@@ -68,9 +68,9 @@
 
 operator_fault unknown_object(const std::string& field, const std::string& name)
 {
-    return fault_of(error{result_code::unknown_object, field,
-                          "nothing is declared under the name \"" + name +
-                              '"'});
+    return fault_of(
+        error{result_code::unknown_object, field,
+              "nothing is declared under the name \"" + name + '"'});
 }
 
 result<drivers::configuration_change>
--- a/services/controller/operator_service.hpp
+++ b/services/controller/operator_service.hpp
@@ -47,8 +47,8 @@
         adapters::body_format format;
     };
 
-    using method = adapters::http_reply (operator_service::*)(
-        const accepted_call& call);
+    using method =
+        adapters::http_reply (operator_service::*)(const accepted_call& call);
 
     struct method_row
     {
