Tests: Cover callers' input, answers, runs and threads

Seen to fail first: without the excluded list a resumed stream goes to the upstream that broke it; without the claim check the call is dispatched; with the effect of the last attempt alone, a request that may have run is said not to have.

--- /dev/null
+++ b/tests/openai/chat_request_test.cpp
@@ -0,0 +1,85 @@
+#include "libraries/codecs/openai/chat_request.hpp"
+
+#include <string>
+
+#include <CppUTest/TestHarness.h>
+
+using turmeric::result;
+using turmeric::result_code;
+using turmeric::codecs::chat_request;
+using turmeric::codecs::parse_chat_request;
+
+namespace
+{
+
+std::string body_with(const std::string& field)
+{
+    return R"({"model":"ruling","messages":[{"role":"user","content":"Hi"}])" +
+           (field.empty() ? "" : "," + field) + "}";
+}
+
+void check_refused(const std::string& body, result_code code, const char* field)
+{
+    result<chat_request> parsed = parse_chat_request(body);
+    CHECK_FALSE(parsed.has_value());
+    CHECK(parsed.failure().code == code);
+    STRCMP_EQUAL(field, parsed.failure().field.c_str());
+}
+
+} // namespace
+
+TEST_GROUP(chat_request){};
+
+TEST(chat_request, reads_what_a_caller_sends)
+{
+    result<chat_request> parsed =
+        parse_chat_request(body_with(R"("stream":true,"max_tokens":12)"));
+    CHECK_TRUE(parsed.has_value());
+    STRCMP_EQUAL("ruling", parsed.value().model.c_str());
+    CHECK_TRUE(parsed.value().is_streamed);
+    LONGS_EQUAL(12, *parsed.value().max_tokens);
+    LONGS_EQUAL(2, parsed.value().prompt_bytes);
+}
+
+TEST(chat_request, refuses_broken_json)
+{
+    check_refused("{\"model\":", result_code::malformed_body, "body");
+    check_refused("[]", result_code::malformed_body, "body");
+    check_refused("", result_code::malformed_body, "body");
+}
+
+TEST(chat_request, refuses_bounds_out_of_range)
+{
+    for (const char* value :
+         {"-1", "0", "1.5", "\"7\"", "1e99", "99999999999999999999",
+          "9223372036854775807", "-9223372036854775808", "true"})
+    {
+        check_refused(body_with(std::string("\"max_tokens\":") + value),
+                      result_code::invalid_field, "max_tokens");
+    }
+}
+
+TEST(chat_request, refuses_fields_of_the_wrong_type)
+{
+    check_refused(R"({"messages":[]})", result_code::invalid_field, "model");
+    check_refused(R"({"model":"a"})", result_code::invalid_field, "messages");
+    check_refused(R"({"model":"a","messages":[7]})", result_code::invalid_field,
+                  "messages[0].role");
+    check_refused(R"({"model":"a","messages":[{"role":"user","content":7}]})",
+                  result_code::invalid_field, "messages[0].content");
+    check_refused(body_with(R"("stream":"yes")"), result_code::invalid_field,
+                  "stream");
+}
+
+TEST(chat_request, bounds_the_engine_and_names_the_version)
+{
+    result<chat_request> parsed =
+        parse_chat_request(body_with(R"("max_completion_tokens":9)"));
+    turmeric::json body = turmeric::json::parse(
+        turmeric::codecs::make_engine_body(parsed.value(), "v2", 9, -1));
+    STRCMP_EQUAL("v2", body["model"].get<std::string>().c_str());
+    LONGS_EQUAL(9, body["max_tokens"].get<int>());
+    LONGS_EQUAL(-1, body["priority"].get<int>());
+    CHECK_TRUE(body["stream"].get<bool>());
+    CHECK_FALSE(body.contains("max_completion_tokens"));
+}
--- /dev/null
+++ b/tests/openai/event_stream_test.cpp
@@ -0,0 +1,95 @@
+#include <rapidcheck.h>
+
+#include "libraries/codecs/openai/chat_event.hpp"
+#include "libraries/codecs/openai/event_stream.hpp"
+#include "libraries/core/json.hpp"
+
+#include <string>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using turmeric::result;
+using turmeric::result_code;
+using turmeric::codecs::chat_event;
+using turmeric::codecs::event_stream_reader;
+using turmeric::codecs::parse_chat_event;
+
+TEST_GROUP(event_stream){};
+
+TEST(event_stream, yields_the_same_events_however_the_bytes_are_cut)
+{
+    CHECK(rc::check(
+        "events survive any cut",
+        []
+        {
+            auto count = *rc::gen::inRange(0, 20);
+            std::string bytes;
+            std::vector<std::string> sent;
+            for (int i = 0; i < count; ++i)
+            {
+                sent.push_back("event-" + std::to_string(i));
+                bytes += *rc::gen::element<std::string>("", ": comment\n",
+                                                        "event: message\r\n") +
+                         "data: " + sent.back() +
+                         *rc::gen::element<std::string>("\n\n", "\r\n\r\n");
+            }
+            event_stream_reader reader;
+            std::vector<std::string> read;
+            std::size_t at = 0;
+            while (at < bytes.size())
+            {
+                auto length = *rc::gen::inRange<std::size_t>(1, 30);
+                result<std::vector<std::string>> events =
+                    reader.accept(bytes.substr(at, length));
+                RC_ASSERT(events.has_value());
+                read.insert(read.end(), events.value().begin(),
+                            events.value().end());
+                at += length;
+            }
+            RC_ASSERT(read == sent);
+        }));
+}
+
+TEST(event_stream, refuses_an_event_without_end)
+{
+    event_stream_reader reader;
+    std::string flood(event_stream_reader::most_event_bytes + 1, 'x');
+    CHECK_FALSE(reader.accept(flood).has_value());
+}
+
+TEST(event_stream, reads_text_usage_and_end)
+{
+    chat_event text =
+        parse_chat_event(
+            R"({"choices":[{"delta":{"content":"a"},"finish_reason":null}]})")
+            .value();
+    STRCMP_EQUAL("a", text.text.c_str());
+    chat_event usage =
+        parse_chat_event(
+            R"({"choices":[],"usage":{"prompt_tokens":3,"completion_tokens":4}})")
+            .value();
+    LONGS_EQUAL(3, usage.usage->prompt);
+    LONGS_EQUAL(4, usage.usage->completion);
+    CHECK_TRUE(parse_chat_event("[DONE]").value().is_done);
+}
+
+TEST(event_stream, reports_errors_as_values)
+{
+    CHECK(parse_chat_event("nonsense").failure().code ==
+          result_code::stream_broken);
+    CHECK(parse_chat_event(R"({"error":{"message":"x"}})").failure().code ==
+          result_code::upstream_failed);
+    CHECK(
+        parse_chat_event(R"({"usage":{"prompt_tokens":"x"}})").failure().code ==
+        result_code::stream_broken);
+}
+
+TEST(event_stream, makes_events_that_parse_back)
+{
+    turmeric::codecs::answer_identity id{"r1", "ruling", 5};
+    std::string event = turmeric::codecs::make_text_event(id, "say \"hé\"\n");
+    chat_event back =
+        parse_chat_event(event.substr(6, event.size() - 8)).value();
+    STRCMP_EQUAL("say \"hé\"\n", back.text.c_str());
+}
--- /dev/null
+++ b/tests/requests/runner_fakes.hpp
@@ -0,0 +1,259 @@
+#pragma once
+
+#include "libraries/adapters/system/system_clock.hpp"
+#include "libraries/codecs/openai/chat_request.hpp"
+#include "libraries/drivers/requests/request_runner.hpp"
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace turmeric::tests
+{
+
+/// What a scripted engine does with one attempt; token i is its digit.
+struct attempt_script
+{
+    int total = 0;
+    std::optional<int> cut_at;
+    bool is_reachable = true;
+    /// The caller goes after this many tokens.
+    std::optional<int> cancel_after;
+
+    static attempt_script whole(int total)
+    {
+        return {total, std::nullopt, true, std::nullopt};
+    }
+
+    static attempt_script cut_after(int tokens, int total)
+    {
+        return {total, tokens, true, std::nullopt};
+    }
+
+    static attempt_script unreachable()
+    {
+        return {0, std::nullopt, false, std::nullopt};
+    }
+};
+
+class fake_upstreams final : public ports::upstream_caller
+{
+public:
+    result<ports::upstream_end> send(const std::string& address,
+                                     const ports::upstream_request& request,
+                                     const ports::upstream_sink& sink) override
+    {
+        attempt_script script = scripts.at(addresses.size());
+        addresses.push_back(address);
+        if (!script.is_reachable)
+        {
+            return error{result_code::upstream_failed, "upstream", "refused"};
+        }
+        std::string offset = "0";
+        for (const std::pair<std::string, std::string>& header :
+             request.headers)
+        {
+            offset = header.first == "Resume-Offset" ? header.second : offset;
+        }
+        resume_offsets.push_back(offset);
+        return play(script, std::stoi(offset), sink);
+    }
+
+    std::vector<attempt_script> scripts;
+    std::vector<std::string> addresses;
+    std::vector<std::string> resume_offsets;
+    drivers::answer_record* record = nullptr;
+
+private:
+    result<ports::upstream_end> play(const attempt_script& script, int token,
+                                     const ports::upstream_sink& sink)
+    {
+        error broken{result_code::stream_broken, "upstream", "cut",
+                     outcome::outcome_unknown};
+        if (!sink.on_head({200, "text/event-stream", {}}))
+        {
+            return broken;
+        }
+        for (; token < script.total; ++token)
+        {
+            if (script.cut_at && token >= *script.cut_at)
+            {
+                return broken;
+            }
+            if (script.cancel_after && token + 1 == *script.cancel_after)
+            {
+                // The reader goes while the token is on its way to it.
+                record->cancel(1);
+                sink.on_body(event(token));
+                return broken;
+            }
+            if (!sink.on_body(event(token)))
+            {
+                return broken;
+            }
+        }
+        sink.on_body("data: {\"choices\":[],\"usage\":{\"prompt_tokens\":3}}"
+                     "\n\ndata: [DONE]\n\n");
+        return ports::upstream_end{200};
+    }
+
+    static std::string event(int token)
+    {
+        return "data: {\"choices\":[{\"delta\":{\"content\":\"" +
+               std::to_string(token) + "\"}}]}\n\n";
+    }
+};
+
+class fake_ledger final : public drivers::request_ledger
+{
+public:
+    result<drivers::ledger_hold>
+    acquire(const drivers::request_context& /*request*/) override
+    {
+        if (acquire_failure)
+        {
+            return *acquire_failure;
+        }
+        return drivers::ledger_hold{1};
+    }
+
+    result<domain::tokens> settle(drivers::ledger_hold /*hold*/,
+                                  domain::tokens used) override
+    {
+        if (settle_failure)
+        {
+            return *settle_failure;
+        }
+        settled.push_back(used);
+        return used;
+    }
+
+    void release(drivers::ledger_hold /*hold*/) override
+    {
+        ++released;
+    }
+
+    status claim(const drivers::request_context& /*request*/) override
+    {
+        return claim_failure ? status(*claim_failure) : success();
+    }
+
+    std::optional<error> acquire_failure;
+    std::optional<error> settle_failure;
+    std::optional<error> claim_failure;
+    std::vector<domain::tokens> settled;
+    int released = 0;
+};
+
+class fake_observer final : public drivers::request_observer
+{
+public:
+    void on_end(const drivers::request_context& /*request*/,
+                const drivers::request_summary& /*summary*/) override
+    {
+    }
+
+    void on_retry(const drivers::request_context& /*request*/,
+                  const error& /*failure*/, std::int64_t /*offset*/) override
+    {
+    }
+
+    void on_park(const drivers::request_context& /*request*/) override
+    {
+        on_parked();
+    }
+
+    std::function<void()> on_parked = [] {};
+};
+
+class silent_logger final : public logger
+{
+public:
+    void write(log_level /*level*/, log_event /*event*/,
+               const std::vector<log_field>& /*fields*/) override
+    {
+    }
+};
+
+class counting_random final : public ports::random_source
+{
+public:
+    std::uint64_t next() override
+    {
+        return ++m_last;
+    }
+
+private:
+    std::uint64_t m_last = 0;
+};
+
+/// A runner between fakes: one route, one version, four upstreams.
+class runner_bench
+{
+public:
+    runner_bench()
+    {
+        domain::route_declaration route;
+        route.name = "ruling";
+        route.versions = {{"v1", 1'000'000}};
+        m_versions.apply_routes({route});
+        domain::capacity_plan plan;
+        plan.epoch = 1;
+        for (int i = 0; i < 4; ++i)
+        {
+            domain::upstream_declaration upstream;
+            upstream.name = "engine-" + std::to_string(i);
+            upstream.address = "127.0.0.1:" + std::to_string(i + 1);
+            upstream.versions = {"v1"};
+            upstream.capacity = 4;
+            plan.shares.push_back({upstream, 4});
+        }
+        m_traffic.update_capacity(plan);
+    }
+
+    void add(const attempt_script& script)
+    {
+        upstreams.scripts.push_back(script);
+    }
+
+    drivers::request_context make_request()
+    {
+        drivers::request_context request;
+        request.account.name = "family";
+        request.route.name = "ruling";
+        request.request_id = "r1";
+        request.max_tokens = 5;
+        request.prompt_tokens = 3;
+        request.upper_bound = 8;
+        request.arrived = m_clock.steady_now();
+        request.chat = codecs::parse_chat_request(
+                           R"({"model":"ruling","stream":true,"messages":)"
+                           R"([{"role":"user","content":"Hi"}]})")
+                           .value();
+        return request;
+    }
+
+    bool run(const drivers::request_context& request,
+             drivers::answer_record& record)
+    {
+        return m_runner.run(request, record);
+    }
+
+    fake_upstreams upstreams;
+    fake_ledger ledger;
+    fake_observer observer;
+
+private:
+    adapters::system_clock m_clock;
+    counting_random m_random;
+    silent_logger m_log;
+    drivers::version_guard m_versions{{}, "router-1", m_clock, m_log};
+    drivers::traffic_control m_traffic{{}, m_clock, m_random, m_log};
+    drivers::request_runner m_runner{
+        {m_traffic, m_versions, ledger, upstreams, observer, m_clock, "dc1"},
+        {std::chrono::milliseconds(1), std::chrono::milliseconds(50)}};
+};
+
+} // namespace turmeric::tests
