--- /dev/null
+++ b/services/router/graceful_stop.cpp
@@ -0,0 +1,65 @@
+#include "services/router/graceful_stop.hpp"
+
+#include <chrono>
+#include <cstdlib>
+
+namespace turmeric::router
+{
+
+namespace
+{
+
+constexpr std::chrono::milliseconds poll_interval{50};
+
+/// Waits until `limit` passes or `is_done`; returns false when a second
+/// signal came.
+template <class Condition>
+bool wait_until(adapters::stop_signals& signals,
+                std::chrono::milliseconds limit, Condition is_done)
+{
+    std::chrono::steady_clock::time_point end =
+        std::chrono::steady_clock::now() + limit;
+    while (!is_done() && std::chrono::steady_clock::now() < end)
+    {
+        if (signals.wait_for(poll_interval))
+        {
+            return false;
+        }
+    }
+    return true;
+}
+
+} // namespace
+
+adapters::exit_code stop_gracefully(router_process& router,
+                                    const router_settings& settings,
+                                    adapters::stop_signals& signals)
+{
+    logger& log = router.log();
+    log.write(log_level::info, log_event::process_stopping,
+              {{"in_flight",
+                static_cast<std::int64_t>(router.requests_in_flight())}});
+    router.start_leaving();
+    // Callers keep the answers that named this router for a while.
+    bool is_patient =
+        wait_until(signals, settings.leave_time, [] { return false; });
+    router.stop_taking_requests();
+    if (is_patient)
+    {
+        wait_until(signals, settings.stop_limit,
+                   [&router] { return router.requests_in_flight() == 0; });
+    }
+    std::size_t cut = router.requests_in_flight();
+    if (cut > 0)
+    {
+        log.write(log_level::error, log_event::stop_cut_streams,
+                  {{"in_flight", static_cast<std::int64_t>(cut)}});
+        // The threads of the requests that are cut cannot be joined.
+        std::_Exit(static_cast<int>(adapters::exit_code::cut_off));
+    }
+    router.finish(settings.stop_limit);
+    log.write(log_level::info, log_event::process_stopped, {});
+    return adapters::exit_code::success;
+}
+
+} // namespace turmeric::router
--- /dev/null
+++ b/services/router/router_gauges.cpp
@@ -0,0 +1,71 @@
+#include "services/router/router_gauges.hpp"
+
+namespace turmeric::router
+{
+
+router_gauges::router_gauges(metrics::registry& registry,
+                             drivers::traffic_control& traffic,
+                             drivers::answer_store& answers,
+                             drivers::budget_service& budgets)
+    : m_traffic(traffic)
+    , m_answers(answers)
+    , m_budgets(budgets)
+    , m_queue_depth(add(registry, "turmeric_queue_depth",
+                        "Requests that wait for a place."))
+    , m_queue_bytes(add(registry, "turmeric_queue_bytes",
+                        "Bytes of requests that wait for a place."))
+    , m_slots(add(registry, "turmeric_upstream_slots",
+                  "Requests that this router may hold at upstreams."))
+    , m_in_flight(add(registry, "turmeric_requests_in_flight",
+                      "Requests that have not ended."))
+    , m_slow_reader_bytes(add(registry, "turmeric_slow_reader_bytes",
+                              "Bytes written ahead of callers."))
+    , m_granted(add(registry, "turmeric_granted_tokens",
+                    "Tokens granted to this router and not settled."))
+    , m_held(add(registry, "turmeric_held_tokens",
+                 "Tokens held for requests in flight."))
+    , m_pending_bills(add(registry, "turmeric_pending_bills",
+                          "Bills that are not durable yet."))
+    , m_configuration_version(add(registry, "turmeric_configuration_version",
+                                  "Version of the configuration in force."))
+    , m_ledger_calls(registry.make<metrics::gauge>(
+          {"turmeric_ledger_calls",
+           "Calls to the key-value service for budgets so far.",
+           {"kind"},
+           8,
+           {}}))
+{
+}
+
+void router_gauges::refresh()
+{
+    drivers::traffic_counts traffic = m_traffic.counts();
+    m_queue_depth.set(static_cast<std::int64_t>(traffic.waiting));
+    m_queue_bytes.set(static_cast<std::int64_t>(traffic.waiting_bytes));
+    m_slots.set(traffic.total_share);
+    m_in_flight.set(static_cast<std::int64_t>(m_answers.in_flight()));
+    m_slow_reader_bytes.set(
+        static_cast<std::int64_t>(m_answers.unread_bytes()));
+    drivers::budget_counts budgets = m_budgets.counters();
+    m_granted.set(budgets.ledger.granted);
+    m_held.set(budgets.ledger.held);
+    m_pending_bills.set(
+        static_cast<std::int64_t>(budgets.ledger.pending_bills));
+    m_ledger_calls.with({"read"}).set(budgets.committer.reads);
+    m_ledger_calls.with({"write"}).set(budgets.committer.writes);
+    m_ledger_calls.with({"conflict"}).set(budgets.committer.conflicts);
+}
+
+void router_gauges::set_configuration_version(std::int64_t version)
+{
+    m_configuration_version.set(version);
+}
+
+metrics::gauge& router_gauges::add(metrics::registry& registry,
+                                   const std::string& name,
+                                   const std::string& help)
+{
+    return registry.make<metrics::gauge>({name, help, {}, 1, {}}).with({});
+}
+
+} // namespace turmeric::router
--- /dev/null
+++ b/services/router/router_gauges.hpp
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "libraries/core/metrics/registry.hpp"
+#include "libraries/drivers/answers/answer_store.hpp"
+#include "libraries/drivers/budget/budget_service.hpp"
+#include "libraries/drivers/traffic/traffic_control.hpp"
+
+namespace turmeric::router
+{
+
+/// Copies counts of the router's parts into metrics. Thread safe.
+class router_gauges
+{
+public:
+    /// Adds its families to `registry`. Precondition: all outlive this.
+    router_gauges(metrics::registry& registry,
+                  drivers::traffic_control& traffic,
+                  drivers::answer_store& answers,
+                  drivers::budget_service& budgets);
+
+    /// Sets the gauges anew. Thread safe; blocks shortly.
+    void refresh();
+
+    /// Sets the version of the configuration in force. Thread safe.
+    void set_configuration_version(std::int64_t version);
+
+private:
+    static metrics::gauge& add(metrics::registry& registry,
+                               const std::string& name,
+                               const std::string& help);
+
+    drivers::traffic_control& m_traffic;
+    drivers::answer_store& m_answers;
+    drivers::budget_service& m_budgets;
+    metrics::gauge& m_queue_depth;
+    metrics::gauge& m_queue_bytes;
+    metrics::gauge& m_slots;
+    metrics::gauge& m_in_flight;
+    metrics::gauge& m_slow_reader_bytes;
+    metrics::gauge& m_granted;
+    metrics::gauge& m_held;
+    metrics::gauge& m_pending_bills;
+    metrics::gauge& m_configuration_version;
+    metrics::family<metrics::gauge>& m_ledger_calls;
+};
+
+} // namespace turmeric::router
--- /dev/null
+++ b/services/router/router_process.cpp
@@ -0,0 +1,342 @@
+#include "services/router/router_process.hpp"
+
+#include "libraries/adapters/openssl/digests.hpp"
+#include "libraries/codecs/move/move_state_codec.hpp"
+#include "libraries/core/json.hpp"
+#include "libraries/domain/membership/locate.hpp"
+
+#include <algorithm>
+#include <array>
+#include <fmt/format.h>
+
+namespace turmeric::router
+{
+
+namespace
+{
+
+constexpr std::chrono::milliseconds refresh_interval{200};
+constexpr std::size_t idle_upstream_connections = 64;
+constexpr std::size_t incarnation_bytes = 6;
+
+std::string make_incarnation(const std::string& name)
+{
+    return name + "-" + adapters::random_hex(incarnation_bytes);
+}
+
+adapters::log_format format_of(const std::string& name)
+{
+    return name == "json" ? adapters::log_format::json
+                          : adapters::log_format::text;
+}
+
+adapters::etcd_settings store_settings(const router_settings& settings)
+{
+    adapters::etcd_settings made;
+    made.endpoints = settings.key_value_addresses;
+    made.call_timeout = settings.platform_timeout;
+    return made;
+}
+
+drivers::budget_settings budget_settings_of(const router_settings& settings)
+{
+    drivers::budget_settings made;
+    made.ledger.shard_count = settings.budget_shards;
+    made.ledger.grant_term = settings.grant_term;
+    made.committer.shard_count = settings.budget_shards;
+    return made;
+}
+
+bool serves(const domain::upstream_declaration& upstream)
+{
+    return upstream.state == domain::upstream_state::serving;
+}
+
+} // namespace
+
+router_process::router_process(const router_settings& settings)
+    : m_settings(settings)
+    , m_incarnation(make_incarnation(settings.name))
+    , m_log(m_clock, adapters::log_level_of(settings.log_level),
+            format_of(settings.log_format), settings.name)
+    , m_counters(m_metrics, m_log)
+    , m_store(store_settings(settings))
+    , m_vms({settings.vm_list_address, settings.connect_timeout,
+             settings.platform_timeout})
+    , m_upstreams(settings.connect_timeout, idle_upstream_connections)
+    , m_peers(m_clock, [this](const ports::peer_message& message)
+              { return handle_peer(message); })
+    , m_budgets({m_store, m_clock, m_random, m_log},
+                budget_settings_of(settings), m_incarnation)
+    , m_ledger(m_budgets, m_clock, {settings.hold_wait, settings.bill_wait})
+    , m_versions({}, m_incarnation, m_clock, m_log)
+    , m_traffic(settings.traffic, m_clock, m_random, m_log)
+    , m_answers(settings.answers, m_clock)
+    , m_runner({m_traffic, m_versions, m_ledger, m_upstreams, m_counters,
+                m_clock, settings.data_centre},
+               settings.patience)
+    , m_gauges(m_metrics, m_traffic, m_answers, m_budgets)
+    , m_runs(settings.caller_server.most_connections)
+    , m_front({m_answers, m_runner, m_runs, m_counters, m_metrics, m_clock,
+               [this](const std::string& account) { return locate(account); },
+               [this] { m_gauges.refresh(); },
+               [] { return std::optional<error>(); }, settings.bytes_per_token})
+    , m_server(settings.caller_server,
+               [this](const adapters::http_request& request)
+               { return m_front.handle(request); })
+    , m_shares(m_incarnation)
+{
+}
+
+router_process::~router_process() = default;
+
+result<router_addresses> router_process::start()
+{
+    result<int> peer_port =
+        m_peers.start(m_settings.peer_host, m_settings.peer_port);
+    if (!peer_port)
+    {
+        return peer_port.failure();
+    }
+    result<int> caller_port = m_server.start();
+    if (!caller_port)
+    {
+        return caller_port.failure();
+    }
+    router_addresses addresses;
+    addresses.caller = fmt::format("{}:{}", m_settings.caller_server.host,
+                                   caller_port.value());
+    addresses.peer =
+        fmt::format("{}:{}", m_settings.peer_host, peer_port.value());
+
+    domain::member self;
+    self.incarnation = m_incarnation;
+    self.address = addresses.caller;
+    self.peer_address = addresses.peer;
+    self.vm = m_settings.vm;
+    self.data_centre = m_settings.data_centre;
+    self.started = m_clock.system_now();
+    drivers::membership_settings membership;
+    membership.lease_ttl = m_settings.lease;
+    m_membership = std::make_unique<drivers::membership_service>(
+        self, membership, m_store, m_vms, m_peers, m_clock, m_log);
+    m_follower = std::make_unique<drivers::configuration_follower>(
+        m_store, m_log,
+        drivers::follower_peers{&m_peers, [this] { return peer_addresses(); }},
+        drivers::follower_timing());
+    m_follower->set_listener(
+        [this]
+        {
+            apply_configuration();
+            apply_moves();
+        });
+    m_membership->start();
+    m_follower->start();
+    m_refresher = std::make_unique<drivers::control_thread>(
+        refresh_interval, [this] { refresh(); });
+    return addresses;
+}
+
+void router_process::start_leaving()
+{
+    m_membership->set_state(domain::member_state::leaving);
+}
+
+void router_process::stop_taking_requests()
+{
+    m_front.stop_taking_requests();
+}
+
+std::size_t router_process::requests_in_flight() const
+{
+    return m_answers.in_flight();
+}
+
+void router_process::finish(std::chrono::milliseconds limit)
+{
+    m_server.stop();
+    m_runs.shut_down();
+    status drained = m_budgets.drain(m_clock.steady_now() + limit);
+    if (!drained)
+    {
+        m_log.write(log_level::warning, log_event::commit_failed,
+                    {{"reason", drained.failure().detail}});
+    }
+    m_refresher.reset();
+    m_follower->stop();
+    m_membership->stop();
+    m_peers.stop();
+}
+
+logger& router_process::log()
+{
+    return m_log;
+}
+
+result<std::string>
+router_process::handle_peer(const ports::peer_message& message)
+{
+    using handler =
+        result<std::string> (*)(router_process&, const ports::peer_message&);
+    struct handler_row
+    {
+        std::string_view kind;
+        handler handle;
+    };
+    static const std::array<handler_row, 4> table = {{
+        {"heartbeat", [](router_process& own, const ports::peer_message& asked)
+         { return own.m_membership->handle(asked); }},
+        {"configuration",
+         [](router_process& own, const ports::peer_message& asked)
+         { return own.m_follower->serve(asked.body); }},
+        {"evidence", [](router_process& own, const ports::peer_message& asked)
+         { return own.m_versions.answer(asked); }},
+        {"status", [](router_process& own, const ports::peer_message&)
+         { return result<std::string>(own.status()); }},
+    }};
+    // Peers may call before the parts that answer them are made.
+    if (m_refresher == nullptr)
+    {
+        return error{result_code::peer_unavailable, "process",
+                     "the router is starting or stopping"};
+    }
+    for (const handler_row& row : table)
+    {
+        if (row.kind == message.kind)
+        {
+            return row.handle(*this, message);
+        }
+    }
+    return error{result_code::peer_protocol, "kind", "unknown kind"};
+}
+
+void router_process::apply_configuration()
+{
+    std::lock_guard<std::mutex> lock(m_apply_mutex);
+    std::shared_ptr<const domain::configuration> declared =
+        m_follower->current();
+    if (declared->version <= m_applied_version)
+    {
+        return;
+    }
+    m_applied_version = declared->version;
+    m_versions.apply_routes(declared->routes);
+    m_front.set_directory(std::make_shared<const caller_directory>(declared));
+    m_gauges.set_configuration_version(declared->version);
+}
+
+void router_process::apply_moves()
+{
+    std::lock_guard<std::mutex> lock(m_apply_mutex);
+    std::shared_ptr<const drivers::live_move_map> moves = m_follower->moves();
+    for (const auto& [route, stored] : *moves)
+    {
+        result<domain::move_state> state =
+            codecs::decode_move_state(stored.text);
+        if (state)
+        {
+            m_versions.apply_move(state.value());
+            m_known_moves.insert(route);
+        }
+    }
+    std::erase_if(m_known_moves,
+                  [this, &moves](const std::string& route)
+                  {
+                      bool is_gone = !moves->contains(route);
+                      if (is_gone)
+                      {
+                          m_versions.forget_move(route);
+                      }
+                      return is_gone;
+                  });
+}
+
+void router_process::refresh()
+{
+    std::shared_ptr<const domain::configuration> declared =
+        m_follower->current();
+    std::shared_ptr<const drivers::published_membership> fleet =
+        m_membership->snapshot();
+    plan_capacity(*fleet, *declared);
+    mark_leaving_upstreams(*fleet, *declared);
+    m_membership->set_acknowledged(m_traffic.acknowledge());
+    m_membership->set_share(m_traffic.counts().total_share);
+    m_membership->set_configuration(declared->version, "");
+}
+
+void router_process::plan_capacity(const drivers::published_membership& fleet,
+                                   const domain::configuration& declared)
+{
+    m_shares.update(fleet.view.record, fleet.view.acknowledged);
+    std::vector<domain::upstream_declaration> serving;
+    std::copy_if(declared.upstreams.begin(), declared.upstreams.end(),
+                 std::back_inserter(serving), &serves);
+    m_traffic.update_capacity(m_shares.plan(serving));
+}
+
+void router_process::mark_leaving_upstreams(
+    const drivers::published_membership& fleet,
+    const domain::configuration& declared)
+{
+    for (const ports::vm_entry& vm : fleet.vms)
+    {
+        if (vm.state != ports::vm_state::leaving)
+        {
+            continue;
+        }
+        for (const domain::upstream_declaration& upstream : declared.upstreams)
+        {
+            if (upstream.address == vm.address &&
+                m_leaving.insert(upstream.name).second)
+            {
+                m_traffic.mark_leaving(upstream.name);
+            }
+        }
+    }
+}
+
+std::string router_process::locate(const std::string& account)
+{
+    domain::locate_request asked;
+    asked.account = account;
+    domain::locate_answer found = domain::locate(
+        m_membership->snapshot()->view, asked, domain::locate_limits());
+    json routers = json::array();
+    for (const domain::located_router& router : found.routers)
+    {
+        routers.push_back({{"address", router.address},
+                           {"data_centre", router.data_centre},
+                           {"weight", router.weight}});
+    }
+    json answer = {{"routers", routers},
+                   {"time_to_live_ms", found.time_to_live.count()}};
+    return answer.dump();
+}
+
+std::vector<std::string> router_process::peer_addresses()
+{
+    std::vector<std::string> addresses;
+    std::shared_ptr<const drivers::published_membership> fleet =
+        m_membership->snapshot();
+    for (const domain::member_status& peer : fleet->view.members)
+    {
+        if (peer.is_located && peer.row.who.incarnation != m_incarnation)
+        {
+            addresses.push_back(peer.row.who.peer_address);
+        }
+    }
+    return addresses;
+}
+
+std::string router_process::status()
+{
+    json answer = {{"incarnation", m_incarnation},
+                   {"name", m_settings.name},
+                   {"vm", m_settings.vm},
+                   {"data_centre", m_settings.data_centre},
+                   {"configuration_version", m_follower->current()->version},
+                   {"requests_in_flight", requests_in_flight()}};
+    return answer.dump();
+}
+
+} // namespace turmeric::router
--- /dev/null
+++ b/services/router/router_process.hpp
@@ -0,0 +1,114 @@
+#pragma once
+
+#include "libraries/adapters/etcd/etcd_key_value_store.hpp"
+#include "libraries/adapters/fmt/fmt_logger.hpp"
+#include "libraries/adapters/httplib/http_server.hpp"
+#include "libraries/adapters/httplib/http_upstream_caller.hpp"
+#include "libraries/adapters/nghttp2/peer_node.hpp"
+#include "libraries/adapters/system/system_clock.hpp"
+#include "libraries/adapters/system/system_random.hpp"
+#include "libraries/adapters/vm_list/http_vm_list.hpp"
+#include "libraries/drivers/budget/budget_service.hpp"
+#include "libraries/drivers/configuration/configuration_follower.hpp"
+#include "libraries/drivers/membership/membership_service.hpp"
+#include "libraries/drivers/move/version_guard.hpp"
+#include "services/router/budget_ledger.hpp"
+#include "services/router/caller_front.hpp"
+#include "services/router/router_counters.hpp"
+#include "services/router/router_gauges.hpp"
+#include "services/router/router_settings.hpp"
+
+#include <memory>
+#include <mutex>
+#include <set>
+#include <string>
+
+namespace turmeric::router
+{
+
+/// The addresses that a router took.
+struct router_addresses
+{
+    std::string caller;
+    std::string peer;
+};
+
+/// A whole router: makes the parts and wires them. Not thread safe but for
+/// what its own threads do.
+class router_process
+{
+public:
+    /// Makes the parts; nothing runs yet.
+    explicit router_process(const router_settings& settings);
+
+    ~router_process();
+
+    /// Listens, joins the fleet and takes callers. Error:
+    /// `settings_invalid`. Not thread safe.
+    result<router_addresses> start();
+
+    /// Leaves locate answers; callers that still come are served. Not thread
+    /// safe.
+    void start_leaving();
+
+    /// Refuses new requests from now on. Not thread safe.
+    void stop_taking_requests();
+
+    /// Returns how many requests have not ended. Thread safe.
+    [[nodiscard]] std::size_t requests_in_flight() const;
+
+    /// Ends in order: connections, bills, grants, membership. Precondition:
+    /// no request is in flight, or those left are to be cut off. Not thread
+    /// safe.
+    void finish(std::chrono::milliseconds limit);
+
+    /// Returns the process's logger. Thread safe.
+    logger& log();
+
+private:
+    void make_peers();
+    result<std::string> handle_peer(const ports::peer_message& message);
+    void apply_configuration();
+    void apply_moves();
+    void refresh();
+    void plan_capacity(const drivers::published_membership& fleet,
+                       const domain::configuration& declared);
+    void mark_leaving_upstreams(const drivers::published_membership& fleet,
+                                const domain::configuration& declared);
+    std::string locate(const std::string& account);
+    std::vector<std::string> peer_addresses();
+    std::string status();
+
+    const router_settings m_settings;
+    const std::string m_incarnation;
+    adapters::system_clock m_clock;
+    adapters::system_random m_random;
+    adapters::fmt_logger m_log;
+    metrics::registry m_metrics;
+    router_counters m_counters;
+    adapters::etcd_key_value_store m_store;
+    adapters::http_vm_list m_vms;
+    adapters::http_upstream_caller m_upstreams;
+    adapters::peer_node m_peers;
+    drivers::budget_service m_budgets;
+    budget_ledger m_ledger;
+    drivers::version_guard m_versions;
+    drivers::traffic_control m_traffic;
+    drivers::answer_store m_answers;
+    drivers::request_runner m_runner;
+    router_gauges m_gauges;
+    drivers::thread_pool m_runs;
+    caller_front m_front;
+    adapters::http_server m_server;
+    std::unique_ptr<drivers::configuration_follower> m_follower;
+    std::unique_ptr<drivers::membership_service> m_membership;
+    // Touched by the refresh thread alone.
+    domain::share_table m_shares;
+    std::set<std::string> m_leaving;
+    std::set<std::string> m_known_moves;
+    std::mutex m_apply_mutex;
+    std::int64_t m_applied_version = 0;
+    std::unique_ptr<drivers::control_thread> m_refresher;
+};
+
+} // namespace turmeric::router
--- a/services/router/router_settings.cpp
+++ b/services/router/router_settings.cpp
@@ -55,6 +55,7 @@
                 "type": "integer", "minimum": 1, "maximum": 8
             },
             "connect_timeout_ms": {"type": "integer", "minimum": 10},
+            "leave_ms": {"type": "integer", "minimum": 0},
             "stop_ms": {"type": "integer", "minimum": 0}
         }
     },
@@ -131,6 +132,7 @@
         limits.value("bytes_per_token", read.bytes_per_token);
     read.connect_timeout =
         read_time(limits, "connect_timeout_ms", read.connect_timeout);
+    read.leave_time = read_time(limits, "leave_ms", read.leave_time);
     read.stop_limit = read_time(limits, "stop_ms", read.stop_limit);
 }
 
--- a/services/router/router_settings.hpp
+++ b/services/router/router_settings.hpp
@@ -34,6 +34,8 @@
     std::size_t bytes_per_token = 3;
     std::chrono::milliseconds connect_timeout{500};
     std::chrono::milliseconds stop_limit{30'000};
+    /// How long callers are still served after leaving locate answers.
+    std::chrono::milliseconds leave_time{5'000};
     std::chrono::seconds lease{10};
     std::int32_t budget_shards = 64;
     std::chrono::seconds grant_term{3'600};
