Standins: Serve the key-value service's JSON gateway with faults

A write that takes effect without a reply, an outage, rates, delays and silent watches are switches over HTTP. The HTTP library's server is used with a stream of the project's own, since losing a reply and seeing a caller go both need the socket. Without closing the connection after a dropped reply the client saw its timeout instead, and the test of an outage failed with 5002 in place of 5001.

--- /dev/null
+++ b/standins/common/http_server.hpp
@@ -0,0 +1,157 @@
+#pragma once
+
+#include "standins/common/socket_stream.hpp"
+
+#include <httplib.h>
+
+#include <cstddef>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <string>
+#include <thread>
+
+namespace turmeric::standins
+{
+
+/// The HTTP library's server with the connection's socket at hand, so that a
+/// stand-in can lose replies and see a caller go. Register handlers before
+/// `start`. `start` and `shut_down` belong to one thread.
+class http_server final : public httplib::Server
+{
+public:
+    /// `threads` bounds the connections served at a time.
+    explicit http_server(std::size_t threads)
+    {
+        new_task_queue = [threads] { return new httplib::ThreadPool(threads); };
+        set_tcp_nodelay(true);
+        set_socket_options([this](socket_t socket) { on_listening(socket); });
+    }
+
+    /// Precondition: `shut_down` was called if `start` succeeded.
+    ~http_server() override = default;
+
+    http_server(const http_server&) = delete;
+    http_server& operator=(const http_server&) = delete;
+
+    /// Binds and serves on a thread of its own; port 0 means any. Returns
+    /// the bound port, or nothing when the address cannot be had.
+    std::optional<int> start(const std::string& host, int port)
+    {
+        const int bound = port == 0                  ? bind_to_any_port(host)
+                          : bind_to_port(host, port) ? port
+                                                     : -1;
+        // The library's own backlog is too short for a burst of callers.
+        if (bound <= 0 || ::listen(m_listening, backlog) != 0)
+        {
+            return std::nullopt;
+        }
+        m_thread = std::thread([this] { listen_after_bind(); });
+        while (!is_running())
+        {
+            std::this_thread::yield();
+        }
+        return bound;
+    }
+
+    /// Closes every connection and waits for the handlers to return.
+    void shut_down()
+    {
+        {
+            std::lock_guard<std::mutex> lock(m_mutex);
+            m_is_stopping = true;
+            for (const socket_t socket : m_open)
+            {
+                ::shutdown(socket, SHUT_RDWR);
+            }
+        }
+        stop();
+        if (m_thread.joinable())
+        {
+            m_thread.join();
+        }
+    }
+
+    /// Returns the connection whose request this thread handles.
+    /// Precondition: called from a handler. Thread safe.
+    [[nodiscard]] static socket_stream& current()
+    {
+        return *current_slot();
+    }
+
+    /// Returns the bytes moved so far. Thread safe.
+    [[nodiscard]] const traffic_counter& traffic() const
+    {
+        return m_traffic;
+    }
+
+private:
+    static constexpr int backlog = 1'024;
+    static constexpr std::chrono::milliseconds keep_alive{30'000};
+
+    static socket_stream*& current_slot()
+    {
+        thread_local socket_stream* current = nullptr;
+        return current;
+    }
+
+    void on_listening(socket_t socket)
+    {
+        const int on = 1;
+        ::setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+        m_listening = socket;
+    }
+
+    bool enter(socket_t socket)
+    {
+        std::lock_guard<std::mutex> lock(m_mutex);
+        m_open.insert(socket);
+        return !m_is_stopping;
+    }
+
+    void leave(socket_t socket)
+    {
+        std::lock_guard<std::mutex> lock(m_mutex);
+        m_open.erase(socket);
+        ::shutdown(socket, SHUT_RDWR);
+        ::close(socket);
+    }
+
+    bool process_and_close_socket(socket_t socket) override
+    {
+        if (enter(socket))
+        {
+            const int on = 1;
+            ::setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+            socket_stream stream(socket, m_traffic);
+            current_slot() = &stream;
+            serve(stream);
+            current_slot() = nullptr;
+        }
+        leave(socket);
+        return true;
+    }
+
+    void serve(socket_stream& stream)
+    {
+        bool is_closed = false;
+        while (!is_closed && stream.wait_readable(keep_alive))
+        {
+            // The library goes on after a write that failed.
+            if (!process_request(stream, false, is_closed, nullptr) ||
+                stream.is_dropped())
+            {
+                return;
+            }
+        }
+    }
+
+    std::mutex m_mutex;
+    std::set<socket_t> m_open;
+    bool m_is_stopping = false;
+    socket_t m_listening = INVALID_SOCKET;
+    traffic_counter m_traffic;
+    std::thread m_thread;
+};
+
+} // namespace turmeric::standins
--- /dev/null
+++ b/standins/common/run_program.hpp
@@ -0,0 +1,116 @@
+#pragma once
+
+#include "libraries/adapters/etcd/address.hpp"
+#include "libraries/core/json.hpp"
+
+#include <cxxopts.hpp>
+#include <fmt/core.h>
+
+#include <csignal>
+#include <cstdio>
+#include <functional>
+#include <optional>
+#include <string>
+
+namespace turmeric::standins
+{
+
+/// Exit codes of the stand-ins.
+enum class exit_code
+{
+    success = 0,
+    failure = 1,
+    bad_argument = 2,
+};
+
+/// What a stand-in does between its command line and its end.
+struct program
+{
+    /// Binds and serves; returns the bound port, or nothing on failure.
+    std::function<std::optional<int>(const adapters::host_port& address,
+                                     const cxxopts::ParseResult& arguments)>
+        start;
+    /// Stops serving and waits for the threads.
+    std::function<void()> stop;
+};
+
+/// Blocks the signals that end a program, so that one thread can wait for
+/// them. Precondition: no other thread runs yet.
+inline sigset_t block_end_signals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGTERM);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+    return signals;
+}
+
+/// Starts `main`, prints the bound address and waits for SIGINT or SIGTERM.
+inline exit_code serve_until_signal(const program& main,
+                                    const cxxopts::ParseResult& arguments)
+{
+    const std::string listen = arguments["listen"].as<std::string>();
+    const std::optional<adapters::host_port> address =
+        adapters::parse_host_port(listen);
+    if (!address)
+    {
+        fmt::print(stderr, "--listen: \"{}\" is not HOST:PORT\n", listen);
+        return exit_code::bad_argument;
+    }
+    const sigset_t signals = block_end_signals();
+    const std::optional<int> port = main.start(*address, arguments);
+    if (!port)
+    {
+        fmt::print(stderr, "--listen: cannot listen on {}\n", listen);
+        return exit_code::failure;
+    }
+    const json ready = {
+        {"listening", fmt::format("{}:{}", address->host, *port)}};
+    fmt::print("{}\n", ready.dump());
+    std::fflush(stdout);
+    int received = 0;
+    sigwait(&signals, &received);
+    main.stop();
+    return exit_code::success;
+}
+
+/// Adds the options that all stand-ins share, reads the command line and
+/// runs `main`. Returns the exit code.
+inline int run_program(int argc, char** argv, cxxopts::Options& options,
+                       const program& main)
+{
+    options.add_options()(
+        "listen", "address to listen on, port 0 means any",
+        cxxopts::value<std::string>()->default_value("127.0.0.1:0"))(
+        "help", "print this help")("version", "print the version");
+    try
+    {
+        const cxxopts::ParseResult arguments = options.parse(argc, argv);
+        if (arguments.count("help") > 0)
+        {
+            fmt::print("{}", options.help());
+            return static_cast<int>(exit_code::success);
+        }
+        if (arguments.count("version") > 0)
+        {
+            fmt::print("{} {}\n", options.program(), TURMERIC_VERSION);
+            return static_cast<int>(exit_code::success);
+        }
+        if (!arguments.unmatched().empty())
+        {
+            fmt::print(stderr, "unknown argument \"{}\"\n",
+                       arguments.unmatched().front());
+            return static_cast<int>(exit_code::bad_argument);
+        }
+        return static_cast<int>(serve_until_signal(main, arguments));
+    }
+    catch (const cxxopts::exceptions::exception& fault)
+    {
+        fmt::print(stderr, "{}\n", fault.what());
+        return static_cast<int>(exit_code::bad_argument);
+    }
+}
+
+} // namespace turmeric::standins
--- /dev/null
+++ b/standins/common/socket_stream.hpp
@@ -0,0 +1,167 @@
+#pragma once
+
+#include <httplib.h>
+#include <poll.h>
+
+#include <array>
+#include <atomic>
+#include <chrono>
+#include <cstdint>
+#include <cstring>
+#include <string>
+
+namespace turmeric::standins
+{
+
+/// Bytes that a server moved. Thread safe.
+struct traffic_counter
+{
+    std::atomic<std::int64_t> bytes_in{0};
+    std::atomic<std::int64_t> bytes_out{0};
+};
+
+/// A connection under the HTTP library, with the socket at hand. Not thread
+/// safe.
+class socket_stream final : public httplib::Stream
+{
+public:
+    /// Precondition: `socket` is connected and outlives the stream.
+    socket_stream(socket_t socket, traffic_counter& counter)
+        : m_socket(socket)
+        , m_counter(counter)
+    {
+    }
+
+    /// Makes all later writes fail, so that no reply reaches the peer.
+    void drop()
+    {
+        m_is_dropped = true;
+    }
+
+    /// Tells whether `drop` was called.
+    [[nodiscard]] bool is_dropped() const
+    {
+        return m_is_dropped;
+    }
+
+    /// Waits until there is something to read, the peer closes or `wait`
+    /// passes; false in the last case.
+    [[nodiscard]] bool wait_readable(std::chrono::milliseconds wait) const
+    {
+        return has_buffered() || poll_for(POLLIN, wait) != 0;
+    }
+
+    /// Tells whether the peer still listens.
+    [[nodiscard]] bool is_peer_there() const
+    {
+        const short events = poll_for(POLLRDHUP, std::chrono::milliseconds(0));
+        return !m_is_dropped && events == 0;
+    }
+
+    [[nodiscard]] bool is_readable() const override
+    {
+        return has_buffered() || (poll_for(POLLIN, read_timeout) & POLLIN) != 0;
+    }
+
+    [[nodiscard]] bool is_writable() const override
+    {
+        return is_peer_there() &&
+               (poll_for(POLLOUT, write_timeout) & POLLOUT) != 0;
+    }
+
+    ssize_t read(char* target, std::size_t size) override
+    {
+        if (!has_buffered() && !fill())
+        {
+            return -1;
+        }
+        const std::size_t taken = std::min(size, m_end - m_begin);
+        std::memcpy(target, m_buffer.data() + m_begin, taken);
+        m_begin += taken;
+        return static_cast<ssize_t>(taken);
+    }
+
+    ssize_t write(const char* data, std::size_t size) override
+    {
+        std::size_t sent = 0;
+        while (sent < size)
+        {
+            if (m_is_dropped ||
+                (poll_for(POLLOUT, write_timeout) & POLLOUT) == 0)
+            {
+                return -1;
+            }
+            const ssize_t moved = ::send(m_socket, data + sent, size - sent,
+                                         MSG_NOSIGNAL | MSG_DONTWAIT);
+            if (moved < 0 && errno != EAGAIN && errno != EINTR)
+            {
+                return -1;
+            }
+            sent += moved > 0 ? static_cast<std::size_t>(moved) : 0;
+        }
+        m_counter.bytes_out += static_cast<std::int64_t>(size);
+        return static_cast<ssize_t>(size);
+    }
+
+    void get_remote_ip_and_port(std::string& ip, int& port) const override
+    {
+        ip.clear();
+        port = 0;
+    }
+
+    void get_local_ip_and_port(std::string& ip, int& port) const override
+    {
+        ip.clear();
+        port = 0;
+    }
+
+    [[nodiscard]] socket_t socket() const override
+    {
+        return m_socket;
+    }
+
+private:
+    static constexpr std::size_t buffer_bytes = 4'096;
+    static constexpr std::chrono::milliseconds read_timeout{10'000};
+    static constexpr std::chrono::milliseconds write_timeout{60'000};
+
+    [[nodiscard]] bool has_buffered() const
+    {
+        return m_begin < m_end;
+    }
+
+    [[nodiscard]] short poll_for(short events,
+                                 std::chrono::milliseconds wait) const
+    {
+        pollfd entry{m_socket, events, 0};
+        const int ready = ::poll(&entry, 1, static_cast<int>(wait.count()));
+        return ready > 0 ? entry.revents : static_cast<short>(0);
+    }
+
+    bool fill()
+    {
+        if (poll_for(POLLIN, read_timeout) == 0)
+        {
+            return false;
+        }
+        const ssize_t moved =
+            ::recv(m_socket, m_buffer.data(), m_buffer.size(), 0);
+        if (moved <= 0)
+        {
+            return false;
+        }
+        m_begin = 0;
+        m_end = static_cast<std::size_t>(moved);
+        m_counter.bytes_in += moved;
+        return true;
+    }
+
+    socket_t m_socket;
+    traffic_counter& m_counter;
+    bool m_is_dropped = false;
+    std::size_t m_begin = 0;
+    std::size_t m_end = 0;
+    std::array<char, buffer_bytes> m_buffer{};
+};
+
+} // namespace turmeric::standins
--- /dev/null
+++ b/standins/key_value/key_value_server.hpp
@@ -0,0 +1,127 @@
+#pragma once
+
+#include "libraries/core/json.hpp"
+#include "libraries/drivers/threads/stop_signal.hpp"
+#include "libraries/ports/clock.hpp"
+#include "standins/common/http_server.hpp"
+#include "standins/key_value/key_value_faults.hpp"
+#include "standins/key_value/key_value_state.hpp"
+#include "standins/key_value/rate_limiter.hpp"
+
+#include <array>
+#include <atomic>
+#include <cstddef>
+#include <cstdint>
+#include <mutex>
+#include <optional>
+#include <string>
+
+namespace turmeric::standins
+{
+
+/// How the key-value stand-in is made.
+struct key_value_options
+{
+    /// Connections served at a time; a waiting watch holds one.
+    std::size_t threads = 512;
+    /// Changes kept for watches that start late.
+    std::size_t history_limit = 100'000;
+    key_value_faults faults;
+};
+
+/// The kinds of calls that are counted.
+enum class key_value_call : std::uint8_t
+{
+    range,
+    txn,
+    lease_grant,
+    lease_keepalive,
+    lease_revoke,
+    watch,
+};
+
+/// A stand-in for the platform's key-value service over HTTP. `start` and
+/// `shut_down` belong to one thread, all else is thread safe.
+class key_value_server
+{
+public:
+    /// Precondition: `clock` outlives the server.
+    key_value_server(const ports::clock& clock,
+                     const key_value_options& options);
+    ~key_value_server();
+    key_value_server(const key_value_server&) = delete;
+    key_value_server& operator=(const key_value_server&) = delete;
+
+    /// Serves on `port`, 0 for any; returns the bound port or nothing.
+    std::optional<int> start(const std::string& host, int port);
+
+    /// Closes all connections and waits for the handlers. May be called
+    /// twice.
+    void shut_down();
+
+    /// Changes the faults that `change` names. Thread safe.
+    status set_faults(const json& change);
+
+    /// Returns calls by kind, waiting watches and bytes. Thread safe.
+    json counts();
+
+private:
+    enum class verdict
+    {
+        serve,
+        answered,
+    };
+
+    using body_handler = void (key_value_server::*)(const json& body,
+                                                    httplib::Response& reply);
+
+    struct call_row
+    {
+        const char* path;
+        key_value_call kind;
+        const char* name;
+        bool is_write;
+        body_handler handler;
+    };
+
+    struct watch_state;
+
+    static constexpr std::size_t call_kinds = 6;
+    static const std::array<call_row, call_kinds>& call_table();
+
+    void register_handlers();
+    void handle_call(const call_row& row, const httplib::Request& request,
+                     httplib::Response& reply);
+    verdict apply_faults(const call_row& row, httplib::Response& reply);
+    bool is_within_rate(bool is_write);
+    bool take_one(std::int64_t key_value_faults::*count);
+    [[nodiscard]] key_value_faults faults();
+
+    void on_range(const json& body, httplib::Response& reply);
+    void on_txn(const json& body, httplib::Response& reply);
+    void on_grant(const json& body, httplib::Response& reply);
+    void on_keepalive(const json& body, httplib::Response& reply);
+    void on_revoke(const json& body, httplib::Response& reply);
+    void on_watch(const json& body, httplib::Response& reply);
+    bool feed_watch(watch_state& watch, httplib::DataSink& sink);
+
+    const ports::clock& m_clock;
+    key_value_state m_state;
+    http_server m_http;
+    drivers::stop_signal m_stop;
+
+    std::mutex m_mutex;
+    key_value_faults m_faults;
+    rate_limiter m_write_limiter;
+    rate_limiter m_read_limiter;
+
+    std::array<std::atomic<std::int64_t>, call_kinds> m_calls{};
+    std::atomic<std::int64_t> m_rate_limited{0};
+    std::atomic<std::int64_t> m_refused_by_outage{0};
+    std::atomic<std::int64_t> m_too_large{0};
+    std::atomic<std::int64_t> m_replies_dropped{0};
+    std::atomic<std::int64_t> m_waiting_watches{0};
+    bool m_is_running = false;
+};
+
+} // namespace turmeric::standins
