--- /dev/null
+++ b/tests/configuration/writer_test.cpp
@@ -0,0 +1,208 @@
+#include <rapidcheck.h>
+
+#include "libraries/drivers/configuration/configuration_keys.hpp"
+#include "libraries/drivers/configuration/configuration_writer.hpp"
+#include "libraries/fakes/fake_key_value_store.hpp"
+#include "libraries/fakes/manual_clock.hpp"
+#include "tests/configuration/sample_configurations.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace turmeric;
+using drivers::accepted_change;
+using drivers::change_outcome;
+using drivers::configuration_change;
+using drivers::conflicting_change;
+using drivers::rejected_change;
+using fakes::store_fault;
+
+namespace
+{
+
+struct fixture
+{
+    fakes::manual_clock clock;
+    fakes::fake_key_value_store store{clock};
+    drivers::configuration_writer first{store, "first", [] {}};
+    drivers::configuration_writer second{store, "second", [] {}};
+};
+
+configuration_change weigh(const std::string& account, int weight,
+                           std::int64_t base_version = 0)
+{
+    configuration_change change;
+    change.declared = tests::one_account(account, weight);
+    change.base_version = base_version;
+    change.operation = account + std::to_string(weight);
+    return change;
+}
+
+/// Uses up the faults that are left.
+void end_faults(fakes::fake_key_value_store& store, std::size_t count)
+{
+    for (std::size_t i = 0; i < count; ++i)
+    {
+        (void)store.get("none");
+    }
+}
+
+int weight_of(drivers::configuration_writer& writer, const std::string& name)
+{
+    const result<domain::configuration> whole = writer.read(0);
+    const domain::account_declaration* account =
+        domain::find_account(whole.value(), name);
+    return account == nullptr ? 0 : account->weight;
+}
+
+std::int64_t accepted_version(const change_outcome& outcome)
+{
+    const auto* accepted = std::get_if<accepted_change>(&outcome);
+    return accepted == nullptr ? -1 : accepted->version;
+}
+
+} // namespace
+
+TEST_GROUP(configuration_writer){};
+
+TEST(configuration_writer, an_old_base_merges_or_conflicts_by_object)
+{
+    fixture f;
+    LONGS_EQUAL(1, accepted_version(f.first.apply(weigh("a", 1))));
+    LONGS_EQUAL(2, accepted_version(f.first.apply(weigh("b", 1))));
+    LONGS_EQUAL(3, accepted_version(f.first.apply(weigh("a", 2, 1))));
+    LONGS_EQUAL(4, accepted_version(f.second.apply(weigh("b", 2, 2))));
+    const change_outcome lost = f.second.apply(weigh("a", 7, 2));
+    const auto* conflict = std::get_if<conflicting_change>(&lost);
+    CHECK(conflict != nullptr);
+    const domain::object_conflict object{domain::object_kind::account, "a"};
+    CHECK(conflict->conflicts == std::vector{object});
+    LONGS_EQUAL(4, conflict->current.version);
+    LONGS_EQUAL(2, domain::find_account(conflict->current, "a")->weight);
+    LONGS_EQUAL(7, domain::find_account(conflict->wanted, "a")->weight);
+    LONGS_EQUAL(1, f.first.read(1).value().version);
+    CHECK(f.first.read(1).value().accounts ==
+          tests::one_account("a", 1).accounts);
+}
+
+TEST(configuration_writer, two_operators_racing_give_one_winner_or_a_merge)
+{
+    CHECK(rc::check(
+        "the rival's change lands before any call of the first",
+        []
+        {
+            fixture f;
+            (void)f.first.apply(weigh("a", 1));
+            const bool is_same_object = *rc::gen::arbitrary<bool>();
+            const int call = *rc::gen::inRange(0, 12);
+            int calls_seen = 0;
+            bool is_racing = false;
+            f.store.set_hook(
+                [&]
+                {
+                    if (is_racing || calls_seen++ != call)
+                    {
+                        return;
+                    }
+                    is_racing = true;
+                    const std::string rival = is_same_object ? "a" : "b";
+                    RC_ASSERT(accepted_version(
+                                  f.second.apply(weigh(rival, 5, 1))) == 2);
+                });
+            const change_outcome outcome = f.first.apply(weigh("a", 3, 1));
+            f.store.set_hook(nullptr);
+            const bool has_raced = is_racing;
+            const bool is_conflict =
+                std::holds_alternative<conflicting_change>(outcome);
+            RC_ASSERT(is_conflict || accepted_version(outcome) > 1);
+            RC_ASSERT(!is_conflict || (has_raced && is_same_object));
+            RC_ASSERT(weight_of(f.first, "a") == (is_conflict ? 5 : 3));
+            if (has_raced && !is_same_object)
+            {
+                RC_ASSERT(weight_of(f.first, "b") == 5);
+            }
+            const std::int64_t versions = has_raced && !is_conflict ? 3 : 2;
+            RC_ASSERT(f.first.read(0).value().version == versions);
+        }));
+}
+
+TEST(configuration_writer, an_unknown_outcome_is_resolved)
+{
+    CHECK(rc::check(
+        "writes lost before or after their effect, and a rival",
+        []
+        {
+            fixture f;
+            (void)f.first.apply(weigh("a", 1));
+            const auto faults =
+                *rc::gen::container<std::vector<store_fault>>(rc::gen::element(
+                    store_fault::none, store_fault::lost_reply,
+                    store_fault::lost_request, store_fault::late_effect,
+                    store_fault::unavailable));
+            f.store.script(faults);
+            const configuration_change change = weigh("b", 4, 1);
+            change_outcome outcome = f.first.apply(change);
+            if (*rc::gen::arbitrary<bool>())
+            {
+                end_faults(f.store, faults.size());
+                (void)f.second.apply(weigh("c", 4));
+            }
+            f.store.deliver_late();
+            if (std::holds_alternative<rejected_change>(outcome))
+            {
+                // The operator repeats it under the same name; each attempt
+                // uses up a fault at least.
+                for (std::size_t i = 0;
+                     i <= faults.size() && accepted_version(outcome) < 0; ++i)
+                {
+                    outcome = f.second.apply(change);
+                }
+            }
+            const std::int64_t version = accepted_version(outcome);
+            RC_ASSERT(version >= 2);
+            end_faults(f.store, faults.size());
+            RC_ASSERT(weight_of(f.first, "b") == 4);
+            const std::int64_t newest = f.first.read(0).value().version;
+            const bool has_c = weight_of(f.first, "c") == 4;
+            RC_ASSERT(newest == (has_c ? 3 : 2));
+        }));
+}
+
+TEST(configuration_writer, an_invalid_set_changes_nothing)
+{
+    fixture f;
+    const change_outcome outcome = f.first.apply(weigh("a", -1));
+    const auto* rejected = std::get_if<rejected_change>(&outcome);
+    CHECK(rejected != nullptr);
+    STRCMP_EQUAL("account/a.weight", rejected->faults.front().field.c_str());
+    LONGS_EQUAL(0, f.first.read(0).value().version);
+}
+
+TEST(configuration_writer, a_set_keeps_the_keys_that_it_does_not_name)
+{
+    fixture f;
+    (void)f.first.apply(weigh("a", 1));
+    configuration_change with_key = weigh("a", 1);
+    with_key.operation = "key";
+    with_key.declared.accounts[0].key_digests = {std::string(64, 'f')};
+    LONGS_EQUAL(2, accepted_version(f.second.apply(with_key)));
+    configuration_change set = weigh("a", 9, 1);
+    set.is_complete = true;
+    LONGS_EQUAL(3, accepted_version(f.first.apply(set)));
+    LONGS_EQUAL(1, f.first.read(0).value().accounts.front().key_digests.size());
+}
+
+TEST(configuration_writer, a_dry_run_and_an_empty_change_write_nothing)
+{
+    fixture f;
+    configuration_change dry = weigh("a", 1);
+    dry.is_dry_run = true;
+    const change_outcome outcome = f.first.apply(dry);
+    LONGS_EQUAL(0, accepted_version(outcome));
+    LONGS_EQUAL(1, std::get<accepted_change>(outcome).changes.size());
+    LONGS_EQUAL(1, accepted_version(f.first.apply(weigh("a", 1))));
+    configuration_change again = weigh("a", 1);
+    again.operation = "again";
+    const change_outcome same = f.first.apply(again);
+    LONGS_EQUAL(1, accepted_version(same));
+    CHECK_FALSE(std::get<accepted_change>(same).is_written);
+}
