Controller: Answer operators and lead the reclaim of grants

One process on each entry VM; all are alike. Calls work on any of them, and the reclaim of dead routers' grants runs where the lease of the duty is held. A reclaim round starts with a fresh reading of the members: without one nothing is known against an incarnation.

--- /dev/null
+++ b/services/controller/budget_calls.hpp
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "libraries/domain/configuration/declarations.hpp"
+#include "libraries/drivers/budget/shard_editor.hpp"
+#include "libraries/drivers/configuration/configuration_writer.hpp"
+#include "libraries/ports/clock.hpp"
+#include "services/controller/operator_result.hpp"
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <operator.pb.h>
+#include <string>
+
+namespace turmeric::controller
+{
+
+namespace v1 = turmericfront::v1;
+
+/// Bounds of the calls about budgets.
+struct budget_call_settings
+{
+    /// As in the routers' settings.
+    std::int32_t shard_count = 64;
+    /// The longest that a top-up is tried.
+    std::chrono::milliseconds patience{5'000};
+    domain::shard_limits limits;
+};
+
+/// The operators' calls about budgets. Thread safe.
+class budget_calls
+{
+public:
+    /// Precondition: the references outlive this object.
+    budget_calls(drivers::shard_editor& editor,
+                 drivers::configuration_writer& declarations,
+                 const ports::clock& clock, budget_call_settings settings);
+
+    /// Adds tokens to a budget, once for each id. Errors: `unknown_object`,
+    /// `invalid_field`, `amount_overflow`, `top_up_reused`, `ledger_full`,
+    /// those of the platform. Thread safe; blocks.
+    operator_result<v1::TopUpReply> top_up(const v1::TopUpRequest& request);
+
+    /// Returns a budget's balance. Errors: `unknown_object`, those of the
+    /// platform. Thread safe; blocks.
+    operator_result<v1::Budget> get_budget(const v1::GetBudgetRequest& request);
+
+    /// Returns the balances of an account, or of all. Errors: as
+    /// `get_budget`. Thread safe; blocks.
+    operator_result<v1::ListBudgetsReply>
+    list_budgets(const v1::ListBudgetsRequest& request);
+
+private:
+    using shards_by_number = std::map<std::int32_t, domain::budget_shard>;
+
+    status check_declared(const std::string& account,
+                          const std::string& budget);
+    result<v1::Budget> read_budget(const std::string& account,
+                                   const std::string& budget,
+                                   shards_by_number& known);
+
+    drivers::shard_editor& m_editor;
+    drivers::configuration_writer& m_declarations;
+    const ports::clock& m_clock;
+    budget_call_settings m_settings;
+};
+
+} // namespace turmeric::controller
--- /dev/null
+++ b/services/controller/controller_metrics.cpp
@@ -0,0 +1,69 @@
+#include "services/controller/controller_metrics.hpp"
+
+namespace turmeric::controller
+{
+
+namespace
+{
+
+constexpr std::size_t most_calls = 128;
+constexpr std::size_t most_duties = 8;
+
+} // namespace
+
+controller_metrics::controller_metrics()
+    : m_calls(m_registry.make<metrics::counter>(
+          {"turmeric_operator_calls_total",
+           "Operators' calls that were answered.",
+           {"path", "status"},
+           most_calls,
+           {}}))
+    , m_leading(m_registry.make<metrics::gauge>(
+          {"turmeric_leading",
+           "1 while this controller leads the duty.",
+           {"duty"},
+           most_duties,
+           {}}))
+    , m_version(m_registry.make<metrics::gauge>(
+          {"turmeric_configuration_version",
+           "Version of the configuration in force.",
+           {},
+           1,
+           {}}))
+    , m_reclaimed(m_registry.make<metrics::counter>(
+          {"turmeric_reclaimed_grants_total",
+           "Dead incarnations' records that were frozen or closed.",
+           {"step"},
+           most_duties,
+           {}}))
+{
+}
+
+void controller_metrics::count_call(const std::string& path, int status)
+{
+    m_calls.with({path, std::to_string(status)}).add();
+}
+
+void controller_metrics::set_leading(const std::string& duty, bool is_leading)
+{
+    m_leading.with({duty}).set(is_leading ? 1 : 0);
+}
+
+void controller_metrics::set_configuration_version(std::int64_t version)
+{
+    m_version.with({}).set(version);
+}
+
+void controller_metrics::count_reclaimed(std::string_view step,
+                                         std::int64_t amount)
+{
+    m_reclaimed.with({std::string(step)})
+        .add(static_cast<std::uint64_t>(amount));
+}
+
+std::string controller_metrics::render() const
+{
+    return m_registry.render();
+}
+
+} // namespace turmeric::controller
--- /dev/null
+++ b/services/controller/controller_process.cpp
@@ -0,0 +1,236 @@
+#include "services/controller/controller_process.hpp"
+
+#include "libraries/adapters/openssl/digests.hpp"
+
+#include <fmt/format.h>
+#include <thread>
+
+namespace turmeric::controller
+{
+
+namespace
+{
+
+constexpr std::size_t incarnation_bytes = 6;
+constexpr std::size_t key_bytes = 24;
+constexpr std::chrono::milliseconds resolve_pause{200};
+constexpr std::chrono::milliseconds reclaim_period{10'000};
+constexpr std::chrono::milliseconds reclaim_patience{2'000};
+constexpr const char* budgets_duty = "budgets";
+
+std::string make_incarnation(const std::string& name)
+{
+    return name + "-" + adapters::random_hex(incarnation_bytes);
+}
+
+adapters::log_format format_of(const std::string& name)
+{
+    return name == "json" ? adapters::log_format::json
+                          : adapters::log_format::text;
+}
+
+adapters::etcd_settings store_settings(const controller_settings& settings)
+{
+    adapters::etcd_settings made;
+    made.endpoints = settings.key_value_addresses;
+    made.call_timeout = settings.platform_timeout;
+    return made;
+}
+
+fresh_key make_key()
+{
+    fresh_key made;
+    made.key = "tf_" + adapters::random_hex(key_bytes);
+    made.digest = adapters::sha256_hex(made.key);
+    return made;
+}
+
+domain::reclaim_settings reclaim_settings_of(const controller_settings& from)
+{
+    domain::reclaim_settings made;
+    made.freeze_time = from.freeze_time;
+    return made;
+}
+
+budget_call_settings budget_settings_of(const controller_settings& from)
+{
+    budget_call_settings made;
+    made.shard_count = from.budget_shards;
+    return made;
+}
+
+result<std::string> refuse_peer(const ports::peer_message&)
+{
+    return error{result_code::peer_protocol, "kind",
+                 "controllers answer no peers"};
+}
+
+} // namespace
+
+controller_process::controller_process(const controller_settings& settings)
+    : m_settings(settings)
+    , m_incarnation(make_incarnation(settings.name))
+    , m_log(m_clock, adapters::log_level_of(settings.log_level),
+            format_of(settings.log_format), settings.name)
+    , m_store(store_settings(settings))
+    , m_vms({settings.vm_list_address, settings.platform_timeout,
+             settings.platform_timeout})
+    , m_peers(m_clock, refuse_peer)
+    , m_fleet(m_store, m_vms, m_clock, {})
+    , m_follower(m_store, m_log,
+                 {&m_peers, [this] { return m_fleet.peer_addresses(); }}, {})
+    , m_writer(m_store, m_incarnation,
+               [] { std::this_thread::sleep_for(resolve_pause); })
+    , m_editor(m_store, m_clock, m_random)
+    , m_reclaimer(m_editor, m_clock, m_log, reclaim_settings_of(settings))
+    , m_budget_leader(m_store, m_clock, m_log, duty_settings(budgets_duty))
+    , m_configuration_calls(m_writer, make_key,
+                            [this] { (void)m_follower.poll_once(); })
+    , m_budget_calls(m_editor, m_writer, m_clock, budget_settings_of(settings))
+    , m_status_calls({m_store, m_writer, m_follower, m_fleet, m_peers,
+                      [this] { return duties(); }})
+    , m_service({m_configuration_calls, m_budget_calls, m_status_calls},
+                settings.operator_key_digests, m_log)
+    , m_server(settings.operator_server,
+               [this](const adapters::http_request& request)
+               { return handle(request); })
+{
+}
+
+controller_process::~controller_process() = default;
+
+result<controller_addresses> controller_process::start()
+{
+    const result<int> peer_port =
+        m_peers.start(m_settings.peer_host, m_settings.peer_port);
+    if (!peer_port)
+    {
+        return peer_port.failure();
+    }
+    const result<int> operator_port = m_server.start();
+    if (!operator_port)
+    {
+        return operator_port.failure();
+    }
+    m_follower.start();
+    m_budget_leader.start();
+    m_budget_duty = std::make_unique<duty_thread>(
+        m_budget_leader,
+        [this](const drivers::leadership& leader) { reclaim_grants(leader); },
+        reclaim_period);
+    return controller_addresses{
+        fmt::format("{}:{}", m_settings.operator_server.host,
+                    operator_port.value()),
+        fmt::format("{}:{}", m_settings.peer_host, peer_port.value())};
+}
+
+void controller_process::stop()
+{
+    m_editor.stop();
+    m_budget_duty.reset();
+    m_budget_leader.stop();
+    m_server.stop();
+    m_follower.stop();
+    m_peers.stop();
+}
+
+logger& controller_process::log()
+{
+    return m_log;
+}
+
+adapters::http_reply
+controller_process::handle(const adapters::http_request& request)
+{
+    if (operator_service::has_path(request.path))
+    {
+        adapters::http_reply reply = m_service.answer(request);
+        m_metrics.count_call(request.path, reply.status);
+        return reply;
+    }
+    if (request.path == "/healthz")
+    {
+        return adapters::make_json_reply(200, "{}");
+    }
+    if (request.path == "/readyz")
+    {
+        return show_readiness();
+    }
+    if (request.path == "/metrics")
+    {
+        return show_metrics();
+    }
+    return adapters::make_problem(
+        error{result_code::unknown_method, "path", "nothing is served there"});
+}
+
+adapters::http_reply controller_process::show_readiness() const
+{
+    if (m_follower.is_platform_up())
+    {
+        return adapters::make_json_reply(200, "{}");
+    }
+    return adapters::make_problem(
+        error{result_code::platform_unavailable, "platform",
+              "the key-value service does not answer"});
+}
+
+adapters::http_reply controller_process::show_metrics()
+{
+    m_metrics.set_configuration_version(m_follower.current()->version);
+    m_metrics.set_leading(budgets_duty, m_budget_leader.fencing().has_value());
+    adapters::http_reply reply;
+    reply.content_type = metrics::registry::content_type;
+    reply.body = m_metrics.render();
+    return reply;
+}
+
+void controller_process::reclaim_grants(const drivers::leadership& leader)
+{
+    if (!m_fleet.refresh())
+    {
+        // Without a fresh reading nothing is known against an incarnation.
+        return;
+    }
+    const drivers::evidence_of evidence = [this](const std::string& incarnation)
+    { return m_fleet.evidence_of(incarnation); };
+    for (std::int32_t shard = 0; shard < m_settings.budget_shards; ++shard)
+    {
+        if (!leader.fencing())
+        {
+            return;
+        }
+        const result<drivers::reclaim_counts> counts = m_reclaimer.run(
+            shard, evidence, m_clock.steady_now() + reclaim_patience);
+        if (!counts)
+        {
+            return;
+        }
+        m_metrics.count_reclaimed("frozen", counts.value().frozen);
+        m_metrics.count_reclaimed("closed", counts.value().closed);
+    }
+}
+
+std::vector<std::string> controller_process::duties() const
+{
+    std::vector<std::string> held;
+    if (m_budget_leader.fencing())
+    {
+        held.emplace_back(budgets_duty);
+    }
+    return held;
+}
+
+drivers::leadership_settings
+controller_process::duty_settings(const std::string& duty) const
+{
+    drivers::leadership_settings made;
+    made.duty = duty;
+    made.holder = m_incarnation;
+    made.time_to_live = m_settings.lease;
+    made.period = std::chrono::milliseconds(m_settings.lease) / 4;
+    made.margin = std::chrono::milliseconds(m_settings.lease) / 4;
+    return made;
+}
+
+} // namespace turmeric::controller
--- /dev/null
+++ b/services/controller/controller_settings.hpp
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "libraries/adapters/httplib/http_server.hpp"
+#include "libraries/core/json.hpp"
+
+#include <chrono>
+#include <string>
+#include <vector>
+
+namespace turmeric::controller
+{
+
+/// A controller's settings, as checked against their schema.
+struct controller_settings
+{
+    std::string name;
+    std::string vm;
+    std::string data_centre;
+    std::string log_level;
+    std::string log_format;
+    std::vector<std::string> key_value_addresses;
+    std::string vm_list_address;
+    std::chrono::milliseconds platform_timeout{1'000};
+    adapters::http_server_settings operator_server;
+    std::string peer_host;
+    int peer_port = 0;
+    std::vector<std::string> operator_key_digests;
+    std::int32_t budget_shards = 64;
+    /// The longest time of a request; frozen grants are kept for it.
+    std::chrono::seconds freeze_time{600};
+    std::chrono::seconds lease{6};
+};
+
+/// Returns the JSON schema of the settings file. Thread safe.
+[[nodiscard]] json controller_settings_schema();
+
+/// Reads settings. Precondition: `settings` satisfies the schema. Thread
+/// safe.
+[[nodiscard]] controller_settings
+read_controller_settings(const json& settings);
+
+} // namespace turmeric::controller
--- /dev/null
+++ b/services/controller/status_calls.cpp
@@ -0,0 +1,149 @@
+#include "services/controller/status_calls.hpp"
+
+#include "libraries/adapters/protobuf/declaration_messages.hpp"
+#include "libraries/codecs/common/json_reader.hpp"
+#include "libraries/codecs/configuration/configuration_codec.hpp"
+#include "libraries/drivers/configuration/configuration_keys.hpp"
+
+#include <algorithm>
+#include <atomic>
+#include <map>
+#include <thread>
+#include <utility>
+
+namespace turmeric::controller
+{
+
+namespace
+{
+
+constexpr std::size_t max_status_threads = 16;
+constexpr std::chrono::milliseconds status_timeout{1'000};
+
+std::int64_t version_in(const std::string& answer)
+{
+    const result<json> parsed =
+        codecs::parse_json(answer, result_code::peer_protocol, "status");
+    const bool has_version =
+        parsed && parsed.value().is_object() &&
+        parsed.value().contains("configuration_version") &&
+        parsed.value()["configuration_version"].is_number_integer();
+    return has_version
+               ? parsed.value()["configuration_version"].get<std::int64_t>()
+               : 0;
+}
+
+void set_declared(const domain::configuration& declared,
+                  const std::string& route, v1::MoveStatus& status)
+{
+    v1::Declaration declaration;
+    const json form =
+        codecs::encode_declaration(declared, domain::object_kind::move, route);
+    if (!form.is_null() && adapters::file_form_to_message(form, declaration))
+    {
+        *status.mutable_declared() = declaration.move();
+    }
+}
+
+} // namespace
+
+status_calls::status_calls(status_sources sources)
+    : m_sources(std::move(sources))
+{
+}
+
+operator_result<v1::ListMovesReply>
+status_calls::list_moves(const v1::ListMovesRequest&)
+{
+    const result<domain::configuration> declared =
+        m_sources.declarations.read(0);
+    if (!declared)
+    {
+        return fault_of(declared.failure());
+    }
+    const result<ports::key_range> stored =
+        m_sources.store.list(std::string(drivers::live_moves_prefix));
+    if (!stored)
+    {
+        return fault_of(stored.failure());
+    }
+    std::map<std::string, std::string> states;
+    for (const domain::move_declaration& move : declared.value().moves)
+    {
+        states[move.route] = "";
+    }
+    for (const ports::key_value& entry : stored.value().entries)
+    {
+        states[entry.key.substr(drivers::live_moves_prefix.size())] =
+            entry.value;
+    }
+    v1::ListMovesReply reply;
+    for (const auto& [route, state] : states)
+    {
+        v1::MoveStatus& row = *reply.add_moves();
+        row.set_route(route);
+        row.set_state(state);
+        set_declared(declared.value(), route, row);
+    }
+    return reply;
+}
+
+operator_result<v1::GetStatusReply>
+status_calls::get_status(const v1::GetStatusRequest&)
+{
+    // Members as last read serve when the platform is out.
+    (void)m_sources.fleet.refresh();
+    v1::GetStatusReply reply;
+    reply.set_configuration_version(m_sources.follower.current()->version);
+    reply.set_is_platform_up(m_sources.follower.is_platform_up());
+    for (const std::string& duty : m_sources.duties())
+    {
+        reply.add_duties(duty);
+    }
+    for (v1::MemberStatus& row : ask_all(m_sources.fleet.members()))
+    {
+        *reply.add_routers() = std::move(row);
+    }
+    return reply;
+}
+
+v1::MemberStatus status_calls::ask(const domain::member& who) const
+{
+    v1::MemberStatus row;
+    row.set_incarnation(who.incarnation);
+    row.set_address(who.address);
+    row.set_vm(who.vm);
+    row.set_data_centre(who.data_centre);
+    const result<std::string> answer =
+        m_sources.peers.call(who.peer_address, {"status", ""}, status_timeout);
+    row.set_state(answer ? "live" : "silent");
+    row.set_configuration_version(answer ? version_in(answer.value()) : 0);
+    return row;
+}
+
+std::vector<v1::MemberStatus>
+status_calls::ask_all(const std::vector<domain::member>& members) const
+{
+    std::vector<v1::MemberStatus> rows(members.size());
+    std::atomic<std::size_t> next{0};
+    const auto work = [&]
+    {
+        for (std::size_t i = next++; i < members.size(); i = next++)
+        {
+            rows[i] = ask(members[i]);
+        }
+    };
+    std::vector<std::thread> threads;
+    const std::size_t count = std::min(members.size(), max_status_threads);
+    while (threads.size() < count)
+    {
+        threads.emplace_back(work);
+    }
+    for (std::thread& thread : threads)
+    {
+        thread.join();
+    }
+    return rows;
+}
+
+} // namespace turmeric::controller
