--- a/services/router/router_process.cpp
+++ b/services/router/router_process.cpp
@@ -134,6 +134,7 @@
     m_follower->start();
     m_refresher = std::make_unique<drivers::control_thread>(
         refresh_interval, [this] { refresh(); });
+    m_is_serving_peers = true;
     return addresses;
 }
 
@@ -192,10 +193,10 @@
         {"evidence", [](router_process& own, const ports::peer_message& asked)
          { return own.m_versions.answer(asked); }},
         {"status", [](router_process& own, const ports::peer_message&)
-         { return result<std::string>(own.status()); }},
+         { return result<std::string>(own.describe()); }},
     }};
     // Peers may call before the parts that answer them are made.
-    if (m_refresher == nullptr)
+    if (!m_is_serving_peers)
     {
         return error{result_code::peer_unavailable, "process",
                      "the router is starting or stopping"};
@@ -328,7 +329,7 @@
     return addresses;
 }
 
-std::string router_process::status()
+std::string router_process::describe()
 {
     json answer = {{"incarnation", m_incarnation},
                    {"name", m_settings.name},
--- a/services/router/router_process.hpp
+++ b/services/router/router_process.hpp
@@ -18,6 +18,7 @@
 #include "services/router/router_gauges.hpp"
 #include "services/router/router_settings.hpp"
 
+#include <atomic>
 #include <memory>
 #include <mutex>
 #include <set>
@@ -77,7 +78,7 @@
                                 const domain::configuration& declared);
     std::string locate(const std::string& account);
     std::vector<std::string> peer_addresses();
-    std::string status();
+    std::string describe();
 
     const router_settings m_settings;
     const std::string m_incarnation;
@@ -102,6 +103,7 @@
     adapters::http_server m_server;
     std::unique_ptr<drivers::configuration_follower> m_follower;
     std::unique_ptr<drivers::membership_service> m_membership;
+    std::atomic<bool> m_is_serving_peers{false};
     // Touched by the refresh thread alone.
     domain::share_table m_shares;
     std::set<std::string> m_leaving;
