--- a/libraries/adapters/settings/settings_file.cpp
+++ b/libraries/adapters/settings/settings_file.cpp
@@ -1,5 +1,6 @@
 #include "libraries/adapters/settings/settings_file.hpp"
 
+#include <charconv>
 #include <fmt/format.h>
 #include <fstream>
 #include <sstream>
@@ -15,44 +16,53 @@
 namespace
 {
 
-std::string join(const std::vector<std::string>& parts)
+/// Strips the brackets off a part of valijson's context, such as `[port]`.
+std::string name_of_part(const std::string& part)
 {
-    std::string path;
-    for (const std::string& part : parts)
+    constexpr std::size_t brackets = 2;
+    return part.substr(1, part.size() - brackets);
+}
+
+const json* find_child(const json& parent, const std::string& name)
+{
+    if (parent.is_object())
     {
-        path += part == "<root>" ? "$" : part;
+        auto found = parent.find(name);
+        return found == parent.end() ? nullptr : &*found;
     }
-    return path;
+    if (!parent.is_array())
+    {
+        return nullptr;
+    }
+    std::size_t index = 0;
+    std::from_chars_result read =
+        std::from_chars(name.data(), name.data() + name.size(), index);
+    bool is_found = read.ec == std::errc() && index < parent.size();
+    return is_found ? &parent.at(index) : nullptr;
 }
 
-/// Turns valijson's context, such as `<root>["listen"]["port"]`, into the
-/// value that it points at.
-const json* find_value(const json& settings,
+/// Where a fault is, and the value there.
+struct fault_place
+{
+    std::string path = "$";
+    const json* value = nullptr;
+};
+
+fault_place find_place(const json& settings,
                        const std::vector<std::string>& context)
 {
-    const json* value = &settings;
+    fault_place place;
+    place.value = &settings;
+    // The first part names the root.
     for (std::size_t i = 1; i < context.size(); ++i)
     {
-        // A part is `["name"]` or `[3]`.
-        constexpr std::size_t brackets = 2;
-        std::string inner = context[i].substr(1, context[i].size() - brackets);
-        json key = json::parse(inner, nullptr, false);
-        if (key.is_string() && value->is_object() &&
-            value->contains(key.get<std::string>()))
-        {
-            value = &value->at(key.get<std::string>());
-        }
-        else if (key.is_number_unsigned() && value->is_array() &&
-                 key.get<std::size_t>() < value->size())
-        {
-            value = &value->at(key.get<std::size_t>());
-        }
-        else
-        {
-            return nullptr;
-        }
+        std::string name = name_of_part(context[i]);
+        bool is_index = place.value != nullptr && place.value->is_array();
+        place.path += is_index ? "[" + name + "]" : "." + name;
+        place.value =
+            place.value == nullptr ? nullptr : find_child(*place.value, name);
     }
-    return value;
+    return place;
 }
 
 } // namespace
@@ -82,11 +92,12 @@
             deepest = fault;
         }
     }
-    const json* value = find_value(settings, deepest.context);
-    return error{result_code::settings_invalid, join(deepest.context),
-                 fmt::format("{}: value {}: {}", file,
-                             value == nullptr ? "absent" : value->dump(),
-                             deepest.description)};
+    fault_place place = find_place(settings, deepest.context);
+    return error{
+        result_code::settings_invalid, place.path,
+        fmt::format("{}: value {}: {}", file,
+                    place.value == nullptr ? "absent" : place.value->dump(),
+                    deepest.description)};
 }
 
 result<json> read_settings(const std::string& file, const json& schema)
