--- a/services/router/router_settings.cpp
+++ b/services/router/router_settings.cpp
@@ -64,7 +64,7 @@
         "additionalProperties": false,
         "properties": {
             "shards": {"type": "integer", "minimum": 1, "maximum": 1000},
-            "grant_term_s": {"type": "integer", "minimum": 60},
+            "grant_term_s": {"type": "integer", "minimum": 2},
             "hold_wait_ms": {"type": "integer", "minimum": 0},
             "bill_wait_ms": {"type": "integer", "minimum": 10}
         }
--- /dev/null
+++ b/tests/processes/fleet.py
@@ -0,0 +1,250 @@
+"""Starts real processes on the loopback address for tests of failures."""
+import http.client
+import json
+import os
+import pathlib
+import shutil
+import signal
+import subprocess
+import tempfile
+import threading
+import time
+
+BINARIES = pathlib.Path(os.environ['TURMERIC_BINARY_DIR'])
+PATIENCE = 60.0
+OPERATOR_KEY = 'operator-key-for-tests'
+
+
+def wait_until(what, condition, patience=PATIENCE):
+    """Polls `condition` until it is true; fails loudly after `patience`."""
+    end = time.monotonic() + patience
+    while time.monotonic() < end:
+        found = condition()
+        if found:
+            return found
+        time.sleep(0.02)
+    raise AssertionError(f'gave up waiting until {what}')
+
+
+def call(address, method, path, body=None, headers=None, timeout=PATIENCE):
+    """One HTTP call; returns (status, headers, body text)."""
+    host, port = address.rsplit(':', 1)
+    connection = http.client.HTTPConnection(host, int(port), timeout=timeout)
+    try:
+        text = json.dumps(body) if isinstance(body, (dict, list)) else body
+        sent = {'Content-Type': 'application/json', **(headers or {})}
+        connection.request(method, path, text, sent)
+        reply = connection.getresponse()
+        return reply.status, dict(reply.getheaders()), reply.read().decode()
+    finally:
+        connection.close()
+
+
+class Process:
+    """A started program; its first line of output says where it listens."""
+
+    def __init__(self, folder, name, arguments):
+        self.name = name
+        self.log = folder / f'{name}.log'
+        self._log_file = open(self.log, 'w', encoding='utf-8')
+        self.popen = subprocess.Popen(
+            [str(BINARIES / arguments[0]), *arguments[1:]],
+            stdout=subprocess.PIPE, stderr=self._log_file, text=True)
+        line = self.popen.stdout.readline()
+        if not line:
+            raise AssertionError(
+                f'{name} did not start: {self.log.read_text()}')
+        self.ready = json.loads(line)
+        self.address = (self.ready.get('listening')
+                        or self.ready.get('caller_address')
+                        or self.ready.get('operator_address'))
+
+    def signal(self, number):
+        self.popen.send_signal(number)
+
+    def kill(self):
+        if self.popen.poll() is None:
+            self.popen.send_signal(signal.SIGCONT)
+            self.popen.kill()
+        self.popen.wait(PATIENCE)
+        self.popen.stdout.close()
+        self._log_file.close()
+
+    def stop(self):
+        """Asks for a graceful stop and returns the exit code."""
+        self.popen.terminate()
+        return self.popen.wait(PATIENCE)
+
+    def pause(self):
+        self.signal(signal.SIGSTOP)
+
+    def resume(self):
+        self.signal(signal.SIGCONT)
+
+    def log_text(self):
+        return self.log.read_text(encoding='utf-8')
+
+    def set_faults(self, **faults):
+        status, _, text = call(self.address, 'POST', '/faults', faults)
+        assert status == 200, text
+
+    def counts(self):
+        return json.loads(call(self.address, 'GET', '/counts')[2])
+
+
+class Answer:
+    """What a caller got."""
+
+    def __init__(self):
+        self.status = 0
+        self.headers = {}
+        self.tokens = []
+        self.bill = None
+        self.usage = None
+        self.failure = None
+        self.is_whole = False
+
+    @property
+    def text(self):
+        return ''.join(self.tokens)
+
+    def take_event(self, data):
+        if data == '[DONE]':
+            self.is_whole = True
+            return
+        event = json.loads(data)
+        if 'error' in event:
+            self.failure = event['error']
+        for choice in event.get('choices', []):
+            text = choice.get('delta', {}).get('content')
+            if text:
+                self.tokens.append(text)
+        self.usage = event.get('usage') or self.usage
+        self.bill = event.get('turmeric') or self.bill
+
+
+def chat_body(route, prompt, tokens, stream=True):
+    return {'model': route, 'stream': stream, 'max_tokens': tokens,
+            'messages': [{'role': 'user', 'content': prompt}]}
+
+
+def chat(address, key, route='ruling', prompt='Was the turn fair?',
+         tokens=8, request_id=None, on_token=None, headers=None):
+    """A streamed chat; never raises for a broken connection."""
+    answer = Answer()
+    host, port = address.rsplit(':', 1)
+    connection = http.client.HTTPConnection(host, int(port), timeout=PATIENCE)
+    sent = {'Content-Type': 'application/json',
+            'Authorization': f'Bearer {key}', **(headers or {})}
+    if request_id:
+        sent['Idempotency-Key'] = request_id
+    try:
+        connection.request('POST', '/v1/chat/completions',
+                           json.dumps(chat_body(route, prompt, tokens)), sent)
+        reply = connection.getresponse()
+        answer.status = reply.status
+        answer.headers = dict(reply.getheaders())
+        if reply.status != 200:
+            answer.failure = json.loads(reply.read())
+            return answer
+        while True:
+            line = reply.readline()
+            if not line:
+                return answer
+            if line.startswith(b'data: '):
+                answer.take_event(line[len(b'data: '):].decode().strip())
+                if on_token:
+                    on_token(answer)
+    except (OSError, http.client.HTTPException, ValueError) as fault:
+        answer.failure = answer.failure or {'message': repr(fault)}
+        return answer
+    finally:
+        connection.close()
+
+
+class Fleet:
+    """A platform, engines, routers and controllers in one folder."""
+
+    def __init__(self):
+        self.folder = pathlib.Path(tempfile.mkdtemp(prefix='turmeric-'))
+        self.processes = []
+        self.key_value = self.start('kv', 'standin_key_value')
+        self.vm_list = self.start('vms', 'standin_vm_list')
+        self.controllers = []
+        self.routers = []
+
+    def close(self):
+        for process in reversed(self.processes):
+            process.kill()
+        shutil.rmtree(self.folder)
+
+    def start(self, name, program, *options):
+        process = Process(self.folder, name,
+                          [program, '--listen', '127.0.0.1:0', *options])
+        self.processes.append(process)
+        return process
+
+    def start_engine(self, name, *options):
+        return self.start(name, 'standin_engine', *options)
+
+    def start_daemon(self, name, program, settings):
+        path = self.folder / f'{name}.json'
+        path.write_text(json.dumps(settings), encoding='utf-8')
+        process = Process(self.folder, name,
+                          [program, '--settings', str(path)])
+        self.processes.append(process)
+        return process
+
+    def common_settings(self, name, vm, data_centre):
+        return {'name': name, 'vm': vm or f'vm-{name}',
+                'data_centre': data_centre,
+                'platform': {'key_value': [self.key_value.address],
+                             'vm_list': self.vm_list.address,
+                             'timeout_ms': 1000}}
+
+    def start_router(self, name, vm=None, data_centre='dc1', limits=None,
+                     budgets=None, lease_s=3):
+        settings = self.common_settings(name, vm, data_centre)
+        settings['listen'] = {'host': '127.0.0.1', 'caller_port': 0,
+                              'peer_port': 0}
+        settings['limits'] = {'leave_ms': 100, **(limits or {})}
+        settings['budgets'] = budgets or {}
+        settings['lease_s'] = lease_s
+        router = self.start_daemon(name, 'turmeric_router', settings)
+        self.routers.append(router)
+        return router
+
+    def start_controller(self, name, vm=None, data_centre='dc1', **extra):
+        settings = self.common_settings(name, vm, data_centre)
+        settings['listen'] = {'host': '127.0.0.1', 'operator_port': 0,
+                              'peer_port': 0}
+        settings.update(extra)
+        controller = self.start_daemon(name, 'turmeric_controller', settings)
+        self.controllers.append(controller)
+        return controller
+
+    def operate(self, method, body, controller=None):
+        """One operator call; returns (status, JSON)."""
+        to = controller or self.controllers[0]
+        status, _, text = call(
+            to.address, 'POST', f'/turmericfront.v1.Operator/{method}', body,
+            {'Authorization': f'Bearer {OPERATOR_KEY}'})
+        return status, json.loads(text or '{}')
+
+    def wait_ready(self, router):
+        wait_until(f'{router.name} is ready',
+                   lambda: call(router.address, 'GET', '/readyz')[0] == 200)
+
+
+def in_background(work, *arguments, **named):
+    """Runs `work` on a thread; returns a function that joins it."""
+    box = {}
+    thread = threading.Thread(
+        target=lambda: box.update(value=work(*arguments, **named)))
+    thread.start()
+
+    def join():
+        thread.join(PATIENCE * 2)
+        assert not thread.is_alive(), 'a caller never came back'
+        return box.get('value')
+    return join
