turmericctl: Add the operators' command line

A call whose reply was lost goes to the next controller only when it is safe to repeat: reads, and changes that carry an id. A new key is not, so its unknown outcome is reported as such.

--- /dev/null
+++ b/utilities/turmericctl/command_line.cpp
@@ -0,0 +1,173 @@
+#include "utilities/turmericctl/command_line.hpp"
+
+#include <cstdlib>
+#include <cxxopts.hpp>
+#include <fmt/format.h>
+#include <fstream>
+
+namespace turmeric::ctl
+{
+
+namespace
+{
+
+constexpr const char* commands_help = R"(
+Commands:
+  diff -f DIR               print what apply would change
+  apply -f DIR              put the declarations in DIR in force
+  export [-o DIR]           write the declarations in force
+  top-up ACCOUNT BUDGET TOKENS [--id ID]
+                            add tokens to a budget, once for each id
+  budgets [ACCOUNT]         print balances
+  key create ACCOUNT        make a key; it is shown once
+  moves                     print version moves
+  status                    print the version in force on each router
+  drain --upstream NAME | --vm NAME [--undo]
+                            take out of service, or back into it
+)";
+
+cxxopts::Options make_options()
+{
+    cxxopts::Options options("turmericctl", "Operates a turmericfront fleet.");
+    options.positional_help("COMMAND [ARGUMENT...]");
+    options.add_options()("controllers",
+                          "host:port of controllers, by comma "
+                          "(TURMERIC_CONTROLLERS)",
+                          cxxopts::value<std::vector<std::string>>())(
+        "key-file", "File with the operator's key (TURMERIC_OPERATOR_KEY)",
+        cxxopts::value<std::string>())("ca", "Certificates to trust",
+                                       cxxopts::value<std::string>())(
+        "timeout-ms", "Longest wait for a reply",
+        cxxopts::value<int>()->default_value("15000"))(
+        "f", "Folder of declarations", cxxopts::value<std::string>())(
+        "o", "Folder to write", cxxopts::value<std::string>())(
+        "complete", "Remove what the folder does not declare")(
+        "base", "Version that the change was made against",
+        cxxopts::value<std::int64_t>())("id", "Name of the top-up",
+                                        cxxopts::value<std::string>())(
+        "upstream", "Upstream to drain", cxxopts::value<std::string>())(
+        "vm", "VM to drain", cxxopts::value<std::string>())(
+        "undo", "Take back into service")("json", "Print replies as JSON")(
+        "help", "Print this help")("version", "Print the version")(
+        "command", "", cxxopts::value<std::vector<std::string>>());
+    options.parse_positional({"command"});
+    return options;
+}
+
+std::string environment(const char* name)
+{
+    const char* value = std::getenv(name); // NOLINT(concurrency-mt-unsafe)
+    return value == nullptr ? "" : value;
+}
+
+std::vector<std::string> split(const std::string& text)
+{
+    std::vector<std::string> parts;
+    std::size_t start = 0;
+    while (start < text.size())
+    {
+        const std::size_t comma = std::min(text.find(',', start), text.size());
+        parts.push_back(text.substr(start, comma - start));
+        start = comma + 1;
+    }
+    return parts;
+}
+
+std::string text_of(const cxxopts::ParseResult& parsed, const char* name)
+{
+    return parsed.count(name) == 0 ? "" : parsed[name].as<std::string>();
+}
+
+exit_status fail(const std::string& detail)
+{
+    fmt::print(stderr, "turmericctl: {}\n", detail);
+    return exit_status::usage;
+}
+
+std::string read_key(const cxxopts::ParseResult& parsed)
+{
+    if (parsed.count("key-file") == 0)
+    {
+        return environment("TURMERIC_OPERATOR_KEY");
+    }
+    std::ifstream file(parsed["key-file"].as<std::string>());
+    std::string key;
+    file >> key;
+    return key;
+}
+
+client_settings read_client(const cxxopts::ParseResult& parsed)
+{
+    client_settings read;
+    read.controllers =
+        parsed.count("controllers") == 0
+            ? split(environment("TURMERIC_CONTROLLERS"))
+            : parsed["controllers"].as<std::vector<std::string>>();
+    read.key = read_key(parsed);
+    read.certificates = text_of(parsed, "ca");
+    read.timeout = std::chrono::milliseconds(parsed["timeout-ms"].as<int>());
+    return read;
+}
+
+std::variant<command_line, exit_status>
+read_parsed(const cxxopts::ParseResult& parsed)
+{
+    command_line line;
+    line.client = read_client(parsed);
+    if (line.client.controllers.empty())
+    {
+        return fail("--controllers: expected host:port of a controller");
+    }
+    if (line.client.key.empty())
+    {
+        return fail("--key-file: expected a file with the operator's key");
+    }
+    if (parsed.count("command") == 0)
+    {
+        return fail("expected a command; see --help");
+    }
+    line.arguments = parsed["command"].as<std::vector<std::string>>();
+    line.command = line.arguments.front();
+    line.arguments.erase(line.arguments.begin());
+    line.folder = text_of(parsed, "f");
+    line.out_folder = text_of(parsed, "o");
+    line.id = text_of(parsed, "id");
+    line.upstream = text_of(parsed, "upstream");
+    line.vm = text_of(parsed, "vm");
+    line.is_complete = parsed.count("complete") != 0;
+    line.is_undone = parsed.count("undo") != 0;
+    line.is_json = parsed.count("json") != 0;
+    if (parsed.count("base") != 0)
+    {
+        line.base_version = parsed["base"].as<std::int64_t>();
+    }
+    return line;
+}
+
+} // namespace
+
+std::variant<command_line, exit_status> read_command_line(int argc, char** argv)
+{
+    cxxopts::Options options = make_options();
+    try
+    {
+        const cxxopts::ParseResult parsed = options.parse(argc, argv);
+        if (parsed.count("help") != 0)
+        {
+            fmt::print("{}{}", options.help(), commands_help);
+            return exit_status::done;
+        }
+        if (parsed.count("version") != 0)
+        {
+            fmt::print("turmericctl {}\n", TURMERIC_VERSION);
+            return exit_status::done;
+        }
+        return read_parsed(parsed);
+    }
+    catch (const cxxopts::exceptions::exception& fault)
+    {
+        return fail(fault.what());
+    }
+}
+
+} // namespace turmeric::ctl
--- /dev/null
+++ b/utilities/turmericctl/command_line.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "utilities/turmericctl/operator_client.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace turmeric::ctl
+{
+
+/// A command line that was read.
+struct command_line
+{
+    client_settings client;
+    std::string command;
+    /// What follows the command.
+    std::vector<std::string> arguments;
+    std::string folder;
+    std::string out_folder;
+    std::string id;
+    std::string upstream;
+    std::string vm;
+    std::optional<std::int64_t> base_version;
+    bool is_complete = false;
+    bool is_undone = false;
+    bool is_json = false;
+};
+
+/// Reads the command line; returns the code to exit with after printing
+/// help, the version or what is wrong. The environment variables
+/// TURMERIC_CONTROLLERS and TURMERIC_OPERATOR_KEY stand in for options. Not
+/// thread safe.
+std::variant<command_line, exit_status> read_command_line(int argc,
+                                                          char** argv);
+
+} // namespace turmeric::ctl
--- /dev/null
+++ b/utilities/turmericctl/commands.cpp
@@ -0,0 +1,281 @@
+#include "utilities/turmericctl/commands.hpp"
+
+#include "libraries/adapters/openssl/digests.hpp"
+#include "libraries/adapters/protobuf/declaration_messages.hpp"
+#include "utilities/turmericctl/declaration_folder.hpp"
+#include "utilities/turmericctl/print.hpp"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <fmt/format.h>
+#include <functional>
+
+namespace turmeric::ctl
+{
+
+namespace
+{
+
+using command_function = exit_status (*)(operator_client&, const command_line&);
+
+constexpr std::size_t id_bytes = 8;
+
+error bad_argument(const std::string& field, const std::string& expectation)
+{
+    return error{result_code::bad_argument, field, expectation};
+}
+
+/// Calls a method and prints its reply, or why there is none.
+template <class Request, class Reply>
+exit_status call_and_print(operator_client& client, const command_line& line,
+                           const std::string& method, const Request& request,
+                           repetition repeats, void (*print)(const Reply&))
+{
+    Reply reply;
+    const std::optional<call_failure> failure =
+        client.call(method, request, repeats, reply);
+    if (failure)
+    {
+        return print_failure(*failure);
+    }
+    line.is_json ? print_json(reply) : print(reply);
+    return exit_status::done;
+}
+
+result<v1::ApplyRequest> read_request(const command_line& line)
+{
+    if (line.folder.empty())
+    {
+        return bad_argument("-f", "expected a folder of declarations");
+    }
+    const result<declaration_set> set = read_declaration_folder(line.folder);
+    if (!set)
+    {
+        return set.failure();
+    }
+    v1::ApplyRequest request;
+    for (const json& declaration : set.value().declarations)
+    {
+        const status read = adapters::file_form_to_message(
+            declaration, *request.add_declarations());
+        if (!read)
+        {
+            return read.failure();
+        }
+    }
+    request.set_base_version(
+        line.base_version.value_or(set.value().base_version));
+    request.set_is_complete(line.is_complete);
+    request.set_operation(adapters::random_hex(id_bytes));
+    return request;
+}
+
+exit_status diff(operator_client& client, const command_line& line)
+{
+    const result<v1::ApplyRequest> request = read_request(line);
+    if (!request)
+    {
+        return print_fault(request.failure());
+    }
+    v1::ApplyReply reply;
+    const std::optional<call_failure> failure =
+        client.call("Diff", request.value(), repetition::safe, reply);
+    if (failure)
+    {
+        return print_failure(*failure);
+    }
+    line.is_json ? print_json(reply) : print_changes(reply);
+    return reply.changes().empty() ? exit_status::done : exit_status::differs;
+}
+
+exit_status apply(operator_client& client, const command_line& line)
+{
+    result<v1::ApplyRequest> request = read_request(line);
+    if (!request)
+    {
+        return print_fault(request.failure());
+    }
+    v1::ApplyReply planned;
+    std::optional<call_failure> failure =
+        client.call("Diff", request.value(), repetition::safe, planned);
+    if (failure)
+    {
+        return print_failure(*failure);
+    }
+    print_changes(planned);
+    if (request.value().base_version() == 0)
+    {
+        // What was printed is what is applied, or there is a conflict.
+        request.value().set_base_version(planned.version());
+    }
+    v1::ApplyReply reply;
+    failure = client.call("Apply", request.value(), repetition::safe, reply);
+    if (failure)
+    {
+        return print_failure(*failure);
+    }
+    const status noted = write_version_file(line.folder, reply.version());
+    if (!noted)
+    {
+        print_fault(noted.failure());
+    }
+    fmt::print("version {} is in force{}\n", reply.version(),
+               reply.is_written() ? "" : "; nothing changed");
+    return exit_status::done;
+}
+
+exit_status export_declarations(operator_client& client,
+                                const command_line& line)
+{
+    v1::ExportRequest request;
+    request.set_version(line.base_version.value_or(0));
+    v1::ExportReply reply;
+    const std::optional<call_failure> failure =
+        client.call("Export", request, repetition::safe, reply);
+    if (failure)
+    {
+        return print_failure(*failure);
+    }
+    declaration_set set;
+    set.base_version = reply.version();
+    for (const v1::Declaration& declaration : reply.declarations())
+    {
+        set.declarations.push_back(adapters::message_to_file_form(declaration));
+    }
+    if (line.out_folder.empty())
+    {
+        constexpr int indent = 2;
+        fmt::print("{}\n", json(set.declarations).dump(indent));
+        return exit_status::done;
+    }
+    const status written = write_declaration_folder(line.out_folder, set);
+    return written ? exit_status::done : print_fault(written.failure());
+}
+
+void print_top_up(const v1::TopUpReply& reply)
+{
+    fmt::print("{}; available {} of {}\n",
+               reply.is_new() ? "topped up" : "was topped up before",
+               reply.balance().available(), reply.balance().topped_up());
+}
+
+exit_status top_up(operator_client& client, const command_line& line)
+{
+    constexpr std::size_t argument_count = 3;
+    if (line.arguments.size() != argument_count)
+    {
+        return print_fault(
+            bad_argument("top-up", "expected ACCOUNT BUDGET TOKENS"));
+    }
+    const std::string& digits = line.arguments[2];
+    std::int64_t tokens = 0;
+    const char* end = digits.data() + digits.size();
+    const std::from_chars_result read =
+        std::from_chars(digits.data(), end, tokens);
+    if (read.ec != std::errc{} || read.ptr != end || tokens <= 0)
+    {
+        return print_fault(
+            bad_argument("TOKENS", "expected a positive whole number"));
+    }
+    v1::TopUpRequest request;
+    request.set_account(line.arguments[0]);
+    request.set_budget(line.arguments[1]);
+    request.set_tokens(tokens);
+    request.set_id(line.id.empty() ? "top-up-" + adapters::random_hex(id_bytes)
+                                   : line.id);
+    // Printed first: a repeat under the same id is applied once.
+    fmt::print(stderr, "top-up id {}\n", request.id());
+    return call_and_print(client, line, "TopUp", request, repetition::safe,
+                          &print_top_up);
+}
+
+exit_status budgets(operator_client& client, const command_line& line)
+{
+    v1::ListBudgetsRequest request;
+    if (!line.arguments.empty())
+    {
+        request.set_account(line.arguments.front());
+    }
+    return call_and_print(client, line, "ListBudgets", request,
+                          repetition::safe, &print_budgets);
+}
+
+void print_key(const v1::CreateKeyReply& reply)
+{
+    fmt::print("{}\n", reply.key());
+}
+
+exit_status key(operator_client& client, const command_line& line)
+{
+    if (line.arguments.size() != 2 || line.arguments[0] != "create")
+    {
+        return print_fault(bad_argument("key", "expected create ACCOUNT"));
+    }
+    v1::CreateKeyRequest request;
+    request.set_account(line.arguments[1]);
+    return call_and_print(client, line, "CreateKey", request,
+                          repetition::unsafe, &print_key);
+}
+
+exit_status moves(operator_client& client, const command_line& line)
+{
+    return call_and_print(client, line, "ListMoves", v1::ListMovesRequest(),
+                          repetition::safe, &print_moves);
+}
+
+exit_status show_status(operator_client& client, const command_line& line)
+{
+    return call_and_print(client, line, "GetStatus", v1::GetStatusRequest(),
+                          repetition::safe, &print_status);
+}
+
+exit_status drain(operator_client& client, const command_line& line)
+{
+    if (line.upstream.empty() == line.vm.empty())
+    {
+        return print_fault(
+            bad_argument("drain", "expected --upstream or --vm"));
+    }
+    v1::DrainRequest request;
+    line.vm.empty() ? request.set_upstream(line.upstream)
+                    : request.set_vm(line.vm);
+    request.set_is_undone(line.is_undone);
+    return call_and_print(client, line, "Drain", request, repetition::safe,
+                          &print_changes);
+}
+
+struct command_row
+{
+    std::string_view name;
+    command_function run;
+};
+
+constexpr std::array command_table = {
+    command_row{"apply", &apply},
+    command_row{"diff", &diff},
+    command_row{"export", &export_declarations},
+    command_row{"top-up", &top_up},
+    command_row{"budgets", &budgets},
+    command_row{"key", &key},
+    command_row{"moves", &moves},
+    command_row{"status", &show_status},
+    command_row{"drain", &drain},
+};
+
+} // namespace
+
+exit_status run_command(operator_client& client, const command_line& line)
+{
+    auto row = std::find_if(command_table.begin(), command_table.end(),
+                            [&line](const command_row& candidate)
+                            { return candidate.name == line.command; });
+    if (row == command_table.end())
+    {
+        return print_fault(
+            bad_argument(line.command, "expected a command; see --help"));
+    }
+    return row->run(client, line);
+}
+
+} // namespace turmeric::ctl
--- /dev/null
+++ b/utilities/turmericctl/commands.hpp
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "utilities/turmericctl/command_line.hpp"
+#include "utilities/turmericctl/operator_client.hpp"
+
+namespace turmeric::ctl
+{
+
+/// Runs the command of the line and prints its outcome: replies to standard
+/// output, faults to standard error. Not thread safe; blocks.
+exit_status run_command(operator_client& client, const command_line& line);
+
+} // namespace turmeric::ctl
--- /dev/null
+++ b/utilities/turmericctl/http_exchange.cpp
@@ -0,0 +1,57 @@
+#include "utilities/turmericctl/operator_client.hpp"
+
+#include <httplib.h>
+
+namespace turmeric::ctl
+{
+
+namespace
+{
+
+std::string url_of(const std::string& controller)
+{
+    const bool has_scheme = controller.find("://") != std::string::npos;
+    return has_scheme ? controller : "http://" + controller;
+}
+
+/// Tells whether a failure came before any byte of the request was sent.
+bool is_before_sending(httplib::Error failure)
+{
+    return failure == httplib::Error::Connection ||
+           failure == httplib::Error::BindIPAddress ||
+           failure == httplib::Error::SSLConnection ||
+           failure == httplib::Error::SSLLoadingCerts ||
+           failure == httplib::Error::SSLServerVerification;
+}
+
+} // namespace
+
+exchange_function make_http_exchange(client_settings settings)
+{
+    return [settings](const std::string& controller, const std::string& path,
+                      const std::string& body)
+    {
+        httplib::Client client(url_of(controller));
+        if (!settings.certificates.empty())
+        {
+            client.set_ca_cert_path(settings.certificates.c_str());
+        }
+        client.set_connection_timeout(std::chrono::seconds(2));
+        client.set_read_timeout(settings.timeout);
+        client.set_write_timeout(settings.timeout);
+        client.set_bearer_token_auth(settings.key.c_str());
+        const httplib::Result got =
+            client.Post(path.c_str(), body, "application/json");
+        if (!got)
+        {
+            const bool has_not_run = is_before_sending(got.error());
+            return exchange{has_not_run ? exchange_kind::unreachable
+                                        : exchange_kind::lost,
+                            0,
+                            {}};
+        }
+        return exchange{exchange_kind::answered, got->status, got->body};
+    };
+}
+
+} // namespace turmeric::ctl
--- /dev/null
+++ b/utilities/turmericctl/operator_client.hpp
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "libraries/core/json.hpp"
+#include "libraries/core/result.hpp"
+#include "utilities/turmericctl/exit_status.hpp"
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <google/protobuf/message.h>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace turmeric::ctl
+{
+
+/// How to reach the controllers.
+struct client_settings
+{
+    /// "host:port", with "https://" before it for TLS. At least one.
+    std::vector<std::string> controllers;
+    std::string key;
+    /// Certificates to trust; empty means the system's.
+    std::string certificates;
+    std::chrono::milliseconds timeout{15'000};
+};
+
+/// Whether a call may be sent again when its reply is lost.
+enum class repetition : std::uint8_t
+{
+    /// Reads, and changes that carry an id.
+    safe,
+    unsafe,
+};
+
+/// Why a call has no reply.
+struct call_failure
+{
+    exit_status status = exit_status::refused;
+    /// The problem document, or an object with `detail`.
+    json problem;
+};
+
+/// What one controller made of a request.
+enum class exchange_kind : std::uint8_t
+{
+    answered,
+    /// No connection was made; the request did not run.
+    unreachable,
+    /// The request may have run.
+    lost,
+};
+
+/// One exchange with one controller.
+struct exchange
+{
+    exchange_kind kind = exchange_kind::unreachable;
+    int status = 0;
+    std::string body;
+};
+
+/// Sends a request body to a controller's path.
+using exchange_function =
+    std::function<exchange(const std::string& controller,
+                           const std::string& path, const std::string& body)>;
+
+/// Makes exchanges over HTTP. Thread safe.
+[[nodiscard]] exchange_function make_http_exchange(client_settings settings);
+
+/// Calls the operators' service on whichever controller answers. A request
+/// whose reply was lost is sent again only when that is safe. Not thread
+/// safe.
+class operator_client
+{
+public:
+    /// Precondition: `controllers` is not empty; `send` is callable.
+    operator_client(std::vector<std::string> controllers,
+                    exchange_function send);
+
+    /// Calls a method; returns nothing and fills `reply`, or says why not.
+    /// Blocks.
+    std::optional<call_failure> call(const std::string& method,
+                                     const google::protobuf::Message& request,
+                                     repetition repeats,
+                                     google::protobuf::Message& reply);
+
+private:
+    std::vector<std::string> m_controllers;
+    exchange_function m_send;
+};
+
+} // namespace turmeric::ctl
