--- a/libraries/adapters/protobuf/declaration_messages.cpp
+++ b/libraries/adapters/protobuf/declaration_messages.cpp
@@ -15,20 +15,24 @@
 
 } // namespace
 
-result<domain::configuration>
+result<domain::declaration_set>
 read_declarations(const declaration_messages& messages)
 {
-    domain::configuration declared;
+    domain::declaration_set declared;
     int index = 0;
     for (const turmericfront::v1::Declaration& message : messages)
     {
         const std::string path = "declarations[" + std::to_string(index) + ']';
         status read = codecs::decode_declaration(message_to_file_form(message),
-                                                 path, declared);
+                                                 path, declared.objects);
         if (!read)
         {
             return read.failure();
         }
+        if (message.has_upstream() && !message.upstream().has_state())
+        {
+            declared.stateless_upstreams.insert(message.upstream().name());
+        }
         ++index;
     }
     return declared;
--- a/libraries/adapters/protobuf/declaration_messages.hpp
+++ b/libraries/adapters/protobuf/declaration_messages.hpp
@@ -2,7 +2,7 @@
 
 #include "libraries/core/json.hpp"
 #include "libraries/core/result.hpp"
-#include "libraries/domain/configuration/declarations.hpp"
+#include "libraries/domain/configuration/changes.hpp"
 
 #include <google/protobuf/repeated_ptr_field.h>
 
@@ -19,7 +19,7 @@
 
 /// Reads declarations. Errors: `configuration_invalid` with a path such as
 /// `declarations[3].versions[0].version`. Thread safe.
-result<domain::configuration>
+result<domain::declaration_set>
 read_declarations(const declaration_messages& messages);
 
 /// Writes each object of a configuration as a declaration. Thread safe for
--- a/libraries/domain/configuration/changes.cpp
+++ b/libraries/domain/configuration/changes.cpp
@@ -52,16 +52,58 @@
     }
 }
 
-void keep_key_digests(const configuration& base, configuration& wanted)
+template <class Declaration>
+Declaration* find_mutable(std::vector<Declaration>& list,
+                          const std::string& name)
+{
+    auto found = std::find_if(list.begin(), list.end(),
+                              [&name](const Declaration& candidate)
+                              { return candidate.name == name; });
+    return found == list.end() ? nullptr : &*found;
+}
+
+/// Copies the fields that `declared` leaves as they are.
+void copy_kept_fields(const configuration& from,
+                      const declaration_set& declared, configuration& to)
+{
+    for (const account_declaration& account : from.accounts)
+    {
+        const account_declaration* wanted =
+            find_account(declared.objects, account.name);
+        account_declaration* target = find_mutable(to.accounts, account.name);
+        if (wanted != nullptr && wanted->key_digests.empty() &&
+            target != nullptr)
+        {
+            target->key_digests = account.key_digests;
+        }
+    }
+    for (const upstream_declaration& upstream : from.upstreams)
+    {
+        upstream_declaration* target =
+            find_mutable(to.upstreams, upstream.name);
+        if (target != nullptr &&
+            declared.stateless_upstreams.contains(upstream.name))
+        {
+            target->state = upstream.state;
+        }
+    }
+}
+
+/// Adds the objects of `base` that `wanted` lacks.
+template <class Declaration>
+void keep_others(const configuration& base,
+                 const object_list<Declaration>& objects, configuration& wanted)
 {
-    for (account_declaration& account : wanted.accounts)
+    std::vector<Declaration> others;
+    for (const Declaration& object : base.*objects.list)
     {
-        const account_declaration* old = find_account(base, account.name);
-        if (old != nullptr && account.key_digests.empty())
+        if (find_object(wanted, objects, object.*objects.name) == nullptr)
         {
-            account.key_digests = old->key_digests;
+            others.push_back(object);
         }
     }
+    std::vector<Declaration>& list = wanted.*objects.list;
+    list.insert(list.end(), others.begin(), others.end());
 }
 
 } // namespace
@@ -83,28 +125,27 @@
 }
 
 configuration with_declarations(const configuration& base,
-                                const configuration& declared, bool is_complete)
+                                const declaration_set& declared)
 {
-    configuration wanted = declared;
+    configuration wanted = declared.objects;
     wanted.version = base.version;
-    keep_key_digests(base, wanted);
-    if (!is_complete)
-    {
-        visit_object_lists(
-            [&](const auto& objects)
+    copy_kept_fields(base, declared, wanted);
+    visit_object_lists(
+        [&](const auto& objects)
+        {
+            if (!declared.is_complete || objects.kind == object_kind::vm)
             {
-                for (const auto& object : base.*objects.list)
-                {
-                    const std::string& name = object.*objects.name;
-                    if (find_object(declared, objects, name) == nullptr)
-                    {
-                        (wanted.*objects.list).push_back(object);
-                    }
-                }
-            });
-    }
+                keep_others(base, objects, wanted);
+            }
+        });
     sort_objects(wanted);
     return wanted;
 }
 
+void adopt_kept_fields(const configuration& current,
+                       const declaration_set& declared, configuration& base)
+{
+    copy_kept_fields(current, declared, base);
+}
+
 } // namespace turmeric::domain
--- a/libraries/domain/configuration/changes.hpp
+++ b/libraries/domain/configuration/changes.hpp
@@ -3,6 +3,7 @@
 #include "libraries/domain/configuration/object_lists.hpp"
 
 #include <cstdint>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -36,11 +37,28 @@
 [[nodiscard]] std::vector<object_change>
 changes_between(const configuration& from, const configuration& to);
 
-/// Returns `base` with the objects of `declared` added or replaced; with
-/// `is_complete` the objects that `declared` lacks are removed. An account
-/// declared without key digests keeps the ones it has. Thread safe.
+/// Objects that an operator declares.
+struct declaration_set
+{
+    /// The version is not read. An account without key digests keeps the
+    /// ones that it has, since keys are made apart.
+    configuration objects;
+    /// Upstreams declared without a state; they keep the one that they have,
+    /// since they are drained apart.
+    std::set<std::string> stateless_upstreams;
+    /// Removes the objects that are not declared, but for VMs, which are
+    /// drained apart.
+    bool is_complete = false;
+};
+
+/// Returns `base` with the objects of `declared` added or replaced. Thread
+/// safe.
 [[nodiscard]] configuration with_declarations(const configuration& base,
-                                              const configuration& declared,
-                                              bool is_complete);
+                                              const declaration_set& declared);
+
+/// Copies the fields that `declared` leaves as they are from `current` to
+/// `base`, so that a change of them since is no conflict. Thread safe.
+void adopt_kept_fields(const configuration& current,
+                       const declaration_set& declared, configuration& base);
 
 } // namespace turmeric::domain
--- a/libraries/drivers/configuration/configuration_change.hpp
+++ b/libraries/drivers/configuration/configuration_change.hpp
@@ -16,10 +16,7 @@
 /// What an operator wants to be declared.
 struct configuration_change
 {
-    /// Objects to add or replace; the version is not read.
-    domain::configuration declared;
-    /// Removes the objects that `declared` lacks.
-    bool is_complete = false;
+    domain::declaration_set declared;
     /// The version that the change was made against; 0 means the newest.
     std::int64_t base_version = 0;
     /// Names this change; a repeat under the same name is applied once.
--- a/libraries/drivers/configuration/configuration_writer.cpp
+++ b/libraries/drivers/configuration/configuration_writer.cpp
@@ -22,25 +22,6 @@
     return rejected_change{{std::move(fault)}};
 }
 
-/// Keys are made apart from declarations, so an account declared without
-/// them is based on the keys that it has now.
-void adopt_key_digests(const domain::configuration& current,
-                       const domain::configuration& declared,
-                       domain::configuration& base)
-{
-    for (domain::account_declaration& account : base.accounts)
-    {
-        const domain::account_declaration* now =
-            domain::find_account(current, account.name);
-        const domain::account_declaration* wanted =
-            domain::find_account(declared, account.name);
-        if (now != nullptr && wanted != nullptr && wanted->key_digests.empty())
-        {
-            account.key_digests = now->key_digests;
-        }
-    }
-}
-
 } // namespace
 
 configuration_writer::configuration_writer(ports::key_value_store& store,
@@ -201,9 +182,9 @@
     {
         return rejected(base.failure());
     }
-    adopt_key_digests(current.value(), change.declared, base.value());
-    const domain::configuration wanted = domain::with_declarations(
-        base.value(), change.declared, change.is_complete);
+    domain::adopt_kept_fields(current.value(), change.declared, base.value());
+    const domain::configuration wanted =
+        domain::with_declarations(base.value(), change.declared);
     domain::merge_result merged =
         domain::merge(base.value(), current.value(), wanted);
     if (!merged.conflicts.empty())
--- a/services/controller/configuration_calls.cpp
+++ b/services/controller/configuration_calls.cpp
@@ -76,7 +76,7 @@
 result<drivers::configuration_change>
 read_change(const v1::ApplyRequest& request)
 {
-    result<domain::configuration> declared =
+    result<domain::declaration_set> declared =
         adapters::read_declarations(request.declarations());
     if (!declared)
     {
@@ -87,9 +87,10 @@
         return error{result_code::invalid_field, "base_version",
                      "expected 0 or a version"};
     }
+    declared.value().is_complete = request.is_complete();
     return drivers::configuration_change{
-        std::move(declared.value()), request.is_complete(),
-        request.base_version(), request.operation(), request.dry_run()};
+        std::move(declared.value()), request.base_version(),
+        request.operation(), request.dry_run()};
 }
 
 } // namespace
@@ -157,8 +158,8 @@
     fresh_key made = m_keys();
     drivers::configuration_change change;
     change.base_version = current.value().version;
-    change.declared.accounts.push_back(*account);
-    change.declared.accounts.back().key_digests.push_back(made.digest);
+    change.declared.objects.accounts.push_back(*account);
+    change.declared.objects.accounts.back().key_digests.push_back(made.digest);
     operator_result<v1::ApplyReply> applied = run(change);
     if (std::holds_alternative<operator_fault>(applied))
     {
@@ -180,7 +181,7 @@
     drivers::configuration_change change;
     if (request.has_vm())
     {
-        change.declared.vms.push_back({request.vm(), state});
+        change.declared.objects.vms.push_back({request.vm(), state});
         return run(change);
     }
     if (!request.has_upstream())
@@ -199,8 +200,8 @@
     {
         if (upstream.name == request.upstream())
         {
-            change.declared.upstreams.push_back(upstream);
-            change.declared.upstreams.back().state = state;
+            change.declared.objects.upstreams.push_back(upstream);
+            change.declared.objects.upstreams.back().state = state;
             return run(change);
         }
     }
--- a/utilities/turmericctl/commands.cpp
+++ b/utilities/turmericctl/commands.cpp
@@ -49,7 +49,7 @@
     {
         return bad_argument("-f", "expected a folder of declarations");
     }
-    const result<declaration_set> set = read_declaration_folder(line.folder);
+    const result<folder_content> set = read_declaration_folder(line.folder);
     if (!set)
     {
         return set.failure();
@@ -89,6 +89,27 @@
     return reply.changes().empty() ? exit_status::done : exit_status::differs;
 }
 
+/// Notes the version as the folder's base, unless the folder lacks changes
+/// of others: the next apply from it would undo them.
+exit_status note_version(operator_client& client, const command_line& line,
+                         v1::ApplyRequest request, std::int64_t version)
+{
+    request.set_base_version(version);
+    v1::ApplyReply behind;
+    const std::optional<call_failure> failure =
+        client.call("Diff", request, repetition::safe, behind);
+    if (failure || !behind.changes().empty())
+    {
+        fmt::print(stderr,
+                   "turmericctl: {} keeps its base version; take the changes "
+                   "of others over with export before the next apply\n",
+                   line.folder);
+        return exit_status::done;
+    }
+    const status noted = write_version_file(line.folder, version);
+    return noted ? exit_status::done : print_fault(noted.failure());
+}
+
 exit_status apply(operator_client& client, const command_line& line)
 {
     result<v1::ApplyRequest> request = read_request(line);
@@ -115,14 +136,9 @@
     {
         return print_failure(*failure);
     }
-    const status noted = write_version_file(line.folder, reply.version());
-    if (!noted)
-    {
-        print_fault(noted.failure());
-    }
     fmt::print("version {} is in force{}\n", reply.version(),
                reply.is_written() ? "" : "; nothing changed");
-    return exit_status::done;
+    return note_version(client, line, request.value(), reply.version());
 }
 
 exit_status export_declarations(operator_client& client,
@@ -137,7 +153,7 @@
     {
         return print_failure(*failure);
     }
-    declaration_set set;
+    folder_content set;
     set.base_version = reply.version();
     for (const v1::Declaration& declaration : reply.declarations())
     {
--- a/utilities/turmericctl/declaration_folder.cpp
+++ b/utilities/turmericctl/declaration_folder.cpp
@@ -88,7 +88,7 @@
 
 /// Adds the declarations of one file; `seen` finds doubles between files.
 status add_file(const files::path& file, domain::configuration& seen,
-                declaration_set& set)
+                folder_content& set)
 {
     result<json> parsed = parse_file(file);
     if (!parsed)
@@ -133,14 +133,14 @@
 
 } // namespace
 
-result<declaration_set> read_declaration_folder(const std::string& folder)
+result<folder_content> read_declaration_folder(const std::string& folder)
 {
     const result<std::vector<files::path>> found = declaration_files(folder);
     if (!found)
     {
         return found.failure();
     }
-    declaration_set set;
+    folder_content set;
     domain::configuration seen;
     for (const files::path& file : found.value())
     {
@@ -160,7 +160,7 @@
 }
 
 status write_declaration_folder(const std::string& folder,
-                                const declaration_set& set)
+                                const folder_content& set)
 {
     std::error_code failure;
     files::create_directories(folder, failure);
--- a/utilities/turmericctl/declaration_folder.hpp
+++ b/utilities/turmericctl/declaration_folder.hpp
@@ -12,7 +12,7 @@
 {
 
 /// Declarations read from files, and the version that they were made against.
-struct declaration_set
+struct folder_content
 {
     /// In the form of the files, `{"kind": ...}`.
     std::vector<json> declarations;
@@ -24,13 +24,13 @@
 /// has one declaration or an array of them. Errors: `settings_unreadable`,
 /// `settings_malformed`, `configuration_invalid`; the field names the file
 /// and the path in it. Thread safe.
-result<declaration_set> read_declaration_folder(const std::string& folder);
+result<folder_content> read_declaration_folder(const std::string& folder);
 
 /// Writes one file for each kind of object, and `.version`. Files of the
 /// same names are replaced. Errors: `settings_unreadable`. Precondition:
 /// each declaration has a kind. Not thread safe.
 status write_declaration_folder(const std::string& folder,
-                                const declaration_set& set);
+                                const folder_content& set);
 
 /// Notes the version that the folder's declarations are in force with.
 /// Errors: `settings_unreadable`. Not thread safe.
