--- a/libraries/codecs/configuration/configuration_codec.cpp
+++ b/libraries/codecs/configuration/configuration_codec.cpp
@@ -211,11 +211,12 @@
                             {result_code::corrupt_value, place + '.' + name},
                             into);
     };
+    const std::string parts_place = place + ".parts.";
     for (const auto& [name, digest] : from["parts"].items())
     {
         if (!digest.is_string())
         {
-            return corrupt(place + ".parts." + name, "expected a digest");
+            return corrupt(parts_place + name, "expected a digest");
         }
         head.parts[name] = digest.get<std::string>();
     }
--- a/libraries/codecs/configuration/peer_exchange.hpp
+++ b/libraries/codecs/configuration/peer_exchange.hpp
@@ -14,7 +14,7 @@
 {
 
 /// The most bytes of parts in one answer, beyond the first part.
-inline constexpr std::size_t max_exchange_bytes = 1024 * 1024;
+inline constexpr std::size_t max_exchange_bytes = std::size_t{1024} * 1024;
 
 /// What a process asks a peer for.
 struct configuration_request
--- a/libraries/domain/configuration/parts.hpp
+++ b/libraries/domain/configuration/parts.hpp
@@ -11,7 +11,7 @@
 {
 
 /// The most bytes that one part may have, half of what the platform takes.
-inline constexpr std::size_t max_part_bytes = 512 * 1024;
+inline constexpr std::size_t max_part_bytes = std::size_t{512} * 1024;
 
 /// How many parts the accounts are spread over.
 inline constexpr std::size_t account_part_count = 64;
--- a/utilities/turmericctl/declaration_folder.cpp
+++ b/utilities/turmericctl/declaration_folder.cpp
@@ -174,7 +174,7 @@
     for (const auto& [kind, list] : by_kind)
     {
         const files::path file = files::path(folder) / (kind + "s.json");
-        const status written = write_file(file, list.dump(indent) + '\n');
+        status written = write_file(file, list.dump(indent) + '\n');
         if (!written)
         {
             return written;
--- a/utilities/turmericctl/http_exchange.cpp
+++ b/utilities/turmericctl/http_exchange.cpp
@@ -26,7 +26,7 @@
 
 } // namespace
 
-exchange_function make_http_exchange(client_settings settings)
+exchange_function make_http_exchange(const client_settings& settings)
 {
     return [settings](const std::string& controller, const std::string& path,
                       const std::string& body)
@@ -34,14 +34,13 @@
         httplib::Client client(url_of(controller));
         if (!settings.certificates.empty())
         {
-            client.set_ca_cert_path(settings.certificates.c_str());
+            client.set_ca_cert_path(settings.certificates);
         }
         client.set_connection_timeout(std::chrono::seconds(2));
         client.set_read_timeout(settings.timeout);
         client.set_write_timeout(settings.timeout);
-        client.set_bearer_token_auth(settings.key.c_str());
-        const httplib::Result got =
-            client.Post(path.c_str(), body, "application/json");
+        client.set_bearer_token_auth(settings.key);
+        const httplib::Result got = client.Post(path, body, "application/json");
         if (!got)
         {
             const bool has_not_run = is_before_sending(got.error());
--- a/utilities/turmericctl/operator_client.hpp
+++ b/utilities/turmericctl/operator_client.hpp
@@ -66,7 +66,8 @@
                            const std::string& path, const std::string& body)>;
 
 /// Makes exchanges over HTTP. Thread safe.
-[[nodiscard]] exchange_function make_http_exchange(client_settings settings);
+[[nodiscard]] exchange_function
+make_http_exchange(const client_settings& settings);
 
 /// Calls the operators' service on whichever controller answers. A request
 /// whose reply was lost is sent again only when that is safe. Not thread
