--- a/libraries/adapters/nghttp2/http2_connection.cpp
+++ b/libraries/adapters/nghttp2/http2_connection.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <array>
 #include <cerrno>
-#include <cstring>
 #include <string_view>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -233,15 +232,15 @@
     m_listener(id, ports::peer_message{asked.kind, std::move(asked.received)});
 }
 
-void http2_connection::respond(std::int32_t stream, result<std::string> answer)
+void http2_connection::respond(std::int32_t stream,
+                               const result<std::string>& answer)
 {
     auto found = m_streams.find(stream);
     if (found == m_streams.end())
     {
         return;
     }
-    found->second.to_send =
-        answer ? std::move(answer.value()) : answer.failure().detail;
+    found->second.to_send = answer ? answer.value() : answer.failure().detail;
     submit_answer(stream, answer ? status_ok : status_failed);
 }
 
@@ -350,7 +349,7 @@
 {
     stream& open = connection_of(user_data).stream_of(id);
     std::size_t count = std::min(length, open.to_send.size() - open.sent);
-    std::memcpy(buffer, open.to_send.data() + open.sent, count);
+    std::copy_n(open.to_send.data() + open.sent, count, buffer);
     open.sent += count;
     if (open.sent == open.to_send.size())
     {
--- a/libraries/adapters/nghttp2/http2_connection.hpp
+++ b/libraries/adapters/nghttp2/http2_connection.hpp
@@ -51,7 +51,7 @@
 
     /// Answers a request; does nothing when its stream has ended.
     /// Precondition: the role is server.
-    void respond(std::int32_t stream, result<std::string> answer);
+    void respond(std::int32_t stream, const result<std::string>& answer);
 
     /// Reads what has come. Returns false when the connection has ended.
     bool receive(ports::steady_time now);
--- a/libraries/adapters/nghttp2/peer_node.cpp
+++ b/libraries/adapters/nghttp2/peer_node.cpp
@@ -227,7 +227,7 @@
         auto found = m_incoming.find(ready.connection);
         if (found != m_incoming.end())
         {
-            found->second->respond(ready.stream, std::move(ready.answer));
+            found->second->respond(ready.stream, ready.answer);
         }
     }
 }
--- a/libraries/drivers/answers/answer_record.cpp
+++ b/libraries/drivers/answers/answer_record.cpp
@@ -17,7 +17,7 @@
     m_written.notify_all();
 }
 
-bool answer_record::append(std::string piece,
+bool answer_record::append(const std::string& piece,
                            std::chrono::milliseconds patience)
 {
     std::unique_lock<std::mutex> lock(m_mutex);
--- a/libraries/drivers/answers/answer_record.hpp
+++ b/libraries/drivers/answers/answer_record.hpp
@@ -62,7 +62,7 @@
     /// Adds a piece. Blocks while the reader is behind by the bound, for up
     /// to `patience`. Returns false when the answer was cancelled or the
     /// patience ended: nothing was added then. Thread safe.
-    bool append(std::string piece, std::chrono::milliseconds patience);
+    bool append(const std::string& piece, std::chrono::milliseconds patience);
 
     /// Waits until the reader has caught up to half of the bound. Returns
     /// false when cancelled or `patience` ended. Thread safe.
