--- a/standins/common/http_server.hpp
+++ b/standins/common/http_server.hpp
@@ -25,6 +25,8 @@
     {
         new_task_queue = [threads] { return new httplib::ThreadPool(threads); };
         set_tcp_nodelay(true);
+        set_keep_alive_timeout(keep_alive.count());
+        set_keep_alive_max_count(most_requests);
         set_socket_options([this](socket_t socket) { on_listening(socket); });
     }
 
@@ -87,7 +89,8 @@
 
 private:
     static constexpr int backlog = 1'024;
-    static constexpr std::chrono::milliseconds keep_alive{30'000};
+    static constexpr std::chrono::seconds keep_alive{30};
+    static constexpr std::size_t most_requests = 1'000'000;
 
     static socket_stream*& current_slot()
     {
--- a/standins/common/json_reply.hpp
+++ b/standins/common/json_reply.hpp
@@ -1,10 +1,11 @@
 #pragma once
 
+#include "libraries/codecs/common/json_reader.hpp"
 #include "libraries/core/error.hpp"
-#include "libraries/core/json.hpp"
 
 #include <httplib.h>
 
+#include <functional>
 #include <string>
 
 namespace turmeric::standins
@@ -29,4 +30,30 @@
     reply_json(reply, body, http_status_of(failure.code));
 }
 
+/// Serves `GET /faults` by `show` and `POST /faults` by `change`, which gets
+/// the parsed body. Precondition: both outlive the server and are thread safe.
+inline void register_faults(httplib::Server& server,
+                            const std::function<json()>& show,
+                            const std::function<status(const json&)>& change)
+{
+    server.Get("/faults",
+               [show](const httplib::Request&, httplib::Response& reply)
+               { reply_json(reply, show()); });
+    server.Post("/faults",
+                [show, change](const httplib::Request& request,
+                               httplib::Response& reply)
+                {
+                    const result<json> body = codecs::parse_json(
+                        request.body, result_code::malformed_body, "body");
+                    const status changed =
+                        body ? change(body.value()) : status(body.failure());
+                    if (!changed)
+                    {
+                        reply_error(reply, changed.failure());
+                        return;
+                    }
+                    reply_json(reply, show());
+                });
+}
+
 } // namespace turmeric::standins
--- /dev/null
+++ b/standins/engine/engine_server.cpp
@@ -0,0 +1,333 @@
+#include "standins/engine/engine_server.hpp"
+
+#include "libraries/codecs/common/json_reader.hpp"
+#include "libraries/domain/digest.hpp"
+#include "standins/common/json_reply.hpp"
+
+#include <fmt/core.h>
+
+#include <charconv>
+#include <utility>
+
+namespace turmeric::standins
+{
+
+namespace
+{
+
+constexpr int http_bad_request = 400;
+constexpr int http_not_found = 404;
+constexpr int http_conflict = 409;
+constexpr int http_internal_error = 500;
+constexpr int http_unavailable = 503;
+
+void refuse(httplib::Response& reply, int http_status,
+            const std::string& message, const std::string& field = "")
+{
+    const json fault = {{"message", message},
+                        {"type", "engine_error"},
+                        {"param", field},
+                        {"code", http_status}};
+    reply_json(reply, {{"error", fault}}, http_status);
+}
+
+std::optional<std::int64_t> read_offset(const httplib::Request& request)
+{
+    const std::string text = request.get_header_value("Resume-Offset");
+    if (text.empty())
+    {
+        return 0;
+    }
+    std::int64_t offset = 0;
+    const char* const end = text.data() + text.size();
+    const std::from_chars_result parsed =
+        std::from_chars(text.data(), end, offset);
+    const bool is_valid =
+        parsed.ec == std::errc() && parsed.ptr == end && offset >= 0;
+    return is_valid ? std::optional<std::int64_t>(offset) : std::nullopt;
+}
+
+} // namespace
+
+/// One request under way.
+struct engine_server::work
+{
+    answer_stream answer;
+    request_faults faults;
+    job wanted;
+};
+
+engine_server::engine_server(const ports::clock& clock,
+                             const engine_server_options& options)
+    : m_engine(clock, options.engine)
+    , m_orders(options.versions, options.heeds_fencing)
+    , m_http(options.threads)
+{
+    register_handlers();
+}
+
+engine_server::~engine_server()
+{
+    shut_down();
+}
+
+std::optional<int> engine_server::start(const std::string& host, int port)
+{
+    const std::optional<int> bound = m_http.start(host, port);
+    m_is_running = bound.has_value();
+    return bound;
+}
+
+void engine_server::shut_down()
+{
+    if (!std::exchange(m_is_running, false))
+    {
+        return;
+    }
+    m_engine.stop();
+    m_http.shut_down();
+}
+
+status engine_server::set_faults(const json& change)
+{
+    std::lock_guard<std::mutex> lock(m_mutex);
+    const status applied = m_faults.apply(change);
+    if (applied)
+    {
+        m_engine.set_frozen(m_faults.of_process().freeze);
+    }
+    return applied;
+}
+
+json engine_server::show_faults()
+{
+    std::lock_guard<std::mutex> lock(m_mutex);
+    return m_faults.show();
+}
+
+json engine_server::counts(bool has_request_ids)
+{
+    json shown = m_engine.counts();
+    shown["requests"] = m_requests.load();
+    shown["failed"] = m_failed.load();
+    shown["bytes_in"] = m_http.traffic().bytes_in.load();
+    shown.update(m_orders.show());
+    std::lock_guard<std::mutex> lock(m_mutex);
+    shown["requests_by_version"] = m_by_version;
+    shown["taken_while_leaving"] = m_taken_while_leaving;
+    if (has_request_ids)
+    {
+        shown["request_ids"] = m_request_ids;
+    }
+    return shown;
+}
+
+void engine_server::register_handlers()
+{
+    using request = httplib::Request;
+    using response = httplib::Response;
+    m_http.Post("/v1/chat/completions",
+                [this](const request& asked, response& reply)
+                { on_chat(asked, reply); });
+    m_http.Post("/v1/orders", [this](const request& asked, response& reply)
+                { on_order(asked, reply); });
+    m_http.Get("/v1/models",
+               [this](const request&, response& reply) { on_models(reply); });
+    m_http.Get("/health",
+               [this](const request&, response& reply) { on_health(reply); });
+    m_http.Get("/metrics",
+               [this](const request&, response& reply) { on_metrics(reply); });
+    register_faults(
+        m_http, [this] { return show_faults(); },
+        [this](const json& change) { return set_faults(change); });
+    m_http.Get(
+        "/counts", [this](const request& asked, response& reply)
+        { reply_json(reply, counts(asked.get_param_value("ids") != "0")); });
+}
+
+void engine_server::on_chat(const httplib::Request& request,
+                            httplib::Response& reply)
+{
+    ++m_requests;
+    m_engine.wait_while_frozen();
+    const result<chat_request> parsed = parse_chat_request(request.body);
+    const std::optional<std::int64_t> offset = read_offset(request);
+    if (!parsed || !offset)
+    {
+        const std::string field =
+            parsed ? "Resume-Offset" : parsed.failure().field;
+        refuse(reply, http_bad_request,
+               parsed ? "not a number of tokens" : parsed.failure().detail,
+               field);
+        return;
+    }
+    const chat_request& wanted = parsed.value();
+    if (!m_orders.serves(wanted.version))
+    {
+        refuse(reply, http_not_found, "no such model", "model");
+        return;
+    }
+    const std::string id = request.get_header_value("X-Request-Id");
+    const request_faults faults = note_request(id, wanted.version);
+    if (fails_by_chance(faults))
+    {
+        ++m_failed;
+        refuse(reply, http_internal_error, "the engine failed");
+        return;
+    }
+    if (m_engine.is_recovering())
+    {
+        refuse(reply, http_unavailable, "the engine fell over and recovers");
+        return;
+    }
+    std::shared_ptr<work> started = prepare(wanted, faults, id, *offset);
+    if (wanted.is_streamed)
+    {
+        answer_streamed(std::move(started), reply);
+        return;
+    }
+    answer_whole(*started, reply);
+}
+
+std::shared_ptr<engine_server::work>
+engine_server::prepare(const chat_request& wanted, const request_faults& faults,
+                       const std::string& id, std::int64_t offset)
+{
+    const std::int64_t cached = m_engine.look_up_prefix(wanted.prompt);
+    job costs;
+    costs.priority = wanted.priority;
+    // The tokens that a resumed answer leaves out are read as prompt.
+    costs.prefill_tokens = wanted.prompt_tokens - cached + offset;
+    costs.slow_factor = faults.slow_factor;
+    costs.delay = std::chrono::milliseconds(faults.delay_ms);
+    return std::make_shared<work>(
+        work{answer_stream(wanted, "chatcmpl-" + id, offset, cached,
+                           http_server::current().socket()),
+             faults, costs});
+}
+
+void engine_server::answer_whole(work& started, httplib::Response& reply)
+{
+    const answer_end end =
+        m_engine.serve(started.answer, started.faults, started.wanted);
+    if (end == answer_end::whole)
+    {
+        reply_json(reply, started.answer.show_whole());
+        return;
+    }
+    if (end == answer_end::refused)
+    {
+        refuse(reply, http_unavailable, "the engine fell over and recovers");
+        return;
+    }
+    http_server::current().drop();
+}
+
+void engine_server::answer_streamed(std::shared_ptr<work> started,
+                                    httplib::Response& reply)
+{
+    reply.set_chunked_content_provider(
+        "text/event-stream",
+        [this, started = std::move(started)](std::size_t,
+                                             httplib::DataSink& sink)
+        {
+            const answer_end end = m_engine.serve(
+                started->answer, started->faults, started->wanted);
+            if (end != answer_end::whole)
+            {
+                http_server::current().drop();
+                return false;
+            }
+            sink.done();
+            return true;
+        });
+}
+
+request_faults engine_server::note_request(const std::string& id,
+                                           const std::string& version)
+{
+    constexpr std::size_t most_request_ids = 200'000;
+    std::lock_guard<std::mutex> lock(m_mutex);
+    ++m_by_version[version];
+    m_taken_while_leaving += m_faults.of_process().leaving ? 1 : 0;
+    if (!id.empty() &&
+        (m_request_ids.size() < most_request_ids || m_request_ids.contains(id)))
+    {
+        ++m_request_ids[id];
+    }
+    return m_faults.of_version(version);
+}
+
+bool engine_server::fails_by_chance(const request_faults& faults)
+{
+    constexpr std::uint64_t parts = 10'000;
+    constexpr double parts_per_percent = 100.0;
+    std::lock_guard<std::mutex> lock(m_mutex);
+    const std::string draw = std::to_string(++m_draws);
+    const double part = static_cast<double>(domain::digest_of(draw) % parts);
+    return part < faults.fail_percent * parts_per_percent;
+}
+
+void engine_server::on_order(const httplib::Request& request,
+                             httplib::Response& reply)
+{
+    m_engine.wait_while_frozen();
+    const result<json> order =
+        codecs::parse_json(request.body, result_code::malformed_body, "body");
+    if (!order || !order.value().is_object())
+    {
+        refuse(reply, http_bad_request, "not a JSON object", "body");
+        return;
+    }
+    const status obeyed = m_orders.obey(order.value());
+    if (!obeyed)
+    {
+        const bool is_old =
+            obeyed.failure().code == result_code::upstream_refused_order;
+        refuse(reply, is_old ? http_conflict : http_bad_request,
+               obeyed.failure().detail, obeyed.failure().field);
+        return;
+    }
+    reply_json(reply, {{"obeyed", true}});
+}
+
+void engine_server::on_health(httplib::Response& reply)
+{
+    m_engine.wait_while_frozen();
+    std::lock_guard<std::mutex> lock(m_mutex);
+    const bool is_leaving = m_faults.of_process().leaving;
+    reply_json(reply, {{"state", is_leaving ? "leaving" : "serving"}},
+               is_leaving ? http_unavailable : 200);
+}
+
+void engine_server::on_metrics(httplib::Response& reply)
+{
+    m_engine.wait_while_frozen();
+    const load_report load = m_engine.report();
+    const std::string text =
+        fmt::format("# TYPE vllm:num_requests_running gauge\n"
+                    "vllm:num_requests_running {}\n"
+                    "# TYPE vllm:num_requests_waiting gauge\n"
+                    "vllm:num_requests_waiting {}\n"
+                    "# TYPE vllm:prefix_cache_queries_total counter\n"
+                    "vllm:prefix_cache_queries_total {}\n"
+                    "# TYPE vllm:prefix_cache_hits_total counter\n"
+                    "vllm:prefix_cache_hits_total {}\n",
+                    load.running, load.waiting, load.cache_queried_tokens,
+                    load.cache_hit_tokens);
+    reply.set_content(text, "text/plain; version=0.0.4");
+}
+
+void engine_server::on_models(httplib::Response& reply)
+{
+    m_engine.wait_while_frozen();
+    json models = json::array();
+    const json orders = m_orders.show();
+    for (const json& version : orders["versions"])
+    {
+        models.push_back({{"id", version}, {"object", "model"}});
+    }
+    reply_json(reply, {{"object", "list"}, {"data", models}});
+}
+
+} // namespace turmeric::standins
--- /dev/null
+++ b/standins/engine/engine_server.hpp
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "standins/common/http_server.hpp"
+#include "standins/engine/chat_request.hpp"
+#include "standins/engine/engine.hpp"
+#include "standins/engine/order_book.hpp"
+
+#include <atomic>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace turmeric::standins
+{
+
+/// How the engine stand-in is made.
+struct engine_server_options
+{
+    engine_options engine;
+    /// Connections served at a time.
+    std::size_t threads = 1'200;
+    std::set<std::string> versions{"v1"};
+    bool heeds_fencing = false;
+};
+
+/// A stand-in for a model engine over HTTP. `start` and `shut_down` belong to
+/// one thread, all else is thread safe.
+class engine_server
+{
+public:
+    /// Precondition: `clock` outlives the server.
+    engine_server(const ports::clock& clock,
+                  const engine_server_options& options);
+    ~engine_server();
+    engine_server(const engine_server&) = delete;
+    engine_server& operator=(const engine_server&) = delete;
+
+    /// Serves on `port`, 0 for any; returns the bound port or nothing.
+    std::optional<int> start(const std::string& host, int port);
+
+    /// Closes all connections and waits for the handlers. May be called
+    /// twice.
+    void shut_down();
+
+    /// Changes the faults that `change` names.
+    status set_faults(const json& change);
+
+    /// Returns the counts; those of each request id only if wanted.
+    json counts(bool has_request_ids);
+
+private:
+    struct work;
+
+    void register_handlers();
+    void on_chat(const httplib::Request& request, httplib::Response& reply);
+    void on_order(const httplib::Request& request, httplib::Response& reply);
+    json show_faults();
+    void on_health(httplib::Response& reply);
+    void on_metrics(httplib::Response& reply);
+    void on_models(httplib::Response& reply);
+    std::shared_ptr<work> prepare(const chat_request& wanted,
+                                  const request_faults& faults,
+                                  const std::string& id, std::int64_t offset);
+    void answer_whole(work& started, httplib::Response& reply);
+    void answer_streamed(std::shared_ptr<work> started,
+                         httplib::Response& reply);
+    request_faults note_request(const std::string& id,
+                                const std::string& version);
+    bool fails_by_chance(const request_faults& faults);
+
+    engine m_engine;
+    order_book m_orders;
+    http_server m_http;
+
+    std::mutex m_mutex;
+    engine_faults m_faults;
+    std::map<std::string, std::int64_t> m_request_ids;
+    std::map<std::string, std::int64_t> m_by_version;
+    std::int64_t m_taken_while_leaving = 0;
+    std::uint64_t m_draws = 0;
+
+    std::atomic<std::int64_t> m_requests{0};
+    std::atomic<std::int64_t> m_failed{0};
+    bool m_is_running = false;
+};
+
+} // namespace turmeric::standins
--- a/standins/key_value/key_value_server.cpp
+++ b/standins/key_value/key_value_server.cpp
@@ -183,26 +183,10 @@
     m_http.Get("/counts",
                [this](const httplib::Request&, httplib::Response& reply)
                { reply_json(reply, counts()); });
-    m_http.Get("/faults",
-               [this](const httplib::Request&, httplib::Response& reply) {
-                   reply_json(reply,
-                              show_switches(key_value_fault_rows(), faults()));
-               });
-    m_http.Post(
-        "/faults",
-        [this](const httplib::Request& request, httplib::Response& reply)
-        {
-            result<json> change = codecs::parse_json(
-                request.body, result_code::malformed_body, "body");
-            const status changed =
-                change ? set_faults(change.value()) : status(change.failure());
-            if (!changed)
-            {
-                reply_error(reply, changed.failure());
-                return;
-            }
-            reply_json(reply, show_switches(key_value_fault_rows(), faults()));
-        });
+    register_faults(
+        m_http,
+        [this] { return show_switches(key_value_fault_rows(), faults()); },
+        [this](const json& change) { return set_faults(change); });
 }
 
 void key_value_server::handle_call(const call_row& row,
--- /dev/null
+++ b/standins/service/service_server.cpp
@@ -0,0 +1,168 @@
+#include "standins/service/service_server.hpp"
+
+#include "libraries/domain/digest.hpp"
+#include "standins/common/json_reply.hpp"
+
+#include <array>
+#include <span>
+#include <utility>
+
+namespace turmeric::standins
+{
+
+namespace
+{
+
+constexpr int http_internal_error = 500;
+
+constexpr std::array fault_table = {
+    switch_row<service_faults>{"delay_ms", &service_faults::delay_ms},
+    switch_row<service_faults>{"fail", &service_faults::fail},
+    switch_row<service_faults>{"fail_percent", &service_faults::fail_percent},
+    switch_row<service_faults>{"drop_reply_after_effect",
+                               &service_faults::drop_reply_after_effect},
+    switch_row<service_faults>{"drop_before_effect",
+                               &service_faults::drop_before_effect},
+};
+
+constexpr std::span<const switch_row<service_faults>> fault_rows = fault_table;
+
+} // namespace
+
+service_server::service_server(std::size_t threads)
+    : m_http(threads)
+{
+    m_http.Get("/counts",
+               [this](const httplib::Request&, httplib::Response& reply)
+               { reply_json(reply, counts()); });
+    register_faults(
+        m_http, [this] { return show_faults(); },
+        [this](const json& change) { return set_faults(change); });
+    const auto handler =
+        [this](const httplib::Request& request, httplib::Response& reply)
+    { on_call(request, reply); };
+    m_http.Get(".*", handler);
+    m_http.Post(".*", handler);
+    m_http.Put(".*", handler);
+    m_http.Patch(".*", handler);
+    m_http.Delete(".*", handler);
+    m_http.Options(".*", handler);
+}
+
+service_server::~service_server()
+{
+    shut_down();
+}
+
+std::optional<int> service_server::start(const std::string& host, int port)
+{
+    const std::optional<int> bound = m_http.start(host, port);
+    m_is_running = bound.has_value();
+    return bound;
+}
+
+void service_server::shut_down()
+{
+    if (!std::exchange(m_is_running, false))
+    {
+        return;
+    }
+    m_stop.request_stop();
+    m_http.shut_down();
+}
+
+status service_server::set_faults(const json& change)
+{
+    std::lock_guard<std::mutex> lock(m_mutex);
+    return apply_switches(fault_rows, change, m_faults);
+}
+
+json service_server::show_faults()
+{
+    std::lock_guard<std::mutex> lock(m_mutex);
+    return show_switches(fault_rows, m_faults);
+}
+
+json service_server::counts()
+{
+    std::lock_guard<std::mutex> lock(m_mutex);
+    return {{"calls", m_calls},
+            {"effects", m_effects},
+            {"failed", m_failed},
+            {"dropped", m_dropped},
+            {"request_ids", m_effects_by_id}};
+}
+
+void service_server::on_call(const httplib::Request& request,
+                             httplib::Response& reply)
+{
+    std::chrono::milliseconds delay{0};
+    {
+        std::lock_guard<std::mutex> lock(m_mutex);
+        ++m_calls;
+        delay = std::chrono::milliseconds(m_faults.delay_ms);
+    }
+    if (delay.count() > 0)
+    {
+        m_stop.sleep_for(delay);
+    }
+    if (take_one(&service_faults::fail) || fails_by_chance())
+    {
+        reply_json(reply, {{"error", "the service failed"}},
+                   http_internal_error);
+        return;
+    }
+    if (take_one(&service_faults::drop_before_effect))
+    {
+        http_server::current().drop();
+        return;
+    }
+    const json record = run_effect(request);
+    if (take_one(&service_faults::drop_reply_after_effect))
+    {
+        http_server::current().drop();
+        return;
+    }
+    reply_json(reply, record);
+}
+
+bool service_server::take_one(std::int64_t service_faults::*count)
+{
+    std::lock_guard<std::mutex> lock(m_mutex);
+    if (m_faults.*count == 0)
+    {
+        return false;
+    }
+    --(m_faults.*count);
+    ++(count == &service_faults::fail ? m_failed : m_dropped);
+    return true;
+}
+
+bool service_server::fails_by_chance()
+{
+    constexpr std::uint64_t parts = 10'000;
+    constexpr double parts_per_percent = 100.0;
+    std::lock_guard<std::mutex> lock(m_mutex);
+    const std::uint64_t draw =
+        domain::digest_of(std::to_string(m_calls)) % parts;
+    const bool does_fail =
+        static_cast<double>(draw) < m_faults.fail_percent * parts_per_percent;
+    m_failed += does_fail ? 1 : 0;
+    return does_fail;
+}
+
+json service_server::run_effect(const httplib::Request& request)
+{
+    const std::string id = request.get_header_value("X-Request-Id");
+    std::lock_guard<std::mutex> lock(m_mutex);
+    ++m_effects;
+    const std::int64_t times = ++m_effects_by_id[id];
+    return {{"method", request.method},
+            {"path", request.target},
+            {"request_id", id},
+            {"times_run", times},
+            {"body_bytes", request.body.size()},
+            {"body_digest", std::to_string(domain::digest_of(request.body))}};
+}
+
+} // namespace turmeric::standins
