Load: Add a tool that drives callers and checks their answers

One thread waits for all sockets, so a thousand streams cost little beside what they measure. The answer to each prompt is known beforehand; each piece of text is compared at its place. A try elsewhere keeps its Idempotency-Key.

--- a/standins/engine/engine_server.cpp
+++ b/standins/engine/engine_server.cpp
@@ -91,7 +91,7 @@
 status engine_server::set_faults(const json& change)
 {
     std::lock_guard<std::mutex> lock(m_mutex);
-    const status applied = m_faults.apply(change);
+    status applied = m_faults.apply(change);
     if (applied)
     {
         m_engine.set_frozen(m_faults.of_process().freeze);
--- /dev/null
+++ b/utilities/turmeric_load/answer_reader.cpp
@@ -0,0 +1,222 @@
+#include "utilities/turmeric_load/answer_reader.hpp"
+
+#include <charconv>
+#include <utility>
+
+namespace turmeric::load
+{
+
+namespace
+{
+
+constexpr int http_ok = 200;
+
+bool is_event_stream(const reply_head& head)
+{
+    return head.status == http_ok &&
+           head.header("content-type").starts_with("text/event-stream");
+}
+
+json parse(std::string_view text)
+{
+    constexpr bool allows_exceptions = false;
+    return json::parse(text, nullptr, allows_exceptions);
+}
+
+std::int64_t integer_at(const json& document, const char* outer,
+                        const char* inner, std::int64_t if_absent)
+{
+    const auto object = document.find(outer);
+    if (object == document.end())
+    {
+        return if_absent;
+    }
+    const auto number = object->find(inner);
+    return number != object->end() && number->is_number_integer()
+               ? number->get<std::int64_t>()
+               : if_absent;
+}
+
+/// Finds the text of a token event without reading all of it.
+std::optional<std::string_view> find_delta(std::string_view event)
+{
+    constexpr std::string_view mark = R"("delta":{"content":")";
+    const std::size_t begin = event.find(mark);
+    if (begin == std::string_view::npos)
+    {
+        return std::nullopt;
+    }
+    const std::string_view rest = event.substr(begin + mark.size());
+    const std::size_t end = rest.find_first_of("\"\\");
+    // An escaped letter needs the full parser.
+    if (end == std::string_view::npos || rest[end] != '"')
+    {
+        return std::nullopt;
+    }
+    const std::string_view after = rest.substr(end);
+    const bool may_say_more = after.find("usage") != std::string_view::npos ||
+                              after.find("turmeric") != std::string_view::npos;
+    return may_say_more ? std::nullopt
+                        : std::optional<std::string_view>(rest.substr(0, end));
+}
+
+} // namespace
+
+answer_reader::answer_reader(answer_check check)
+    : m_check(std::move(check))
+{
+}
+
+bool answer_reader::take(const reply_head& head, std::string_view data)
+{
+    m_pending.append(data);
+    if (!is_event_stream(head))
+    {
+        return head.status == http_ok;
+    }
+    bool has_text = false;
+    std::size_t begin = 0;
+    std::size_t end = m_pending.find("\n\n");
+    while (end != std::string::npos)
+    {
+        const std::string_view event(m_pending);
+        has_text = take_event(event.substr(begin, end - begin)) || has_text;
+        begin = end + 2;
+        end = m_pending.find("\n\n", begin);
+    }
+    m_pending.erase(0, begin);
+    return has_text;
+}
+
+void answer_reader::finish(const reply_head& head)
+{
+    if (!is_event_stream(head))
+    {
+        finish_whole(head);
+    }
+    const std::string billed = head.header("turmeric-tokens-billed");
+    std::int64_t number = 0;
+    const std::from_chars_result parsed =
+        std::from_chars(billed.data(), billed.data() + billed.size(), number);
+    if (!billed.empty() && parsed.ec == std::errc())
+    {
+        m_billed = number;
+    }
+}
+
+const answer_check& answer_reader::check() const
+{
+    return m_check;
+}
+
+bool answer_reader::has_end() const
+{
+    return m_has_end;
+}
+
+const std::optional<told_failure>& answer_reader::failure() const
+{
+    return m_failure;
+}
+
+std::optional<std::int64_t> answer_reader::billed() const
+{
+    return m_billed;
+}
+
+std::int64_t answer_reader::used() const
+{
+    return m_used;
+}
+
+bool answer_reader::take_event(std::string_view event)
+{
+    constexpr std::string_view prefix = "data:";
+    if (!event.starts_with(prefix))
+    {
+        return false;
+    }
+    event.remove_prefix(prefix.size());
+    if (event.find_first_not_of(' ') != std::string_view::npos)
+    {
+        event.remove_prefix(event.find_first_not_of(' '));
+    }
+    if (event == "[DONE]")
+    {
+        m_has_end = true;
+        return false;
+    }
+    const std::optional<std::string_view> text = find_delta(event);
+    if (text)
+    {
+        m_check.take(*text);
+        return true;
+    }
+    return take_document(parse(event));
+}
+
+bool answer_reader::take_document(const json& document)
+{
+    if (!document.is_object())
+    {
+        return false;
+    }
+    if (document.contains("error"))
+    {
+        read_told(document["error"], http_ok);
+        return false;
+    }
+    m_used = integer_at(document, "usage", "total_tokens", m_used);
+    const std::int64_t billed =
+        integer_at(document, "turmeric", "tokens_billed", -1);
+    if (billed >= 0)
+    {
+        m_billed = billed;
+    }
+    const json::json_pointer places[] = {
+        json::json_pointer("/choices/0/delta/content"),
+        json::json_pointer("/choices/0/message/content")};
+    bool has_text = false;
+    for (const json::json_pointer& place : places)
+    {
+        if (document.contains(place) && document[place].is_string())
+        {
+            m_check.take(document[place].get_ref<const std::string&>());
+            has_text = true;
+        }
+    }
+    return has_text;
+}
+
+void answer_reader::read_told(const json& document, int http_status)
+{
+    told_failure told;
+    told.http_status = http_status;
+    if (document.is_object())
+    {
+        const auto code = document.find("code");
+        if (code != document.end() && code->is_number_integer())
+        {
+            told.code = code->get<int>();
+        }
+        const auto outcome = document.find("outcome");
+        if (outcome != document.end() && outcome->is_string())
+        {
+            told.outcome = outcome->get<std::string>();
+        }
+    }
+    m_failure = std::move(told);
+}
+
+void answer_reader::finish_whole(const reply_head& head)
+{
+    const json document = parse(m_pending);
+    if (head.status != http_ok)
+    {
+        read_told(document, head.status);
+        return;
+    }
+    m_has_end = take_document(document);
+}
+
+} // namespace turmeric::load
--- /dev/null
+++ b/utilities/turmeric_load/event_loop.hpp
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <set>
+#include <unordered_map>
+#include <utility>
+
+namespace turmeric::load
+{
+
+using loop_time = std::chrono::steady_clock::time_point;
+
+/// Gets the events of its socket and timer. Not thread safe.
+class event_handler
+{
+public:
+    event_handler() = default;
+    event_handler(const event_handler&) = delete;
+    event_handler& operator=(const event_handler&) = delete;
+    virtual ~event_handler() = default;
+
+    /// The socket can be read or written, or is broken.
+    virtual void on_socket(loop_time now) = 0;
+
+    /// The time set by `event_loop::set_timer` has come.
+    virtual void on_timer(loop_time now) = 0;
+};
+
+/// Waits for sockets and timers on the caller's thread. Not thread safe.
+class event_loop
+{
+public:
+    event_loop();
+    ~event_loop();
+    event_loop(const event_loop&) = delete;
+    event_loop& operator=(const event_loop&) = delete;
+
+    /// Begins to watch a socket. Precondition: it is not watched.
+    void watch(int socket, bool wants_write, event_handler& handler);
+
+    /// Changes what is waited for. Precondition: the socket is watched.
+    void change(int socket, bool wants_read, bool wants_write,
+                event_handler& handler);
+
+    /// Sets a handler's one timer.
+    void set_timer(event_handler& handler, loop_time due);
+
+    /// Clears a handler's timer if one is set.
+    void clear_timer(event_handler& handler);
+
+    /// Waits for events, up to `most`, and hands them over.
+    void run_once(std::chrono::milliseconds most);
+
+private:
+    void run_timers(loop_time now);
+
+    int m_epoll;
+    std::set<std::pair<loop_time, event_handler*>> m_timers;
+    std::unordered_map<event_handler*, loop_time> m_due;
+};
+
+} // namespace turmeric::load
--- /dev/null
+++ b/utilities/turmeric_load/latency_histogram.hpp
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <array>
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+
+namespace turmeric::load
+{
+
+/// Counts durations in buckets about one part in a hundred wide. Not thread
+/// safe.
+class latency_histogram
+{
+public:
+    /// Counts one duration; anything below 1 us counts as that.
+    void add(std::chrono::nanoseconds duration);
+
+    /// Returns the duration that `share` of those counted do not exceed; 0
+    /// if none was counted. Precondition: `share` is within 0 and 1.
+    [[nodiscard]] std::chrono::microseconds percentile(double share) const;
+
+    /// Returns how many were counted.
+    [[nodiscard]] std::uint64_t count() const;
+
+private:
+    static constexpr std::size_t bucket_count = 2'048;
+
+    std::array<std::uint64_t, bucket_count> m_buckets{};
+    std::uint64_t m_count = 0;
+};
+
+} // namespace turmeric::load
--- /dev/null
+++ b/utilities/turmeric_load/load_options.cpp
@@ -0,0 +1,176 @@
+#include "utilities/turmeric_load/load_options.hpp"
+
+#include "libraries/adapters/etcd/address.hpp"
+
+#include <charconv>
+#include <optional>
+#include <string_view>
+#include <utility>
+
+namespace turmeric::load
+{
+
+namespace
+{
+
+error bad_argument(std::string option, std::string detail)
+{
+    return error{result_code::bad_argument, std::move(option),
+                 std::move(detail)};
+}
+
+std::optional<std::int64_t> read_count(std::string_view text)
+{
+    std::int64_t number = 0;
+    const char* const end = text.data() + text.size();
+    const std::from_chars_result parsed =
+        std::from_chars(text.data(), end, number);
+    const bool is_valid =
+        parsed.ec == std::errc() && parsed.ptr == end && number >= 0;
+    return is_valid ? std::optional<std::int64_t>(number) : std::nullopt;
+}
+
+/// Reads "N" or "MIN-MAX".
+status read_tokens(const std::string& text, load_options& options)
+{
+    const std::size_t dash = text.find('-');
+    const std::optional<std::int64_t> least = read_count(text.substr(0, dash));
+    const std::optional<std::int64_t> most =
+        dash == std::string::npos ? least : read_count(text.substr(dash + 1));
+    if (!least || !most || *least > *most)
+    {
+        return bad_argument("tokens", "neither N nor MIN-MAX");
+    }
+    options.least_tokens = *least;
+    options.most_tokens = *most;
+    return success();
+}
+
+status check(const load_options& options, bool has_end)
+{
+    for (const std::string& target : options.targets)
+    {
+        if (!adapters::parse_host_port(target))
+        {
+            return bad_argument("target",
+                                "\"" + target + "\" is not HOST:PORT");
+        }
+    }
+    if (options.targets.empty())
+    {
+        return bad_argument("target", "at least one is needed");
+    }
+    if (!has_end)
+    {
+        return bad_argument("requests", "give --requests or --duration-s");
+    }
+    if (options.concurrency == 0)
+    {
+        return bad_argument("concurrency", "must be at least 1");
+    }
+    if (options.attempts < 1)
+    {
+        return bad_argument("attempts", "must be at least 1");
+    }
+    if (options.slow_percent > 0 && options.read_bytes_per_second <= 0)
+    {
+        return bad_argument("read-bytes-per-second",
+                            "slow readers need a positive rate");
+    }
+    return success();
+}
+
+} // namespace
+
+void add_load_options(cxxopts::Options& options)
+{
+    const auto text = [](const char* value)
+    { return cxxopts::value<std::string>()->default_value(value); };
+    const auto number = [](const char* value)
+    { return cxxopts::value<std::int64_t>()->default_value(value); };
+    const auto size = [](const char* value)
+    { return cxxopts::value<std::size_t>()->default_value(value); };
+    const auto real = [](const char* value)
+    { return cxxopts::value<double>()->default_value(value); };
+    options.add_options()("target", "routers to ask for addresses, or engines",
+                          cxxopts::value<std::vector<std::string>>())(
+        "direct", "send to the targets without asking for routers")(
+        "route", "route, or version if direct", text("chat"))(
+        "key", "caller key", text(""))("budget", "budget to name", text(""))(
+        "concurrency", "callers at a time", size("1"))(
+        "requests", "requests in total", cxxopts::value<std::int64_t>())(
+        "duration-s", "time in which requests are started",
+        cxxopts::value<double>())("tokens", "answer length, N or MIN-MAX",
+                                  text("50"))(
+        "whole", "ask for whole answers, not streams")(
+        "new-connections", "open a connection for each request")(
+        "attempts", "tries for each request, elsewhere, with the same key",
+        cxxopts::value<int>()->default_value("1"))(
+        "slow-percent", "share of callers that read slowly", real("100"))(
+        "read-bytes-per-second", "rate of slow readers, 0: none are slow",
+        number("0"))("prompt-bytes", "length of a prompt's own text",
+                     size("64"))(
+        "prefix-groups", "shared texts that prompts begin with",
+        size("0"))("prefix-bytes", "length of each shared text", size("0"))(
+        "seed", "seed of all choices",
+        cxxopts::value<std::uint64_t>()->default_value("1"))(
+        "idle-timeout-ms", "longest silence of a try",
+        number("60000"))("json", "print one JSON object")(
+        "help", "print this help")("version", "print the version");
+}
+
+result<load_options> read_load_options(const cxxopts::ParseResult& arguments)
+{
+    load_options options;
+    if (arguments.count("target") > 0)
+    {
+        options.targets = arguments["target"].as<std::vector<std::string>>();
+    }
+    options.is_direct = arguments.count("direct") > 0;
+    options.route = arguments["route"].as<std::string>();
+    options.key = arguments["key"].as<std::string>();
+    options.budget = arguments["budget"].as<std::string>();
+    options.concurrency = arguments["concurrency"].as<std::size_t>();
+    const bool has_requests = arguments.count("requests") > 0;
+    const bool has_duration = arguments.count("duration-s") > 0;
+    if (has_requests)
+    {
+        options.requests = arguments["requests"].as<std::int64_t>();
+    }
+    if (has_duration)
+    {
+        options.duration =
+            std::chrono::duration_cast<std::chrono::milliseconds>(
+                std::chrono::duration<double>(
+                    arguments["duration-s"].as<double>()));
+    }
+    const status tokens =
+        read_tokens(arguments["tokens"].as<std::string>(), options);
+    if (!tokens)
+    {
+        return tokens.failure();
+    }
+    options.is_streamed = arguments.count("whole") == 0;
+    options.keeps_connections = arguments.count("new-connections") == 0;
+    options.attempts = arguments["attempts"].as<int>();
+    options.read_bytes_per_second =
+        arguments["read-bytes-per-second"].as<std::int64_t>();
+    options.slow_percent = options.read_bytes_per_second > 0
+                               ? arguments["slow-percent"].as<double>()
+                               : 0.0;
+    options.prompt_bytes = arguments["prompt-bytes"].as<std::size_t>();
+    options.prefix_groups = arguments["prefix-groups"].as<std::size_t>();
+    options.prefix_bytes = arguments["prefix-bytes"].as<std::size_t>();
+    options.seed = arguments["seed"].as<std::uint64_t>();
+    options.idle_timeout = std::chrono::milliseconds(
+        arguments["idle-timeout-ms"].as<std::int64_t>());
+    options.is_json = arguments.count("json") > 0;
+    const status checked = check(options, has_requests || has_duration);
+    if (!checked)
+    {
+        return checked.failure();
+    }
+    return options;
+}
+
+} // namespace turmeric::load
--- /dev/null
+++ b/utilities/turmeric_load/load_options.hpp
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "libraries/core/result.hpp"
+
+#include <cxxopts.hpp>
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <limits>
+#include <string>
+#include <vector>
+
+namespace turmeric::load
+{
+
+/// What the load tool does.
+struct load_options
+{
+    /// "host:port" of routers to ask, or of the engines if direct.
+    std::vector<std::string> targets;
+    bool is_direct = false;
+    /// The route, or the version if direct.
+    std::string route = "chat";
+    std::string key;
+    std::string budget;
+    std::size_t concurrency = 1;
+    std::int64_t requests = std::numeric_limits<std::int64_t>::max();
+    std::chrono::milliseconds duration = std::chrono::hours(24);
+    /// Answers have a length within these bounds.
+    std::int64_t least_tokens = 50;
+    std::int64_t most_tokens = 50;
+    bool is_streamed = true;
+    bool keeps_connections = true;
+    /// Tries for each request, with the same Idempotency-Key.
+    int attempts = 1;
+    /// The share of callers that read slowly, in percent.
+    double slow_percent = 0;
+    std::int64_t read_bytes_per_second = 0;
+    std::size_t prompt_bytes = 64;
+    /// Prompts begin with one of so many shared texts; 0 means none.
+    std::size_t prefix_groups = 0;
+    std::size_t prefix_bytes = 0;
+    std::uint64_t seed = 1;
+    /// The longest silence before a try counts as failed.
+    std::chrono::milliseconds idle_timeout{60'000};
+    bool is_json = false;
+};
+
+/// Adds the tool's options to a command line.
+void add_load_options(cxxopts::Options& options);
+
+/// Reads the command line; `bad_argument` with the option at fault.
+result<load_options> read_load_options(const cxxopts::ParseResult& arguments);
+
+} // namespace turmeric::load
--- /dev/null
+++ b/utilities/turmeric_load/load_report.hpp
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "libraries/core/json.hpp"
+#include "utilities/turmeric_load/answer_reader.hpp"
+#include "utilities/turmeric_load/latency_histogram.hpp"
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace turmeric::load
+{
+
+/// How a request ended after its last try.
+enum class request_end : std::uint8_t
+{
+    whole,
+    /// Some text was wrong, out of order or another's.
+    wrong,
+    /// The answer began and did not come to its end.
+    cut,
+    /// The reply was a refusal or told a failure.
+    refused,
+    /// No connection, or none of the reply came.
+    unreachable,
+    /// Silence for longer than the timeout.
+    timed_out,
+};
+
+/// Returns the name used in the report. Thread safe.
+[[nodiscard]] std::string_view name_of(request_end end);
+
+/// What a run found. Not thread safe.
+class load_report
+{
+public:
+    /// Counts a try that failed and is repeated.
+    void add_retry(request_end why);
+
+    /// Counts a request that a kept connection lost before any reply.
+    void add_reconnect();
+
+    /// Counts the end of a request.
+    void add_end(request_end end, const answer_reader& answer);
+
+    /// Counts the time from the request to the first text.
+    void add_first_token(std::chrono::nanoseconds time);
+
+    /// Counts the time between two pieces of text.
+    void add_gap(std::chrono::nanoseconds time);
+
+    /// Tells whether no answer was wrong or cut.
+    [[nodiscard]] bool has_no_broken_answer() const;
+
+    /// Returns all counts. `elapsed` is the run's time.
+    [[nodiscard]] json show(std::chrono::nanoseconds elapsed) const;
+
+    /// Returns all counts as lines for a person.
+    [[nodiscard]] std::string describe(std::chrono::nanoseconds elapsed) const;
+
+private:
+    [[nodiscard]] std::int64_t count_of(request_end end) const;
+
+    std::map<request_end, std::int64_t> m_ends;
+    std::map<request_end, std::int64_t> m_retries;
+    std::map<std::string, std::int64_t> m_refusals;
+    latency_histogram m_first_token;
+    latency_histogram m_gap;
+    std::int64_t m_reconnects = 0;
+    std::int64_t m_tokens_delivered = 0;
+    std::int64_t m_tokens_in_whole_answers = 0;
+    std::int64_t m_tokens_used = 0;
+    std::int64_t m_tokens_billed = 0;
+    std::int64_t m_whole_without_bill = 0;
+    std::int64_t m_bills_unlike_usage = 0;
+};
+
+} // namespace turmeric::load
--- /dev/null
+++ b/utilities/turmeric_load/load_run.hpp
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "utilities/turmeric_load/load_options.hpp"
+#include "utilities/turmeric_load/load_report.hpp"
+#include "utilities/turmeric_load/router_directory.hpp"
+
+#include <chrono>
+
+namespace turmeric::load
+{
+
+/// The outcome of a run.
+struct load_outcome
+{
+    load_report report;
+    std::chrono::nanoseconds elapsed{0};
+};
+
+/// Runs all callers on this thread until the requests or the time are used
+/// up. Precondition: `routers.start()` succeeded. Blocks.
+[[nodiscard]] load_outcome run_load(const load_options& options,
+                                    router_directory& routers);
+
+} // namespace turmeric::load
