--- a/libraries/domain/move/version_judge.cpp
+++ b/libraries/domain/move/version_judge.cpp
@@ -67,9 +67,32 @@
     return sequential_test::log_ratio(seen, with_margin(property, window_rate));
 }
 
+bool version_judge::has_excess(judged_property property,
+                               const tally_pair& now) const
+{
+    const proportion& baseline = now.from.of(property);
+    const double rate = baseline.trials == 0
+                            ? 0
+                            : static_cast<double>(baseline.hits) /
+                                  static_cast<double>(baseline.trials);
+    const double allowed = with_margin(property, rate);
+    return std::any_of(m_starts.begin(), m_starts.end(),
+                       [&](const tally_pair& start)
+                       {
+                           const proportion seen =
+                               now.to.of(property) - start.to.of(property);
+                           return static_cast<double>(seen.hits) >
+                                  allowed * static_cast<double>(seen.trials);
+                       });
+}
+
 double version_judge::total_ratio(judged_property property,
                                   const tally_pair& now) const
 {
+    if (!has_excess(property, now))
+    {
+        return 0;
+    }
     const double from_rate = sequential_test::rate_bound(
         now.from.of(property), m_settings.baseline_confidence);
     const double mark_weight =
--- a/libraries/domain/move/version_judge.hpp
+++ b/libraries/domain/move/version_judge.hpp
@@ -39,6 +39,10 @@
     [[nodiscard]] version_verdict judge(const tally_pair& now) const;
 
 private:
+    /// Tells whether any window's rate is above the old version's; spares
+    /// most calls the costly bounds.
+    [[nodiscard]] bool has_excess(judged_property property,
+                                  const tally_pair& now) const;
     [[nodiscard]] double with_margin(judged_property property,
                                      double rate) const;
     [[nodiscard]] double window_ratio(judged_property property,
