Moves: Judge a version anew from many marks and within its own window

The new version's requests now count as slow past 1.25 times the limit, and a window's null rate is the upper bound of the old version's rate within that window. The property test of the machine found that a waiting move could start on a bad verdict, and the guard's test that its marks began only with the first bad request; both are mended.

--- a/bench/moves/verdict_policy.cpp
+++ b/bench/moves/verdict_policy.cpp
@@ -51,7 +51,7 @@
 sequential_policy::sequential_policy(double window_s)
     : m_judge(domain::judge_settings{}, domain::tally_pair{})
     , m_mark_interval_s(window_s /
-                        static_cast<double>(domain::judge_settings{}.windows))
+                        static_cast<double>(domain::judge_settings{}.marks))
 {
 }
 
--- a/libraries/domain/move/latency_limits.hpp
+++ b/libraries/domain/move/latency_limits.hpp
@@ -5,8 +5,8 @@
 namespace turmeric::domain
 {
 
-/// Past these a request counts as slow; taken from the old version when a
-/// move starts and the same for the whole fleet.
+/// Past these a request of the old version counts as slow; taken from it
+/// when a move starts and the same for the whole fleet.
 struct latency_limits
 {
     std::chrono::microseconds first_token{0};
--- a/libraries/domain/move/local_guard.cpp
+++ b/libraries/domain/move/local_guard.cpp
@@ -12,6 +12,11 @@
     , m_state(std::move(state))
     , m_confirmed_share(std::min(m_state.share, m_state.capped_share))
     , m_marked(now)
+    , m_mark_interval(std::max<std::chrono::system_clock::duration>(
+          settings.mark_interval,
+          (m_state.deadline - m_state.since) /
+              static_cast<std::int64_t>(settings.judge.marks)))
+    , m_judge(settings.judge, tally_pair{})
 {
 }
 
@@ -24,7 +29,7 @@
     }
     if (state.limits != m_state.limits)
     {
-        m_judge.reset();
+        m_judge = version_judge(m_settings.judge, tally_pair{});
     }
     m_state = state;
     if (has_heard_within(m_settings.stale_after, now) ||
@@ -77,11 +82,11 @@
     }
     if (argues_against(seen))
     {
-        judge(now);
+        judge();
     }
-    if (m_judge && now - m_marked >= m_settings.mark_interval)
+    if (now - m_marked >= m_mark_interval)
     {
-        m_judge->mark(tally());
+        m_judge.mark(tally());
         m_marked = now;
     }
     return !m_cut_reason.empty();
@@ -98,15 +103,9 @@
     return seen.is_failure || is_slow;
 }
 
-void local_guard::judge(time_point now)
+void local_guard::judge()
 {
-    const tally_pair counted = tally();
-    if (!m_judge)
-    {
-        m_judge.emplace(m_settings.judge, tally_pair{});
-        m_marked = now;
-    }
-    const version_verdict verdict = m_judge->judge(counted);
+    const version_verdict verdict = m_judge.judge(tally());
     if (verdict.is_bad)
     {
         m_cut_reason = name_of(verdict.property);
@@ -118,7 +117,7 @@
     constexpr std::chrono::microseconds unlimited = std::chrono::hours(1);
     const latency_limits limits =
         m_state.limits.value_or(latency_limits{unlimited, unlimited});
-    return {m_from.tally(limits), m_to.tally(limits)};
+    return tally_of(m_from, m_to, limits);
 }
 
 const std::string& local_guard::cut_reason() const
--- a/libraries/domain/move/local_guard.hpp
+++ b/libraries/domain/move/local_guard.hpp
@@ -60,7 +60,7 @@
     [[nodiscard]] bool has_heard_within(std::chrono::seconds age,
                                         time_point now) const;
     [[nodiscard]] bool argues_against(const request_observation& seen) const;
-    void judge(time_point now);
+    void judge();
 
     guard_settings m_settings;
     move_state m_state;
@@ -68,9 +68,10 @@
     std::int32_t m_confirmed_share;
     std::optional<time_point> m_heard;
     time_point m_marked;
+    std::chrono::nanoseconds m_mark_interval;
     version_evidence m_from;
     version_evidence m_to;
-    std::optional<version_judge> m_judge;
+    version_judge m_judge;
     std::string m_cut_reason;
 };
 
--- a/libraries/domain/move/move_machine.cpp
+++ b/libraries/domain/move/move_machine.cpp
@@ -131,13 +131,8 @@
     const auto limit = [this](const latency_sketch& sketch)
     {
         constexpr std::chrono::microseconds unlimited = std::chrono::hours(1);
-        const double slow =
-            static_cast<double>(
-                sketch.quantile(m_settings.slow_quantile).count()) *
-            m_settings.slow_factor;
-        return sketch.count() == 0
-                   ? unlimited
-                   : std::chrono::microseconds(std::llround(slow));
+        return sketch.count() == 0 ? unlimited
+                                   : sketch.quantile(m_settings.slow_quantile);
     };
     return latency_limits{limit(old_version.first_token),
                           limit(old_version.worst_gap)};
@@ -148,6 +143,11 @@
                            const move_declaration& declared,
                            const move_input& input) const
 {
+    const std::string fault = fault_in(input);
+    if (!fault.empty())
+    {
+        return take_back(state, input, fault);
+    }
     if (input.now >= declared.deadline - declared.soak)
     {
         return take_back(state, input, "deadline");
--- a/libraries/domain/move/move_settings.hpp
+++ b/libraries/domain/move/move_settings.hpp
@@ -14,17 +14,15 @@
     double reserve = 0.15;
     /// Share of requests that the old version keeps through the soak, in
     /// parts in a million, as a control group.
-    std::int32_t control_share = 50'000;
+    std::int32_t control_share = 100'000;
     /// Evidence (see `version_verdict`) above which no step is taken.
     double suspicion = 0.5;
     /// Requests of the old version that fix what counts as slow.
     std::int64_t baseline_requests = 200;
     /// Of the time to the deadline, the part that may pass until then.
     double baseline_patience = 0.1;
-    /// A latency counts as slow past this quantile of the old version's,
+    /// A latency counts as slow past this quantile of the old version's.
     double slow_quantile = 0.9;
-    /// times this factor.
-    double slow_factor = 1.1;
     /// How long requests of a version that is taken back may still run.
     std::chrono::seconds taking_back_limit{60};
 };
--- a/libraries/domain/move/sequential_test.cpp
+++ b/libraries/domain/move/sequential_test.cpp
@@ -34,4 +34,13 @@
     return boost::math::ibeta_inv(a, b, level);
 }
 
+double sequential_test::rate_bound(const proportion& seen, double level,
+                                   double prior_rate, double prior_trials)
+{
+    const double a = static_cast<double>(seen.hits) + prior_rate * prior_trials;
+    const double b = static_cast<double>(seen.trials - seen.hits) +
+                     (1 - prior_rate) * prior_trials;
+    return boost::math::ibeta_inv(a, b, level);
+}
+
 } // namespace turmeric::domain
--- a/libraries/domain/move/version_evidence.cpp
+++ b/libraries/domain/move/version_evidence.cpp
@@ -1,5 +1,7 @@
 #include "libraries/domain/move/version_evidence.hpp"
 
+#include <cmath>
+
 namespace turmeric::domain
 {
 
@@ -32,4 +34,17 @@
              worst_gap.above(limits.token_gap)}};
 }
 
+tally_pair tally_of(const version_evidence& from, const version_evidence& to,
+                    const latency_limits& limits)
+{
+    const auto stretched = [](std::chrono::microseconds limit)
+    {
+        return std::chrono::microseconds(std::llround(
+            static_cast<double>(limit.count()) * tolerated_slowdown));
+    };
+    const latency_limits tolerant{stretched(limits.first_token),
+                                  stretched(limits.token_gap)};
+    return {from.tally(limits), to.tally(tolerant)};
+}
+
 } // namespace turmeric::domain
--- a/libraries/domain/move/version_evidence.hpp
+++ b/libraries/domain/move/version_evidence.hpp
@@ -31,4 +31,14 @@
     bool operator==(const version_evidence&) const = default;
 };
 
+/// Returns both versions' records side by side. The new version's requests
+/// are slow only past `tolerated_slowdown` times the limits, so that one which
+/// is a little slower stays below the old one's rate at any load. Thread safe.
+[[nodiscard]] tally_pair tally_of(const version_evidence& from,
+                                  const version_evidence& to,
+                                  const latency_limits& limits);
+
+/// A new version may be slower by this factor.
+inline constexpr double tolerated_slowdown = 1.25;
+
 } // namespace turmeric::domain
--- a/libraries/domain/move/version_judge.hpp
+++ b/libraries/domain/move/version_judge.hpp
@@ -19,10 +19,10 @@
 };
 
 /// Judges the new version of one move on one route from cumulative counts.
-/// The sequential test runs over the whole move and anew from each of a
-/// bounded number of marks; half of the level goes to the first and the rest
-/// is shared among the others, so the level holds for all together. Not
-/// thread safe.
+/// The sequential test runs over the whole move and anew from each mark; half
+/// of the level goes to the first and the rest is shared among the planned
+/// marks, so the level holds for all together. Old marks are thinned out, the
+/// more the older, which can only lessen the evidence. Not thread safe.
 class version_judge
 {
 public:
@@ -32,13 +32,20 @@
     version_judge(judge_settings settings, const tally_pair& start);
 
     /// Starts the test anew from here on, besides the ones that run; without
-    /// effect once all windows are in use.
+    /// effect once all planned marks are used.
     void mark(const tally_pair& now);
 
     /// Judges what was counted up to now.
     [[nodiscard]] version_verdict judge(const tally_pair& now) const;
 
 private:
+    struct mark_point
+    {
+        std::size_t number;
+        tally_pair counted;
+    };
+
+    [[nodiscard]] bool is_kept(std::size_t number) const;
     /// Tells whether any window's rate is above the old version's; spares
     /// most calls the costly bounds.
     [[nodiscard]] bool has_excess(judged_property property,
@@ -52,7 +59,9 @@
                                      const tally_pair& now) const;
 
     judge_settings m_settings;
-    std::vector<tally_pair> m_starts;
+    tally_pair m_whole;
+    std::vector<mark_point> m_marks;
+    std::size_t m_marked = 0;
 };
 
 } // namespace turmeric::domain
--- a/libraries/drivers/move/version_guard.cpp
+++ b/libraries/drivers/move/version_guard.cpp
@@ -160,8 +160,8 @@
     report.identity = question.identity;
     report.sequence = guard.state().sequence;
     report.cut_reason = guard.cut_reason();
-    report.tally = {guard.from_evidence().tally(limits),
-                    guard.to_evidence().tally(limits)};
+    report.tally =
+        domain::tally_of(guard.from_evidence(), guard.to_evidence(), limits);
     if (!question.limits)
     {
         report.from_evidence = guard.from_evidence();
