--- a/libraries/domain/move/sequential_test.cpp
+++ b/libraries/domain/move/sequential_test.cpp
@@ -7,6 +7,14 @@
 namespace turmeric::domain
 {
 
+namespace
+{
+
+/// Either count of a prior is at least this, as in the Jeffreys prior.
+constexpr double jeffreys = 0.5;
+
+} // namespace
+
 double sequential_test::log_ratio(const proportion& seen, double null_rate)
 {
     const auto hits = static_cast<double>(seen.hits);
@@ -28,7 +36,6 @@
 
 double sequential_test::rate_bound(const proportion& seen, double level)
 {
-    constexpr double jeffreys = 0.5;
     const double a = static_cast<double>(seen.hits) + jeffreys;
     const double b = static_cast<double>(seen.trials - seen.hits) + jeffreys;
     return boost::math::ibeta_inv(a, b, level);
@@ -37,9 +44,11 @@
 double sequential_test::rate_bound(const proportion& seen, double level,
                                    double prior_rate, double prior_trials)
 {
-    const double a = static_cast<double>(seen.hits) + prior_rate * prior_trials;
-    const double b = static_cast<double>(seen.trials - seen.hits) +
-                     (1 - prior_rate) * prior_trials;
+    const double prior_hits = std::max(jeffreys, prior_rate * prior_trials);
+    const double prior_misses = std::max(jeffreys, prior_trials - prior_hits);
+    const double a = static_cast<double>(seen.hits) + prior_hits;
+    const double b =
+        static_cast<double>(seen.trials - seen.hits) + prior_misses;
     return boost::math::ibeta_inv(a, b, level);
 }
 
--- a/libraries/domain/move/sequential_test.hpp
+++ b/libraries/domain/move/sequential_test.hpp
@@ -28,8 +28,8 @@
                                            double level);
 
     /// The same with a prior of mean `prior_rate` that weighs as much as
-    /// `prior_trials` trials. Precondition: both are above 0, the rate is
-    /// below 1. Thread safe.
+    /// `prior_trials` trials, but no less than half a hit. Precondition: both
+    /// are above 0, the rate is below 1. Thread safe.
     [[nodiscard]] static double rate_bound(const proportion& seen, double level,
                                            double prior_rate,
                                            double prior_trials);
