--- /dev/null
+++ b/libraries/adapters/settings/settings_file.cpp
@@ -0,0 +1,123 @@
+#include "libraries/adapters/settings/settings_file.hpp"
+
+#include <charconv>
+#include <fmt/format.h>
+#include <fstream>
+#include <sstream>
+#include <valijson/adapters/nlohmann_json_adapter.hpp>
+#include <valijson/schema.hpp>
+#include <valijson/schema_parser.hpp>
+#include <valijson/validation_results.hpp>
+#include <valijson/validator.hpp>
+
+namespace turmeric::adapters
+{
+
+namespace
+{
+
+/// Strips the brackets off a part of valijson's context, such as `[port]`.
+std::string name_of_part(const std::string& part)
+{
+    constexpr std::size_t brackets = 2;
+    return part.substr(1, part.size() - brackets);
+}
+
+const json* find_child(const json& parent, const std::string& name)
+{
+    if (parent.is_object())
+    {
+        auto found = parent.find(name);
+        return found == parent.end() ? nullptr : &*found;
+    }
+    if (!parent.is_array())
+    {
+        return nullptr;
+    }
+    std::size_t index = 0;
+    std::from_chars_result read =
+        std::from_chars(name.data(), name.data() + name.size(), index);
+    bool is_found = read.ec == std::errc() && index < parent.size();
+    return is_found ? &parent.at(index) : nullptr;
+}
+
+/// Where a fault is, and the value there.
+struct fault_place
+{
+    std::string path = "$";
+    const json* value = nullptr;
+};
+
+fault_place find_place(const json& settings,
+                       const std::vector<std::string>& context)
+{
+    fault_place place;
+    place.value = &settings;
+    // The first part names the root.
+    for (std::size_t i = 1; i < context.size(); ++i)
+    {
+        std::string name = name_of_part(context[i]);
+        bool is_index = place.value != nullptr && place.value->is_array();
+        place.path += is_index ? "[" + name + "]" : "." + name;
+        place.value =
+            place.value == nullptr ? nullptr : find_child(*place.value, name);
+    }
+    return place;
+}
+
+} // namespace
+
+result<json> check_settings(json settings, const json& schema,
+                            const std::string& file)
+{
+    valijson::Schema parsed;
+    valijson::SchemaParser parser;
+    valijson::adapters::NlohmannJsonAdapter schema_adapter(schema);
+    parser.populateSchema(schema_adapter, parsed);
+
+    valijson::Validator validator;
+    valijson::ValidationResults results;
+    valijson::adapters::NlohmannJsonAdapter adapter(settings);
+    if (validator.validate(parsed, adapter, &results))
+    {
+        return settings;
+    }
+    // The deepest fault is the most exact one.
+    valijson::ValidationResults::Error fault;
+    valijson::ValidationResults::Error deepest;
+    while (results.popError(fault))
+    {
+        if (fault.context.size() >= deepest.context.size())
+        {
+            deepest = fault;
+        }
+    }
+    fault_place place = find_place(settings, deepest.context);
+    return error{
+        result_code::settings_invalid, place.path,
+        fmt::format("{}: value {}: {}", file,
+                    place.value == nullptr ? "absent" : place.value->dump(),
+                    deepest.description)};
+}
+
+result<json> read_settings(const std::string& file, const json& schema)
+{
+    std::ifstream stream(file);
+    if (!stream)
+    {
+        return error{result_code::settings_unreadable, file,
+                     "the file cannot be opened"};
+    }
+    std::ostringstream text;
+    text << stream.rdbuf();
+    try
+    {
+        return check_settings(json::parse(text.str()), schema, file);
+    }
+    catch (const json::parse_error& fault)
+    {
+        return error{result_code::settings_malformed, file, fault.what()};
+    }
+}
+
+} // namespace turmeric::adapters
