--- a/libraries/domain/membership/membership_view.cpp
+++ b/libraries/domain/membership/membership_view.cpp
@@ -249,23 +249,53 @@
         raise_self();
     }
     forget(now);
+    choose_ring(now);
+    for (const std::string& peer : m_peers)
+    {
+        known_member& entry = m_members.at(peer);
+        bool is_quiet = now - entry.heard >= m_limits.silent_after;
+        if (is_quiet && entry.row.version > 0)
+        {
+            mark_silent(entry, m_self);
+        }
+    }
+}
+
+void membership_view::choose_ring(ports::steady_time now)
+{
+    std::vector<std::string> ring;
+    std::vector<std::string> silent;
+    for (const auto& [incarnation, entry] : m_members)
+    {
+        bool is_stopped = entry.row.state == member_state::stopped;
+        // A member known from its lease alone is to be heard first.
+        bool is_new = entry.row.version == 0;
+        if (incarnation == m_self || is_new || !is_silent(entry, now))
+        {
+            ring.push_back(incarnation);
+        }
+        else if (!is_stopped)
+        {
+            silent.push_back(incarnation);
+        }
+    }
     std::vector<std::string> chosen =
-        choose_peers(m_self, ring_members(), m_limits.neighbours);
+        choose_peers(m_self, ring, m_limits.neighbours);
     std::set<std::string> peers(chosen.begin(), chosen.end());
     for (const std::string& peer : peers)
     {
-        known_member& entry = m_members.at(peer);
         if (!m_peers.contains(peer))
         {
             // A new peer gets the whole time before it counts as silent.
-            entry.heard = std::max(entry.heard, now);
-        }
-        bool is_silent = now - entry.heard >= m_limits.silent_after;
-        if (is_silent && entry.row.version > 0)
-        {
-            mark_silent(entry, m_self);
+            m_members.at(peer).heard = now;
         }
     }
+    if (!silent.empty())
+    {
+        // One silent member a round is tried, so that the sides of a mended
+        // partition find each other.
+        peers.insert(silent[m_round++ % silent.size()]);
+    }
     m_peers = std::move(peers);
 }
 
@@ -275,26 +305,14 @@
                   [this, now](const auto& item)
                   {
                       const known_member& entry = item.second;
+                      bool is_new = entry.row.version == 0;
+                      bool is_old = now - entry.raised >= m_limits.forget_after;
                       return item.first != m_self && !entry.has_lease &&
-                             now - entry.raised >= m_limits.forget_after &&
+                             (is_new || is_old) &&
                              !m_record.vms.contains(item.first);
                   });
 }
 
-std::vector<std::string> membership_view::ring_members() const
-{
-    std::vector<std::string> members;
-    for (const auto& [incarnation, entry] : m_members)
-    {
-        bool is_there = entry.row.state != member_state::stopped;
-        if (incarnation == m_self || is_there)
-        {
-            members.push_back(incarnation);
-        }
-    }
-    return members;
-}
-
 std::vector<member> membership_view::peers() const
 {
     std::vector<member> chosen;
--- a/libraries/domain/membership/membership_view.hpp
+++ b/libraries/domain/membership/membership_view.hpp
@@ -142,7 +142,7 @@
     next_routers(const epoch_record& next, ports::steady_time now) const;
     [[nodiscard]] epoch_record next_record(ports::steady_time now) const;
     void drop_released(epoch_record& record) const;
-    [[nodiscard]] std::vector<std::string> ring_members() const;
+    void choose_ring(ports::steady_time now);
 
     membership_limits m_limits;
     std::string m_self;
@@ -152,6 +152,7 @@
     std::set<std::string> m_peers;
     epoch_record m_record;
     std::uint64_t m_changes = 0;
+    std::size_t m_round = 0;
     ports::steady_time m_refreshed{};
     /// Since when each router of the record is known to have ended.
     std::map<std::string, ports::steady_time> m_ended_since;
--- /dev/null
+++ b/tests/membership/fleet_test.cpp
@@ -0,0 +1,273 @@
+#include <rapidcheck.h>
+
+#include "tests/membership/fleet.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace turmeric;
+using namespace std::chrono_literals;
+using tests::fleet;
+
+namespace
+{
+
+domain::membership_limits make_limits()
+{
+    domain::membership_limits limits;
+    limits.neighbours = 2;
+    limits.vm_gone_after = 3s;
+    limits.longest_request = 5s;
+    return limits;
+}
+
+void run_for(fleet& subject, std::chrono::milliseconds duration)
+{
+    for (std::chrono::milliseconds passed{0}; passed < duration;
+         passed += fleet::round)
+    {
+        subject.run_round();
+    }
+}
+
+std::int64_t total_share(const fleet& subject)
+{
+    std::int64_t sum = 0;
+    for (const auto& each : subject.routers)
+    {
+        sum += each->died ? 0 : each->selector.total_share();
+    }
+    return sum;
+}
+
+/// Does one thing to a fleet that a script of random draws names.
+void disturb(fleet& subject, std::uint32_t draw)
+{
+    constexpr std::uint32_t kinds = 24;
+    std::uint32_t kind = draw % kinds;
+    std::uint32_t rest = draw / kinds;
+    std::size_t index = rest % subject.routers.size();
+    fleet::router& router = *subject.routers[index];
+    switch (kind)
+    {
+    case 0:
+        subject.kill(index);
+        break;
+    case 1:
+        if (router.died)
+        {
+            subject.remove_vm(index);
+        }
+        break;
+    case 2:
+        if (router.died && subject.routers.size() < 12)
+        {
+            subject.start(router.self.vm);
+        }
+        break;
+    case 3:
+        if (subject.routers.size() < 12)
+        {
+            subject.start();
+        }
+        break;
+    case 4:
+        router.side = 1 - router.side;
+        break;
+    case 5:
+        router.has_platform = !router.has_platform;
+        break;
+    case 6:
+        subject.is_platform_up = !subject.is_platform_up;
+        break;
+    case 7:
+        router.is_frozen = !router.is_frozen;
+        break;
+    case 8:
+        if (!router.died)
+        {
+            subject.leave(index);
+        }
+        break;
+    case 9:
+    case 10:
+    case 11:
+        if (subject.runs(index))
+        {
+            subject.finish(index);
+        }
+        break;
+    case 12:
+        run_for(subject, 6s);
+        break;
+    case 13:
+    case 14:
+        run_for(subject, 1s);
+        break;
+    default:
+        if (subject.runs(index))
+        {
+            subject.dispatch(index, rest);
+        }
+    }
+}
+
+} // namespace
+
+TEST_GROUP(fleet_of_views){};
+
+TEST(fleet_of_views, never_exceeds_capacity_nor_names_the_dead)
+{
+    CHECK(rc::check(
+        "kills, cuts, freezes, outages, restarts and leaving",
+        []
+        {
+            domain::membership_limits limits = make_limits();
+            constexpr std::int32_t capacity = 9;
+            fleet subject(limits, capacity);
+            std::size_t routers = *rc::gen::inRange<std::size_t>(1, 7);
+            for (std::size_t index = 0; index < routers; ++index)
+            {
+                subject.start();
+            }
+            run_for(subject, 5s);
+            std::vector<std::uint32_t> draws =
+                *rc::gen::container<std::vector<std::uint32_t>>(
+                    120, rc::gen::resize(100, rc::gen::inRange<std::uint32_t>(
+                                                  0, 1U << 20)));
+            for (std::uint32_t draw : draws)
+            {
+                disturb(subject, draw);
+                RC_ASSERT(subject.held_in_all() <= capacity);
+            }
+            // However late a sign is, the longest time without one bounds
+            // how long a dead or leaving router is named.
+            run_for(subject, limits.stale_after + 5s);
+            for (std::size_t by = 0; by < subject.routers.size(); ++by)
+            {
+                for (std::size_t whom = 0; whom < subject.routers.size();
+                     ++whom)
+                {
+                    bool is_gone = subject.routers[whom]->died ||
+                                   subject.routers[whom]->left;
+                    if (subject.runs(by) && is_gone)
+                    {
+                        RC_ASSERT(!subject.locates(by, whom));
+                    }
+                }
+            }
+        }));
+}
+
+TEST(fleet_of_views, finds_itself_again_after_any_disturbance)
+{
+    CHECK(rc::check(
+        "once faults end, the living share all slots and locate each other",
+        []
+        {
+            constexpr std::int32_t capacity = 9;
+            fleet subject(make_limits(), capacity);
+            subject.start();
+            subject.start();
+            run_for(subject, 5s);
+            std::vector<std::uint32_t> draws =
+                *rc::gen::container<std::vector<std::uint32_t>>(
+                    60, rc::gen::resize(
+                            100, rc::gen::inRange<std::uint32_t>(0, 1U << 20)));
+            for (std::uint32_t draw : draws)
+            {
+                disturb(subject, draw);
+            }
+            subject.is_platform_up = true;
+            std::size_t fresh = subject.start();
+            for (std::size_t index = 0; index < subject.routers.size(); ++index)
+            {
+                fleet::router& router = *subject.routers[index];
+                router.side = 0;
+                router.has_platform = true;
+                router.is_frozen = false;
+                if (router.died)
+                {
+                    subject.remove_vm(index);
+                }
+                while (!router.died && !router.held.empty())
+                {
+                    subject.finish(index);
+                }
+            }
+            // Leases lapse, VMs count as gone, and each epoch passes.
+            run_for(subject, 120s);
+            for (std::size_t whom = 0; whom < subject.routers.size(); ++whom)
+            {
+                fleet::router& router = *subject.routers[whom];
+                // With few slots some routers have none to offer.
+                bool has_share = router.selector.total_share() > 0;
+                if (!router.died && !router.left && has_share)
+                {
+                    RC_ASSERT(subject.locates(fresh, whom));
+                }
+            }
+            RC_ASSERT(total_share(subject) == capacity);
+        }));
+}
+
+TEST(fleet_of_views, a_death_is_seen_by_all_within_seconds)
+{
+    fleet subject(make_limits(), 64);
+    for (int count = 0; count < 24; ++count)
+    {
+        subject.start();
+    }
+    run_for(subject, 10s);
+    CHECK(subject.locates(0, 13));
+    // Death needs no platform to be seen.
+    subject.is_platform_up = false;
+    subject.kill(13);
+    run_for(subject, make_limits().silent_after + 3s);
+    for (std::size_t by = 0; by < 24; ++by)
+    {
+        CHECK(by == 13 || !subject.locates(by, 13));
+        CHECK(subject.locates(by, by));
+        CHECK(subject.locates(by, (by + 1) % 24 == 13 ? 0 : (by + 1) % 24));
+    }
+}
+
+TEST(fleet_of_views, leaving_and_new_routers_are_seen_within_three_seconds)
+{
+    fleet subject(make_limits(), 64);
+    for (int count = 0; count < 24; ++count)
+    {
+        subject.start();
+    }
+    run_for(subject, 10s);
+    subject.leave(5);
+    run_for(subject, 3s);
+    for (std::size_t by = 0; by < 24; ++by)
+    {
+        CHECK(!subject.locates(by, 5));
+    }
+    std::size_t fresh = subject.start();
+    run_for(subject, 8s);
+    CHECK(subject.routers[fresh]->selector.total_share() > 0);
+    for (std::size_t by = 0; by < 24; ++by)
+    {
+        CHECK(subject.locates(by, fresh));
+    }
+}
+
+TEST(fleet_of_views, a_silent_router_keeps_its_slots_until_its_vm_is_gone)
+{
+    fleet subject(make_limits(), 9);
+    subject.start();
+    subject.start();
+    run_for(subject, 10s);
+    std::int64_t own = subject.routers[0]->selector.total_share();
+    CHECK(own < 9);
+    subject.kill(1);
+    run_for(subject, 60s);
+    LONGS_EQUAL(own, subject.routers[0]->selector.total_share());
+    subject.remove_vm(1);
+    run_for(subject, 6s);
+    LONGS_EQUAL(own, subject.routers[0]->selector.total_share());
+    run_for(subject, 6s);
+    LONGS_EQUAL(9, subject.routers[0]->selector.total_share());
+}
