Traffic: Let callers wait while a router gets its shares

Cause: a router that has just joined has no share of any upstream until the others have given theirs up; its first callers were refused with no_upstream (seen in the quickstart's second run). Ruled out: shares that never come, since the next request was served.

Now a request for a version that some upstream serves waits in the queue, readiness waits for the first share, and a retry falls back to an upstream that failed when there is no other.

--- a/libraries/domain/routing/upstream_selector.cpp
+++ b/libraries/domain/routing/upstream_selector.cpp
@@ -199,6 +199,11 @@
     return m_acknowledged;
 }
 
+bool upstream_selector::is_served(const std::string& version) const
+{
+    return m_by_version.contains(version);
+}
+
 std::int64_t upstream_selector::share_of(const std::string& version) const
 {
     std::int64_t share = 0;
--- a/libraries/domain/routing/upstream_selector.hpp
+++ b/libraries/domain/routing/upstream_selector.hpp
@@ -63,6 +63,10 @@
     /// it every round. Not thread safe.
     [[nodiscard]] epoch_number acknowledge();
 
+    /// Tells whether any declared upstream serves `version`, with or without
+    /// a share for this router. Not thread safe.
+    [[nodiscard]] bool is_served(const std::string& version) const;
+
     /// Returns how many requests this router may hold at the upstreams that
     /// serve `version`. Not thread safe.
     [[nodiscard]] std::int64_t share_of(const std::string& version) const;
--- a/libraries/drivers/traffic/traffic_control.cpp
+++ b/libraries/drivers/traffic/traffic_control.cpp
@@ -133,8 +133,10 @@
     }
     ports::steady_time now = m_clock.steady_now();
     ticket.id = m_next_ticket++;
-    result<domain::upstream_choice> chosen = m_selector.choose(choice, now);
-    if (!chosen && chosen.failure().code == result_code::no_upstream)
+    result<domain::upstream_choice> chosen = choose(choice, now);
+    // A router that has just joined gets its shares within seconds, so its
+    // callers wait in the queue rather than being refused.
+    if (!chosen && !m_selector.is_served(choice.version))
     {
         promise.set_value(chosen);
         return;
@@ -163,6 +165,22 @@
     }
 }
 
+result<domain::upstream_choice>
+traffic_control::choose(const domain::choice_request& choice,
+                        ports::steady_time now)
+{
+    result<domain::upstream_choice> chosen = m_selector.choose(choice, now);
+    bool may_relax = !chosen && !choice.excluded.empty() &&
+                     chosen.failure().code == result_code::no_upstream;
+    if (!may_relax)
+    {
+        return chosen;
+    }
+    domain::choice_request relaxed = choice;
+    relaxed.excluded.clear();
+    return m_selector.choose(relaxed, now);
+}
+
 void traffic_control::serve_lane(const std::string& lane)
 {
     ports::steady_time now = m_clock.steady_now();
@@ -185,7 +203,7 @@
         }
         auto found = m_waiters.find(next->id);
         result<domain::upstream_choice> chosen =
-            m_selector.choose(found->second.choice, now);
+            choose(found->second.choice, now);
         found->second.promise->set_value(chosen);
         m_waiters.erase(found);
     }
--- a/libraries/drivers/traffic/traffic_control.hpp
+++ b/libraries/drivers/traffic/traffic_control.hpp
@@ -51,7 +51,8 @@
     ~traffic_control();
 
     /// Waits for a slot at an upstream and takes it; give it back by
-    /// `finish`. The ticket's id is set here. Errors, all `not_run`: those of
+    /// `finish`. Excluded upstreams are taken when there is no other. The
+    /// ticket's id is set here. Errors, all `not_run`: those of
     /// `domain::admission_queue`, `no_upstream`, `router_stopping`. Thread
     /// safe; blocks for as long as the queue allows.
     result<domain::upstream_choice> admit(domain::admission_ticket ticket,
@@ -97,6 +98,8 @@
     void start_admission(domain::admission_ticket ticket,
                          const domain::choice_request& choice,
                          admit_promise& promise);
+    result<domain::upstream_choice> choose(const domain::choice_request& choice,
+                                           ports::steady_time now);
     void serve_lane(const std::string& lane);
     void serve_all_lanes();
     void refuse_overdue();
--- a/services/router/router_process.cpp
+++ b/services/router/router_process.cpp
@@ -79,8 +79,8 @@
     , m_runs(settings.caller_server.most_connections)
     , m_front({m_answers, m_runner, m_runs, m_counters, m_metrics, m_clock,
                [this](const std::string& account) { return locate(account); },
-               [this] { m_gauges.refresh(); },
-               [] { return std::optional<error>(); }, settings.bytes_per_token})
+               [this] { m_gauges.refresh(); }, [this] { return find_fault(); },
+               settings.bytes_per_token})
     , m_server(settings.caller_server,
                [this](const adapters::http_request& request)
                { return m_front.handle(request); })
@@ -261,7 +261,11 @@
     plan_capacity(*fleet, *declared);
     mark_leaving_upstreams(*fleet, *declared);
     m_membership->set_acknowledged(m_traffic.acknowledge());
-    m_membership->set_share(m_traffic.counts().total_share);
+    std::int64_t share = m_traffic.counts().total_share;
+    m_membership->set_share(share);
+    // Shares may be missing for a moment while epochs change; requests wait
+    // for that in the queue.
+    m_has_capacity = m_has_capacity || share > 0;
     m_membership->set_configuration(declared->version, "");
 }
 
@@ -296,6 +300,17 @@
     }
 }
 
+std::optional<error> router_process::find_fault() const
+{
+    if (m_has_capacity)
+    {
+        return std::nullopt;
+    }
+    return error{result_code::router_not_ready, "upstreams",
+                 "the router has no share of any upstream yet",
+                 outcome::not_run, std::chrono::seconds(1)};
+}
+
 std::string router_process::locate(const std::string& account)
 {
     domain::locate_request asked;
--- a/services/router/router_process.hpp
+++ b/services/router/router_process.hpp
@@ -79,6 +79,7 @@
     std::string locate(const std::string& account);
     std::vector<std::string> peer_addresses();
     std::string describe();
+    [[nodiscard]] std::optional<error> find_fault() const;
 
     const router_settings m_settings;
     const std::string m_incarnation;
@@ -104,6 +105,7 @@
     std::unique_ptr<drivers::configuration_follower> m_follower;
     std::unique_ptr<drivers::membership_service> m_membership;
     std::atomic<bool> m_is_serving_peers{false};
+    std::atomic<bool> m_has_capacity{false};
     // Touched by the refresh thread alone.
     domain::share_table m_shares;
     std::set<std::string> m_leaving;
