--- a/libraries/codecs/budget/batch_codec.cpp
+++ b/libraries/codecs/budget/batch_codec.cpp
@@ -50,10 +50,11 @@
 
 bool read_bill(const json& row, bill_line& bill)
 {
-    constexpr std::size_t columns = 4;
+    constexpr std::size_t columns = 6;
     if (!row.is_array() || row.size() != columns || !row[0].is_string() ||
         !row[1].is_number_unsigned() || !row[2].is_number_unsigned() ||
-        !row[3].is_number_integer())
+        !row[3].is_number_integer() || !row[4].is_number_integer() ||
+        !row[5].is_boolean())
     {
         return false;
     }
@@ -61,6 +62,9 @@
     bill.key = row[1].get<std::uint64_t>();
     bill.body_digest = row[2].get<std::uint32_t>();
     bill.used = row[3].get<tokens>();
+    bill.settled_at =
+        domain::sys_seconds(std::chrono::seconds(row[4].get<std::int64_t>()));
+    bill.is_delivered = row[5].get<bool>();
     return true;
 }
 
@@ -91,7 +95,7 @@
 bool read_outcome(const json& row, bill_outcome& bill)
 {
     constexpr std::size_t columns = 3;
-    constexpr int last_state = static_cast<int>(domain::bill_state::refused);
+    constexpr int last_state = static_cast<int>(domain::bill_state::expired);
     if (!row.is_array() || row.size() != columns ||
         !row[0].is_number_unsigned() || !row[1].is_number_unsigned() ||
         !row[2].is_number_integer() || row[1].get<int>() > last_state)
@@ -146,7 +150,9 @@
     json bills = json::array();
     for (const bill_line& bill : batch.bills)
     {
-        bills.push_back({bill.budget, bill.key, bill.body_digest, bill.used});
+        bills.push_back({bill.budget, bill.key, bill.body_digest, bill.used,
+                         bill.settled_at.time_since_epoch().count(),
+                         bill.is_delivered});
     }
     json value;
     value["shard"] = shard;
--- a/libraries/domain/budget/apply_commit.cpp
+++ b/libraries/domain/budget/apply_commit.cpp
@@ -27,16 +27,6 @@
     return nullptr;
 }
 
-std::size_t count_bills(const budget_shard& shard)
-{
-    std::size_t count = 0;
-    for (const bill_page& page : shard.bill_pages)
-    {
-        count += page.bills.size();
-    }
-    return count;
-}
-
 std::size_t count_grants(const budget_shard& shard)
 {
     std::size_t count = 0;
@@ -100,6 +90,11 @@
         {
             return repeat(*record);
         }
+        if (m_batch.operation != record->last_operation + 1)
+        {
+            // The record was closed and a late first batch made it anew.
+            return refuse_closed();
+        }
         return apply(*record);
     }
 
@@ -147,10 +142,9 @@
             const bill_record* known = find_bill(m_shard, line.key);
             if (known == nullptr)
             {
-                // Past the retry window; it was billed or it was refused,
-                // and a refusal needs a grant that the ledger never gave.
-                reply.bills.push_back(
-                    {line.key, bill_state::billed, line.used});
+                // Refused, or billed so long ago that it is forgotten. Either
+                // way the answer must not be released now.
+                reply.bills.push_back({line.key, bill_state::expired, 0});
                 continue;
             }
             bill_outcome outcome = repeat_of(*known, line);
@@ -201,16 +195,23 @@
         {
             return repeat_of(*known, line);
         }
+        if (!line.is_delivered && m_now > line.settled_at + m_limits.late_after)
+        {
+            return {line.key, bill_state::expired, 0};
+        }
         auto account = m_shard.budgets.find(line.budget);
         grant_record* grant = account == m_shard.budgets.end()
                                   ? nullptr
                                   : find_grant(account->second, slot);
-        if (grant == nullptr || line.used < 0 ||
-            line.used > outstanding_of(*grant))
+        const tokens available = grant == nullptr ? 0 : outstanding_of(*grant);
+        if (line.used < 0 || line.used > available)
         {
             return {line.key, bill_state::refused, 0};
         }
-        grant->settled += line.used;
+        if (grant != nullptr)
+        {
+            grant->settled += line.used;
+        }
         page_of(m_shard, m_now)
             .push_back({line.key, line.body_digest, line.used, slot});
         return {line.key, bill_state::billed, line.used};
--- a/libraries/domain/budget/budget_shard.hpp
+++ b/libraries/domain/budget/budget_shard.hpp
@@ -106,8 +106,15 @@
 /// Bounds of a shard and how long it remembers.
 struct shard_limits
 {
-    /// How long a repeated request id is found to be a duplicate.
-    std::chrono::seconds retry_window{60};
+    /// How long a repeated request id is found to be a duplicate, at least.
+    std::chrono::seconds retry_window{120};
+    /// The same, at most, while fewer than `kept_bills` are remembered.
+    std::chrono::seconds longest_retry_window{std::chrono::hours(1)};
+    std::size_t kept_bills = 2'000;
+    /// An undelivered bill that arrives later than this after its hold was
+    /// settled is not charged: a repeat of its request elsewhere could be
+    /// forgotten already. Shorter than the retry window by the clocks' skew.
+    std::chrono::seconds late_after{90};
     /// How long a repeated top-up id is found to be a duplicate.
     std::chrono::seconds top_up_window{std::chrono::hours(24 * 30)};
     std::chrono::seconds recall_time{5};
@@ -115,7 +122,7 @@
     std::size_t top_ups_per_budget = 256;
     std::size_t incarnations = 512;
     std::size_t grants = 20'000;
-    std::size_t bills = 16'000;
+    std::size_t bills = 24'000;
 };
 
 /// Returns the shard of `account`. Precondition: `shard_count` is positive.
--- a/libraries/domain/budget/fold_grants.cpp
+++ b/libraries/domain/budget/fold_grants.cpp
@@ -37,8 +37,38 @@
     std::erase_if(account.top_ups, is_old);
 }
 
+void trim_bills(budget_shard& shard, sys_seconds now,
+                const shard_limits& limits)
+{
+    std::size_t count = count_bills(shard);
+    auto page = shard.bill_pages.begin();
+    while (page != shard.bill_pages.end())
+    {
+        const bool is_due = page->when < now - limits.longest_retry_window;
+        const bool is_spare =
+            page->when < now - limits.retry_window && count > limits.kept_bills;
+        if (!is_due && !is_spare)
+        {
+            break;
+        }
+        count -= page->bills.size();
+        ++page;
+    }
+    shard.bill_pages.erase(shard.bill_pages.begin(), page);
+}
+
 } // namespace
 
+std::size_t count_bills(const budget_shard& shard)
+{
+    std::size_t count = 0;
+    for (const bill_page& page : shard.bill_pages)
+    {
+        count += page.bills.size();
+    }
+    return count;
+}
+
 void fold_idle_grants(budget_account& account)
 {
     fold_if(account, [](const grant_record& grant)
@@ -58,9 +88,7 @@
 
 void trim(budget_shard& shard, sys_seconds now, const shard_limits& limits)
 {
-    const sys_seconds oldest_bill = now - limits.retry_window;
-    std::erase_if(shard.bill_pages, [oldest_bill](const bill_page& page)
-                  { return page.when < oldest_bill; });
+    trim_bills(shard, now, limits);
     for (auto& [key, account] : shard.budgets)
     {
         fold_old_top_ups(account, now - limits.top_up_window);
--- a/libraries/domain/budget/fold_grants.hpp
+++ b/libraries/domain/budget/fold_grants.hpp
@@ -5,6 +5,9 @@
 namespace turmeric::domain
 {
 
+/// Returns the number of bills remembered. Thread safe.
+[[nodiscard]] std::size_t count_bills(const budget_shard& shard);
+
 /// Drops the grants that are spent and have no rate, keeping what they
 /// settled. Thread safe.
 void fold_idle_grants(budget_account& account);
--- a/libraries/domain/budget/router_batch.cpp
+++ b/libraries/domain/budget/router_batch.cpp
@@ -14,8 +14,8 @@
 
 std::string_view name_of(bill_state state)
 {
-    constexpr std::array<std::string_view, 4> names{"billed", "duplicate",
-                                                    "reused", "refused"};
+    constexpr std::array<std::string_view, 5> names{
+        "billed", "duplicate", "reused", "refused", "expired"};
     return names.at(static_cast<std::size_t>(state));
 }
 
--- a/libraries/domain/budget/router_batch.hpp
+++ b/libraries/domain/budget/router_batch.hpp
@@ -30,6 +30,10 @@
     std::uint64_t key = 0;
     std::uint32_t body_digest = 0;
     tokens used = 0;
+    /// When the router settled the hold.
+    sys_seconds settled_at{};
+    /// The answer was released on the strength of a copy elsewhere.
+    bool is_delivered = false;
 };
 
 /// Everything that one incarnation has for one shard, applied as a whole.
@@ -71,6 +75,8 @@
     reused,
     /// The incarnation is closed or its grant too small; not charged.
     refused,
+    /// Too old to be told from a repeat; not charged, and not delivered.
+    expired,
 };
 
 /// Returns the name used in logs. Thread safe.
--- a/libraries/domain/budget/router_ledger.cpp
+++ b/libraries/domain/budget/router_ledger.cpp
@@ -207,8 +207,15 @@
     const tokens billed = std::clamp<tokens>(used, 0, open.bound);
     budget.held -= open.bound;
     budget.unsettled += billed;
+    ++budget.bills;
     budget.rate.add(billed, now.steady);
-    bill_line bill{open.budget, open.key, open.body_digest, billed};
+    const bill_line bill{
+        open.budget,
+        open.key,
+        open.body_digest,
+        billed,
+        std::chrono::time_point_cast<std::chrono::seconds>(now.system),
+        false};
     m_shards[budget.shard].bills.push_back({hold, bill});
     ++m_pending_bills;
     mark_dirty(budget);
@@ -216,6 +223,31 @@
     return bill;
 }
 
+void router_ledger::mark_delivered(std::int32_t shard, hold_id hold)
+{
+    auto place = m_shards.find(shard);
+    if (place == m_shards.end())
+    {
+        return;
+    }
+    shard_state& state = place->second;
+    for (std::size_t i = 0; i < state.batch_holds.size(); ++i)
+    {
+        if (state.batch_holds[i] == hold)
+        {
+            state.batch->bills[i].is_delivered = true;
+            return;
+        }
+    }
+    auto pending = std::find_if(state.bills.rbegin(), state.bills.rend(),
+                                [hold](const pending_bill& candidate)
+                                { return candidate.hold == hold; });
+    if (pending != state.bills.rend())
+    {
+        pending->line.is_delivered = true;
+    }
+}
+
 void router_ledger::release(hold_id hold)
 {
     auto place = m_holds.find(hold);
--- a/libraries/domain/budget/router_ledger.hpp
+++ b/libraries/domain/budget/router_ledger.hpp
@@ -122,6 +122,11 @@
     /// Errors: `ledger_full`, `invalid_field` for an unknown hold.
     result<bill_line> settle(hold_id hold, tokens used, ledger_time now);
 
+    /// Notes that the answer of a settled hold was released on the strength
+    /// of a copy of its bill, so that the bill is charged however late. Not
+    /// thread safe.
+    void mark_delivered(std::int32_t shard, hold_id hold);
+
     /// Frees the hold: nothing ran. Not thread safe.
     void release(hold_id hold);
 
@@ -136,8 +141,8 @@
 
     /// Takes the outcome of the batch in flight and returns the receipts of
     /// its bills. Not thread safe.
-    std::vector<bill_receipt>
-    on_reply(std::int32_t shard, const batch_reply& reply, ledger_time now);
+    std::vector<bill_receipt> on_reply(std::int32_t shard,
+                                       const batch_reply& reply);
 
     /// The batch in flight may or may not have taken effect; `plan` gives it
     /// again. Not thread safe.
@@ -179,7 +184,9 @@
         std::int32_t shard = 0;
         tokens granted = 0;
         tokens held = 0;
+        /// Tokens of the bills that are not durable yet, and their number.
         tokens unsettled = 0;
+        std::size_t bills = 0;
         std::deque<waiting_need> waiting;
         spend_rate rate;
         std::optional<budget_reading> reading;
@@ -236,7 +243,7 @@
     [[nodiscard]] bool is_expired(const budget_state& budget,
                                   ledger_time now) const;
     [[nodiscard]] bool is_due(const shard_state& shard, ledger_time now) const;
-    void make_batch(std::int32_t index, shard_state& shard, ledger_time now);
+    void make_batch(shard_state& shard, ledger_time now);
     void add_bills(shard_state& shard, router_batch& batch);
     void add_lines(shard_state& shard, router_batch& batch, ledger_time now);
     budget_line line_for(const std::string& name, budget_state& budget,
@@ -245,10 +252,9 @@
     needs_of(const budget_state& budget);
     void take_back(shard_state& shard);
     [[nodiscard]] bool is_leavable(const shard_state& shard) const;
-    [[nodiscard]] tokens surplus_of(const budget_state& budget, tokens rate,
-                                    ledger_time now) const;
-    void take_readings(shard_state& shard, const batch_reply& reply,
-                       ledger_time now);
+    [[nodiscard]] tokens surplus_of(const budget_state& budget,
+                                    tokens rate) const;
+    void take_readings(shard_state& shard, const batch_reply& reply);
     std::vector<bill_receipt> take_bills(shard_state& shard,
                                          const batch_reply& reply);
     void mark_dirty(budget_state& budget);
--- a/libraries/domain/budget/router_ledger_batches.cpp
+++ b/libraries/domain/budget/router_ledger_batches.cpp
@@ -22,11 +22,19 @@
 
 bool router_ledger::is_due(const shard_state& shard, ledger_time now) const
 {
-    if (shard.is_in_flight || (shard.is_left && shard.bills.empty()))
+    if (shard.is_in_flight)
     {
         return false;
     }
-    if (shard.batch.has_value() || shard.is_dirty || is_leavable(shard))
+    if (shard.batch.has_value())
+    {
+        return true;
+    }
+    if (shard.is_left)
+    {
+        return !shard.bills.empty();
+    }
+    if (shard.is_dirty || is_leavable(shard))
     {
         return true;
     }
@@ -52,20 +60,20 @@
     shard_state& state = place->second;
     if (!state.batch.has_value())
     {
-        make_batch(shard, state, now);
+        make_batch(state, now);
     }
+    // A batch that is sent again much later must not carry a past term.
+    state.batch->term_end = std::chrono::time_point_cast<std::chrono::seconds>(
+        now.system + m_settings.grant_term);
     state.is_in_flight = true;
     return state.batch;
 }
 
-void router_ledger::make_batch(std::int32_t /*index*/, shard_state& shard,
-                               ledger_time now)
+void router_ledger::make_batch(shard_state& shard, ledger_time now)
 {
     router_batch batch;
     batch.incarnation = m_incarnation;
     batch.operation = ++shard.operation;
-    batch.term_end = std::chrono::time_point_cast<std::chrono::seconds>(
-        now.system + m_settings.grant_term);
     batch.is_leaving = is_leavable(shard) && batch.operation > 1;
     shard.batch_made = now.steady;
     shard.is_dirty = false;
@@ -134,7 +142,7 @@
     line.budget = name;
     line.rate = m_is_draining ? 0 : budget.rate.per_minute(now.steady);
     line.needs = needs_of(budget);
-    line.returned = surplus_of(budget, line.rate, now);
+    line.returned = surplus_of(budget, line.rate);
     return line;
 }
 
@@ -154,8 +162,7 @@
     return needs;
 }
 
-tokens router_ledger::surplus_of(const budget_state& budget, tokens rate,
-                                 ledger_time /*now*/) const
+tokens router_ledger::surplus_of(const budget_state& budget, tokens rate) const
 {
     const tokens unused = std::max<tokens>(free_of(budget), 0);
     if (m_is_draining || m_is_fenced)
@@ -184,8 +191,7 @@
 }
 
 std::vector<bill_receipt> router_ledger::on_reply(std::int32_t shard,
-                                                  const batch_reply& reply,
-                                                  ledger_time now)
+                                                  const batch_reply& reply)
 {
     shard_state& state = m_shards.at(shard);
     assert(state.batch.has_value());
@@ -204,7 +210,7 @@
     {
         state.spendable_until =
             state.batch_made + m_settings.grant_term - m_settings.clock_skew;
-        take_readings(state, reply, now);
+        take_readings(state, reply);
     }
     state.batch.reset();
     state.is_in_flight = false;
@@ -228,7 +234,9 @@
             receipt.billed = reply.bills[i].used;
         }
         receipt.is_duplicate = receipt.state == bill_state::duplicate;
-        m_budgets.at(line.budget).unsettled -= line.used;
+        budget_state& budget = m_budgets.at(line.budget);
+        budget.unsettled -= line.used;
+        --budget.bills;
         m_keys.erase(line.key);
         receipts.push_back(receipt);
     }
@@ -237,8 +245,7 @@
     return receipts;
 }
 
-void router_ledger::take_readings(shard_state& shard, const batch_reply& reply,
-                                  ledger_time /*now*/)
+void router_ledger::take_readings(shard_state& shard, const batch_reply& reply)
 {
     for (const budget_reading& reading : reply.readings)
     {
@@ -294,7 +301,7 @@
                       const budget_state& budget = place->second;
                       const bool is_idle =
                           budget.granted == 0 && budget.held == 0 &&
-                          budget.unsettled == 0 && budget.waiting.empty() &&
+                          budget.bills == 0 && budget.waiting.empty() &&
                           !budget.is_dirty && budget.is_rateless;
                       if (is_idle)
                       {
--- a/libraries/drivers/budget/budget_service.cpp
+++ b/libraries/drivers/budget/budget_service.cpp
@@ -125,6 +125,10 @@
     if (!receipt.has_value() && m_ports.replica != nullptr)
     {
         is_copied = keep_copy(settled.value(), deadline, lock);
+        if (is_copied)
+        {
+            m_ledger.mark_delivered(held.shard, held.id);
+        }
         receipt = wait_for_receipt(
             held.id, is_copied ? m_ports.clock.steady_now() : deadline, lock);
     }
@@ -180,6 +184,8 @@
         return error{result_code::request_id_reused, "request_id",
                      "the request id was billed with another body",
                      outcome::outcome_unknown};
+    case bill_state::expired:
+        return undurable();
     case bill_state::refused:
         break;
     }
--- a/libraries/drivers/budget/budget_service_commit.cpp
+++ b/libraries/drivers/budget/budget_service_commit.cpp
@@ -101,7 +101,7 @@
     {
         pacing.failures = 0;
     }
-    for (const bill_receipt& receipt : m_ledger.on_reply(shard, reply, now()))
+    for (const bill_receipt& receipt : m_ledger.on_reply(shard, reply))
     {
         m_counts.bills += receipt.state == bill_state::billed ? 1 : 0;
         m_counts.duplicates += receipt.is_duplicate ? 1 : 0;
--- /dev/null
+++ b/tests/budget/codec_test.cpp
@@ -0,0 +1,129 @@
+#include <rapidcheck.h>
+
+#include "libraries/codecs/budget/batch_codec.hpp"
+#include "libraries/codecs/budget/claim_codec.hpp"
+#include "libraries/codecs/budget/shard_codec.hpp"
+#include "libraries/domain/budget/shard_changes.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace turmeric;
+using namespace turmeric::domain;
+using std::chrono::seconds;
+
+TEST_GROUP(codec){};
+
+namespace
+{
+
+tokens draw(tokens most)
+{
+    return *rc::gen::resize(rc::kNominalSize,
+                            rc::gen::inRange<tokens>(0, most));
+}
+
+budget_shard draw_shard()
+{
+    const rate_share_policy policy{rate_share_settings{}};
+    const shard_limits limits;
+    const sys_seconds now{seconds(1'700'000'000)};
+    budget_shard shard;
+    for (int i = 0; i < 4; ++i)
+    {
+        RC_ASSERT(apply_top_up(shard,
+                               {"a" + std::to_string(i % 2), "b\"\\",
+                                std::to_string(i), 1 + draw(1'000'000'000)},
+                               now, limits)
+                      .has_value());
+    }
+    for (int i = 1; i < 12; ++i)
+    {
+        router_batch batch{"r" + std::to_string(i % 3),
+                           1 + i / 3,
+                           now + seconds(draw(1000) + 1),
+                           {},
+                           {},
+                           false};
+        batch.lines.push_back({"a1/b\"\\", {draw(1000)}, 0, draw(100)});
+        if (batch.operation > 1)
+        {
+            batch.bills.push_back(
+                {"a1/b\"\\", *rc::gen::arbitrary<std::uint64_t>(),
+                 *rc::gen::arbitrary<std::uint32_t>(), draw(50), now, false});
+        }
+        static_cast<void>(
+            apply_commit(shard, batch, now + seconds(i / 4), limits, policy));
+    }
+    static_cast<void>(freeze_incarnation(shard, "r1", now));
+    return shard;
+}
+
+} // namespace
+
+TEST(codec, reads_back_every_shard)
+{
+    CHECK(rc::check(
+        "decode(encode(shard)) encodes the same",
+        []
+        {
+            const std::string text = codecs::encode_shard(draw_shard());
+            const result<budget_shard> decoded = codecs::decode_shard(text);
+            RC_ASSERT(decoded.has_value());
+            RC_ASSERT(codecs::encode_shard(decoded.value()) == text);
+        }));
+}
+
+TEST(codec, refuses_a_cut_or_changed_shard)
+{
+    CHECK(rc::check(
+        "no damaged text is taken for a sound shard that differs in kind",
+        []
+        {
+            std::string text = codecs::encode_shard(draw_shard());
+            const std::size_t place = static_cast<std::size_t>(
+                draw(static_cast<tokens>(text.size())));
+            const std::string cut = text.substr(0, place);
+            RC_ASSERT(!codecs::decode_shard(cut).has_value());
+            text[place] = *rc::gen::arbitrary<char>();
+            const result<budget_shard> decoded = codecs::decode_shard(text);
+            const bool is_safe = !decoded || is_sound(decoded.value());
+            RC_ASSERT(is_safe);
+        }));
+}
+
+TEST(codec, reads_back_batches_and_replies)
+{
+    router_batch batch{"r1", 7, sys_seconds(seconds(5)), {}, {}, true};
+    batch.lines.push_back({"a/b", {1, 2}, 3, 4});
+    batch.bills.push_back(
+        {"a/b", ~0ULL, ~0U, 6, sys_seconds(seconds(8)), true});
+    const std::string text = codecs::encode_batch(9, batch);
+    const result<codecs::forwarded_batch> decoded = codecs::decode_batch(text);
+    CHECK_TRUE(decoded.has_value());
+    STRCMP_EQUAL(text.c_str(), codecs::encode_batch(decoded.value().shard,
+                                                    decoded.value().batch)
+                                   .c_str());
+    batch_reply reply{batch_state::closed, true, {}, {}};
+    reply.readings.push_back({"a/b", 1, 2, 3, 4, true});
+    reply.bills.push_back({~0ULL, bill_state::expired, 5});
+    const std::string answer = codecs::encode_reply(reply);
+    const result<batch_reply> read = codecs::decode_reply(answer);
+    CHECK_TRUE(read.has_value());
+    STRCMP_EQUAL(answer.c_str(), codecs::encode_reply(read.value()).c_str());
+    CHECK_TRUE(codecs::decode_batch("{}").failure().code ==
+               result_code::peer_protocol);
+    CHECK_TRUE(codecs::decode_reply("[]").failure().code ==
+               result_code::peer_protocol);
+}
+
+TEST(codec, reads_back_claims)
+{
+    const claim_value claim{"r1", 4, sys_seconds(seconds(99))};
+    const result<claim_value> decoded =
+        codecs::decode_claim(codecs::encode_claim(claim));
+    CHECK_TRUE(decoded.has_value());
+    STRCMP_EQUAL("r1", decoded.value().incarnation.c_str());
+    LONGS_EQUAL(4, decoded.value().attempt);
+    CHECK_TRUE(codecs::decode_claim("{}").failure().code ==
+               result_code::corrupt_value);
+}
