--- a/libraries/fakes/fake_key_value_store.cpp
+++ b/libraries/fakes/fake_key_value_store.cpp
@@ -63,6 +63,12 @@
     m_script.insert(m_script.end(), faults.begin(), faults.end());
 }
 
+void fake_key_value_store::clear_script()
+{
+    std::lock_guard<std::mutex> lock(m_mutex);
+    m_script.clear();
+}
+
 void fake_key_value_store::set_outage(bool is_out)
 {
     std::lock_guard<std::mutex> lock(m_mutex);
--- a/libraries/fakes/fake_key_value_store.hpp
+++ b/libraries/fakes/fake_key_value_store.hpp
@@ -52,6 +52,9 @@
     /// The next calls have these faults, in order. Thread safe.
     void script(const std::vector<store_fault>& faults);
 
+    /// Forgets the faults that are left of the script. Thread safe.
+    void clear_script();
+
     /// Every call fails until this is taken back. Thread safe.
     void set_outage(bool is_out);
 
--- /dev/null
+++ b/tests/budget_driver/service_world.hpp
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "libraries/adapters/system/system_clock.hpp"
+#include "libraries/drivers/budget/budget_service.hpp"
+#include "libraries/drivers/budget/shard_editor.hpp"
+#include "libraries/fakes/fake_key_value_store.hpp"
+#include "libraries/fakes/recording_logger.hpp"
+#include "libraries/fakes/seeded_random.hpp"
+
+#include <memory>
+#include <string>
+
+namespace turmeric::tests
+{
+
+/// What the driver tests share: a store with faults and short settings. Real
+/// threads run against the machine's clock; no check depends on its speed.
+struct service_world
+{
+    service_world()
+        : store(clock)
+        , random(20261204)
+        , editor(store, clock, random)
+    {
+        settings.ledger.shard_count = 1;
+        settings.committer.shard_count = 1;
+        settings.committer.calls_per_second = 100'000.0;
+        settings.committer.call_burst = 1'000.0;
+        settings.committer.writer.write_interval = std::chrono::milliseconds(0);
+        settings.committer.writer.least_backoff = std::chrono::milliseconds(1);
+        settings.committer.writer.most_backoff = std::chrono::milliseconds(4);
+        settings.commit_interval = std::chrono::milliseconds(1);
+        settings.commit_timeout = std::chrono::milliseconds(200);
+        settings.least_backoff = std::chrono::milliseconds(1);
+        settings.most_backoff = std::chrono::milliseconds(4);
+        settings.claims.least_backoff = std::chrono::milliseconds(1);
+        settings.claims.most_backoff = std::chrono::milliseconds(2);
+    }
+
+    [[nodiscard]] ports::steady_time soon() const
+    {
+        return clock.steady_now() + std::chrono::milliseconds(100);
+    }
+
+    [[nodiscard]] ports::steady_time late() const
+    {
+        return clock.steady_now() + std::chrono::seconds(60);
+    }
+
+    std::unique_ptr<drivers::budget_service> start(const std::string& name)
+    {
+        return std::make_unique<drivers::budget_service>(
+            drivers::budget_ports{store, clock, random, log, committer,
+                                  replica},
+            settings, name);
+    }
+
+    bool top_up(domain::tokens amount, const std::string& id = "t")
+    {
+        return editor
+            .top_up({"acme", "main", id, amount}, 1, domain::shard_limits{},
+                    late())
+            .has_value();
+    }
+
+    [[nodiscard]] static domain::hold_request request(const std::string& id,
+                                                      domain::tokens bound)
+    {
+        return {"acme", "main", id, 7, bound};
+    }
+
+    domain::budget_account account()
+    {
+        result<domain::budget_shard> shard = editor.read(0);
+        return shard ? shard.value().budgets["acme/main"]
+                     : domain::budget_account{};
+    }
+
+    adapters::system_clock clock;
+    fakes::fake_key_value_store store;
+    fakes::seeded_random random;
+    fakes::recording_logger log;
+    drivers::shard_editor editor;
+    drivers::budget_settings settings;
+    drivers::batch_committer* committer = nullptr;
+    drivers::bill_replica* replica = nullptr;
+};
+
+} // namespace turmeric::tests
