Moves: Compare the versions over the same times

Each window's null rate is now at least the old version's rates of each span weighted by the new version's requests in it.

--- a/libraries/codecs/move/evidence_codec.cpp
+++ b/libraries/codecs/move/evidence_codec.cpp
@@ -154,6 +154,10 @@
     domain::evidence_question question;
     question.route = reader.text("route");
     question.identity = reader.unsigned_integer("identity");
+    if (reader.has("cut"))
+    {
+        question.cut_reason = reader.text("cut");
+    }
     if (reader.has("limits"))
     {
         question.limits = limits_field(reader, "limits");
@@ -187,6 +191,10 @@
     {
         json entry = {{"route", question.route},
                       {"identity", question.identity}};
+        if (!question.cut_reason.empty())
+        {
+            entry["cut"] = question.cut_reason;
+        }
         if (question.limits)
         {
             entry["limits"] = codecs::to_json(*question.limits);
--- a/libraries/domain/move/evidence_message.hpp
+++ b/libraries/domain/move/evidence_message.hpp
@@ -19,6 +19,9 @@
     std::uint64_t identity = 0;
     /// Unset: the old version's latencies are wanted whole.
     std::optional<latency_limits> limits;
+    /// Set once the controller knows that the new version is bad: the router
+    /// cuts it at once, also while the store is out of reach.
+    std::string cut_reason;
 };
 
 /// What the leading controller asks each router.
--- a/libraries/domain/move/local_guard.cpp
+++ b/libraries/domain/move/local_guard.cpp
@@ -120,6 +120,14 @@
     return tally_of(m_from, m_to, limits);
 }
 
+void local_guard::cut(std::int64_t fencing, const std::string& reason)
+{
+    if (fencing >= m_state.fencing && m_cut_reason.empty())
+    {
+        m_cut_reason = reason;
+    }
+}
+
 const std::string& local_guard::cut_reason() const
 {
     return m_cut_reason;
--- a/libraries/domain/move/local_guard.hpp
+++ b/libraries/domain/move/local_guard.hpp
@@ -43,6 +43,11 @@
     bool record(bool is_new_version, const request_observation& seen,
                 time_point now);
 
+    /// Cuts the new version on the word of a controller with this fencing
+    /// number; one lower than the state's is ignored. Precondition: `reason`
+    /// is not empty.
+    void cut(std::int64_t fencing, const std::string& reason);
+
     /// Returns why the version was cut here; empty when it was not.
     [[nodiscard]] const std::string& cut_reason() const;
 
--- a/libraries/domain/move/version_judge.hpp
+++ b/libraries/domain/move/version_judge.hpp
@@ -45,6 +45,15 @@
         tally_pair counted;
     };
 
+    struct window_view
+    {
+        tally_pair counted;
+        /// The rate that the new version would have if it had, at each time,
+        /// the old version's rate of that time. As the new version's share
+        /// changes, the plain rates of the two are not comparable.
+        double standard_rate;
+    };
+
     [[nodiscard]] bool is_kept(std::size_t number) const;
     /// Tells whether any window's rate is above the old version's; spares
     /// most calls the costly bounds.
@@ -54,7 +63,11 @@
                                      double rate) const;
     [[nodiscard]] double window_ratio(judged_property property,
                                       double from_rate,
-                                      const tally_pair& window) const;
+                                      const window_view& window) const;
+    /// Returns the windows, the newest first and the whole move last.
+    [[nodiscard]] std::vector<window_view> windows(judged_property property,
+                                                   double from_rate,
+                                                   const tally_pair& now) const;
     [[nodiscard]] double total_ratio(judged_property property,
                                      const tally_pair& now) const;
 
--- /dev/null
+++ b/libraries/drivers/move/order_desk.hpp
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "libraries/core/logger.hpp"
+#include "libraries/domain/configuration/declarations.hpp"
+#include "libraries/drivers/move/move_driver_settings.hpp"
+#include "libraries/ports/clock.hpp"
+#include "libraries/ports/order_sender.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <utility>
+
+namespace turmeric::drivers
+{
+
+/// Runs a task, on another thread or at once.
+using task_runner = std::function<void(std::function<void()>)>;
+
+/// Sends load orders to engines under one leadership at a time: paced for the
+/// weight store, and to engines that ignore the fencing number only once no
+/// predecessor's order can still be on its way. Thread safe. Tasks given to
+/// the runner must end before the desk does.
+class order_desk
+{
+public:
+    /// Makes a desk. `fencing` is asked again right before each order.
+    /// Precondition: the references outlive it.
+    order_desk(ports::order_sender& sender, const ports::clock& clock,
+               logger& log, const move_driver_settings& settings,
+               std::function<std::optional<std::int64_t>()> fencing,
+               task_runner run);
+
+    /// Starts a leadership: earlier orders count as not sent, and the waits
+    /// start. Thread safe.
+    void begin_term(std::int64_t fencing);
+
+    /// Sees to it that the upstream loads the version and tells whether it
+    /// has, within this term. Call it until it is true. Thread safe.
+    bool load(const domain::upstream_declaration& upstream,
+              const std::string& version);
+
+private:
+    enum class progress : std::uint8_t
+    {
+        idle,
+        running,
+        done,
+    };
+
+    struct order_state
+    {
+        progress at = progress::idle;
+        ports::steady_time not_before;
+    };
+
+    using order_key = std::pair<std::string, std::string>;
+
+    [[nodiscard]] bool
+    may_send_locked(const domain::upstream_declaration& upstream,
+                    const order_state& state) const;
+    void send(const domain::upstream_declaration& upstream,
+              const std::string& version, std::int64_t fencing);
+    void finish(const order_key& key, std::int64_t fencing, bool is_done);
+
+    ports::order_sender& m_sender;
+    const ports::clock& m_clock;
+    logger& m_log;
+    const move_driver_settings m_settings;
+    const std::function<std::optional<std::int64_t>()> m_current_fencing;
+    const task_runner m_run;
+    std::mutex m_mutex;
+    std::int64_t m_fencing = 0;
+    ports::steady_time m_term_start;
+    ports::steady_time m_next_load;
+    std::map<order_key, order_state> m_orders;
+};
+
+} // namespace turmeric::drivers
--- /dev/null
+++ b/libraries/drivers/move/upstream_order_sender.cpp
@@ -0,0 +1,49 @@
+#include "libraries/drivers/move/upstream_order_sender.hpp"
+
+#include "libraries/core/json.hpp"
+
+#include <fmt/format.h>
+
+namespace turmeric::drivers
+{
+
+upstream_order_sender::upstream_order_sender(ports::upstream_caller& caller)
+    : m_caller(caller)
+{
+}
+
+status upstream_order_sender::send(const std::string& address,
+                                   const ports::upstream_order& order,
+                                   std::chrono::milliseconds timeout)
+{
+    constexpr int http_conflict = 409;
+    ports::upstream_request request;
+    request.method = "POST";
+    request.path = "/v1/orders";
+    request.content_type = "application/json";
+    request.body = json{{"action", name_of(order.kind)},
+                        {"version", order.version},
+                        {"fencing", order.fencing}}
+                       .dump();
+    request.idle_timeout = timeout;
+    const ports::upstream_sink sink{[](const ports::upstream_head&)
+                                    { return true; },
+                                    [](std::string_view) { return true; }};
+    const result<ports::upstream_end> end =
+        m_caller.send(address, request, sink);
+    if (!end)
+    {
+        return end.failure();
+    }
+    const int code = end.value().status;
+    if (code >= 200 && code < 300)
+    {
+        return success();
+    }
+    const result_code fault = code == http_conflict
+                                  ? result_code::upstream_refused_order
+                                  : result_code::upstream_failed;
+    return error{fault, address, fmt::format("answered {}", code)};
+}
+
+} // namespace turmeric::drivers
--- a/libraries/drivers/move/version_guard.cpp
+++ b/libraries/drivers/move/version_guard.cpp
@@ -143,6 +143,10 @@
             continue;
         }
         move->second.hear_controller(request.value().fencing, now);
+        if (!question.cut_reason.empty())
+        {
+            move->second.cut(request.value().fencing, question.cut_reason);
+        }
         answer.reports.push_back(report_locked(question, move->second));
     }
     return codecs::encode(answer);
--- a/libraries/ports/order_sender.hpp
+++ b/libraries/ports/order_sender.hpp
@@ -20,7 +20,7 @@
 /// Returns the name used on the wire. Thread safe.
 [[nodiscard]] constexpr std::string_view name_of(order_kind kind)
 {
-    return kind == order_kind::load ? "load" : "unload";
+    return kind == order_kind::load ? "load_version" : "unload_version";
 }
 
 /// An order to an engine; repeating it does no harm.
