Moves: Run moves from the controller that leads them

The test with two controllers failed at first: a paused predecessor went on writing under its old number until the new one had a step to take, so a new leader now first claims each state.

--- a/libraries/drivers/move/move_driver.cpp
+++ b/libraries/drivers/move/move_driver.cpp
@@ -108,7 +108,10 @@
     start_declared(declared);
     for (auto& [route, current] : m_tracks)
     {
-        step_track(declared, current);
+        if (claim(current))
+        {
+            step_track(declared, current);
+        }
     }
     std::erase_if(m_tracks,
                   [](const auto& entry) { return entry.second.revision == 0; });
@@ -231,6 +234,21 @@
     store(current, *made);
 }
 
+bool move_driver::claim(track& current)
+{
+    if (current.state.fencing >= *m_fencing ||
+        domain::is_final(current.state.phase))
+    {
+        return true;
+    }
+    // A predecessor that was paused may still believe that it leads; once the
+    // state carries this number, no step of its own can follow.
+    domain::move_state made = current.state;
+    made.fencing = *m_fencing;
+    made.sequence = current.state.sequence + 1;
+    return store(current, made) || m_needs_read;
+}
+
 void move_driver::step_withdrawn(track& current)
 {
     if (domain::is_final(current.state.phase))
--- a/libraries/drivers/move/move_driver.hpp
+++ b/libraries/drivers/move/move_driver.hpp
@@ -55,6 +55,7 @@
     void start_declared(const domain::configuration& declared);
     void collect(const std::vector<std::string>& routers);
     void step_track(const domain::configuration& declared, track& current);
+    bool claim(track& current);
     void step_withdrawn(track& current);
     void load_versions(const domain::configuration& declared, track& current);
     [[nodiscard]] bool
--- /dev/null
+++ b/tests/move_driver/fleet.cpp
@@ -0,0 +1,106 @@
+#include "tests/move_driver/fleet.hpp"
+
+using namespace turmeric;
+
+fleet::fleet()
+{
+    domain::route_declaration route;
+    route.name = "narration";
+    route.versions = {{"a", domain::whole_share}};
+    declared.routes = {route};
+    for (const char* name : {"e0", "e1"})
+    {
+        domain::upstream_declaration engine;
+        engine.name = name;
+        engine.address = std::string(name) + ":1";
+        engine.versions = {"a", "b"};
+        declared.upstreams.push_back(engine);
+    }
+    domain::move_declaration move;
+    move.route = "narration";
+    move.from_version = "a";
+    move.to_version = "b";
+    move.start = clock.system_now() + std::chrono::seconds(30);
+    move.deadline = move.start + std::chrono::seconds(600);
+    declared.moves = {move};
+    for (const std::string& address : addresses)
+    {
+        guards.emplace_back(domain::guard_settings{}, address, clock, log);
+        guards.back().apply_routes(declared.routes);
+        peers.guards[address] = &guards.back();
+    }
+}
+
+drivers::move_driver& fleet::add_controller(std::int64_t fencing)
+{
+    std::optional<std::int64_t>& held = fencings.emplace_back(fencing);
+    drivers::move_driver_settings settings;
+    // The fakes are shared without locks.
+    settings.askers = 1;
+    return controllers.emplace_back(
+        settings,
+        drivers::move_sources{[&held] { return held; },
+                              [this] { return addresses; },
+                              [this] { return declared; }},
+        store, peers, orders, clock, log,
+        [](const std::function<void()>& task) { task(); });
+}
+
+void fleet::run(int turns)
+{
+    for (int turn = 0; turn < turns; ++turn)
+    {
+        for (int number = 0; number < requests_per_turn; ++number)
+        {
+            serve();
+        }
+        deliver();
+        for (drivers::move_driver& controller : controllers)
+        {
+            controller.step();
+        }
+        clock.advance(std::chrono::milliseconds(500));
+    }
+}
+
+void fleet::serve()
+{
+    for (drivers::version_guard& guard : guards)
+    {
+        const std::string version =
+            guard.pick("narration", std::to_string(next_request++));
+        new_requests += version == "b" ? 1 : 0;
+        const bool fails = failing_versions.contains(version);
+        domain::request_observation seen{fails, std::nullopt, std::nullopt};
+        if (!fails)
+        {
+            seen.first_token = std::chrono::milliseconds(200);
+            seen.worst_gap = std::chrono::milliseconds(20);
+        }
+        guard.record("narration", version, seen);
+    }
+}
+
+void fleet::deliver()
+{
+    const result<std::optional<ports::key_value>> read =
+        store.get(codecs::move_key_of("narration"));
+    if (!read || !read.value())
+    {
+        return;
+    }
+    const result<domain::move_state> state =
+        codecs::decode_move_state(read.value()->value);
+    for (drivers::version_guard& guard : guards)
+    {
+        guard.apply_move(state.value());
+    }
+}
+
+domain::move_state fleet::stored()
+{
+    store.set_outage(false);
+    return codecs::decode_move_state(
+               store.get(codecs::move_key_of("narration")).value()->value)
+        .value();
+}
--- /dev/null
+++ b/tests/move_driver/fleet.hpp
@@ -0,0 +1,103 @@
+#pragma once
+
+#include "libraries/codecs/move/move_state_codec.hpp"
+#include "libraries/drivers/move/move_driver.hpp"
+#include "libraries/drivers/move/version_guard.hpp"
+#include "libraries/fakes/fake_key_value_store.hpp"
+#include "libraries/fakes/manual_clock.hpp"
+
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+/// Drops log lines.
+class quiet_logger final : public turmeric::logger
+{
+public:
+    void write(turmeric::log_level /*level*/, turmeric::log_event /*event*/,
+               const std::vector<turmeric::log_field>& /*fields*/) override
+    {
+    }
+};
+
+/// Hands messages to the guards of a small fleet by address.
+class fleet_peers final : public turmeric::ports::peer_caller
+{
+public:
+    turmeric::result<std::string>
+    call(const std::string& address,
+         const turmeric::ports::peer_message& message,
+         std::chrono::milliseconds /*timeout*/) override
+    {
+        if (unreachable.contains(address))
+        {
+            return turmeric::error{turmeric::result_code::peer_unavailable,
+                                   address, "cut off"};
+        }
+        return guards.at(address)->answer(message);
+    }
+
+    std::map<std::string, turmeric::drivers::version_guard*> guards;
+    std::set<std::string> unreachable;
+};
+
+/// Remembers the orders; refuses as told.
+class order_record final : public turmeric::ports::order_sender
+{
+public:
+    turmeric::status send(const std::string& address,
+                          const turmeric::ports::upstream_order& order,
+                          std::chrono::milliseconds /*timeout*/) override
+    {
+        sent.emplace_back(address, order);
+        if (is_failing)
+        {
+            return turmeric::error{turmeric::result_code::upstream_timeout,
+                                   address, "silent"};
+        }
+        return turmeric::success();
+    }
+
+    std::vector<std::pair<std::string, turmeric::ports::upstream_order>> sent;
+    bool is_failing = false;
+};
+
+/// Three routers, a store and up to two controllers on one manual clock.
+struct fleet
+{
+    fleet();
+
+    /// Makes a controller that leads under `fencing`.
+    turmeric::drivers::move_driver& add_controller(std::int64_t fencing);
+
+    /// Serves requests on each router, reads the store on each, steps the
+    /// controllers and moves the clock on by half a second, `turns` times.
+    void run(int turns);
+
+    /// Returns the stored state of the route's move.
+    turmeric::domain::move_state stored();
+
+    /// Serves one request on each router.
+    void serve();
+
+    /// Has every router read the store, as their watches do.
+    void deliver();
+
+    turmeric::fakes::manual_clock clock;
+    quiet_logger log;
+    turmeric::fakes::fake_key_value_store store{clock};
+    fleet_peers peers;
+    order_record orders;
+    turmeric::domain::configuration declared;
+    std::vector<std::string> addresses{"r0:1", "r1:1", "r2:1"};
+    std::deque<turmeric::drivers::version_guard> guards;
+    std::deque<std::optional<std::int64_t>> fencings;
+    std::deque<turmeric::drivers::move_driver> controllers;
+    std::set<std::string> failing_versions;
+    /// Requests to the new version since the last reset.
+    int new_requests = 0;
+    int next_request = 0;
+    int requests_per_turn = 10;
+};
