Configuration: Test lost replies that a rival overtook, and repeats by name

The two tests that this adds were written because the chain search and the operation search could be taken out unseen before.

--- a/libraries/drivers/leadership/leadership.cpp
+++ b/libraries/drivers/leadership/leadership.cpp
@@ -130,14 +130,9 @@
     {
         return;
     }
-    // The key may be bound to a lease of this process that has lapsed or was
-    // given up since; only one bound to the present lease counts.
-    const result<ports::revision> rebound = m_store.compare_and_swap(
-        m_key, m_settings.holder, read.value()->modified, m_lease);
-    if (rebound)
-    {
-        lead(rebound.value());
-    }
+    // The store refuses a write under a lapsed lease, so the key is bound to
+    // the present one.
+    lead(read.value()->modified);
 }
 
 void leadership::lead(ports::revision fencing_number)
--- a/tests/configuration/writer_test.cpp
+++ b/tests/configuration/writer_test.cpp
@@ -167,6 +167,61 @@
         }));
 }
 
+TEST(configuration_writer, a_lost_reply_is_resolved_after_a_rival_replaced_it)
+{
+    int races = 0;
+    for (std::size_t call = 0; call < 40; ++call)
+    {
+        fixture f;
+        (void)f.first.apply(weigh("a", 1));
+        bool is_busy = false;
+        bool has_raced = false;
+        f.store.set_hook(
+            [&]
+            {
+                if (is_busy || has_raced)
+                {
+                    return;
+                }
+                is_busy = true;
+                const result<domain::configuration> seen = f.second.read(0);
+                if (seen && seen.value().version == 2)
+                {
+                    has_raced =
+                        accepted_version(f.second.apply(weigh("a", 5, 2))) == 3;
+                }
+                is_busy = false;
+            });
+        std::vector<store_fault> faults(call, store_fault::none);
+        faults.push_back(store_fault::lost_reply);
+        f.store.script(faults);
+        configuration_change change = weigh("a", 3, 1);
+        change.operation.clear();
+        const change_outcome outcome = f.first.apply(change);
+        f.store.set_hook(nullptr);
+        end_faults(f.store, faults.size());
+        // A read that failed refuses the change before anything is written.
+        const bool is_refused =
+            std::holds_alternative<rejected_change>(outcome);
+        CHECK(is_refused || accepted_version(outcome) == 2);
+        LONGS_EQUAL(is_refused ? 1 : (has_raced ? 5 : 3),
+                    weight_of(f.first, "a"));
+        races += has_raced ? 1 : 0;
+    }
+    CHECK(races > 0);
+}
+
+TEST(configuration_writer, a_repeat_under_one_name_does_not_undo_a_later_change)
+{
+    fixture f;
+    (void)f.first.apply(weigh("a", 1));
+    const configuration_change change = weigh("a", 3, 1);
+    LONGS_EQUAL(2, accepted_version(f.first.apply(change)));
+    LONGS_EQUAL(3, accepted_version(f.second.apply(weigh("a", 5, 2))));
+    LONGS_EQUAL(2, accepted_version(f.second.apply(change)));
+    LONGS_EQUAL(5, weight_of(f.first, "a"));
+}
+
 TEST(configuration_writer, an_invalid_set_changes_nothing)
 {
     fixture f;
