Burn: Report service-level burn from the routers' counters

Windows of 5 minutes to 3 days over samples that a file keeps; a restart is seen by the process's start time, or by a counter that fell. Requests refused for the caller's own fault are no events.

--- a/bench/moves/move_run.cpp
+++ b/bench/moves/move_run.cpp
@@ -82,7 +82,7 @@
     m_outcome.is_finished_in_time = m_state.phase == move_phase::finished;
     m_outcome.is_taken_back = m_state.phase == move_phase::taking_back ||
                               m_state.phase == move_phase::taken_back;
-    m_outcome.is_late = m_state.reason == "deadline";
+    m_outcome.is_late = m_state.reason == domain::deadline_reason;
     m_outcome.reason = m_state.reason;
     m_outcome.requests = std::llround(
         m_profile.route_rate * static_cast<double>(m_profile.window.count()));
--- /dev/null
+++ b/libraries/codecs/burn/burn_reader.cpp
@@ -0,0 +1,173 @@
+#include "libraries/codecs/burn/burn_reader.hpp"
+
+#include "libraries/codecs/burn/result_classes.hpp"
+#include "libraries/core/metrics/router_metrics.hpp"
+#include "libraries/core/metrics/text_format.hpp"
+
+#include <algorithm>
+#include <cstdlib>
+#include <map>
+#include <tuple>
+
+namespace turmeric::codecs
+{
+
+namespace
+{
+
+using domain::burn_counts;
+using domain::objective_kind;
+
+std::string label_of(const metrics_line& line, const std::string& name)
+{
+    const auto found = line.labels.find(name);
+    return found == line.labels.end() ? std::string() : found->second;
+}
+
+/// Adds events to the route's line and, if asked for, the account's.
+class burn_adder
+{
+public:
+    burn_adder(domain::burn_sample& sample,
+               const std::set<std::string>& accounts)
+        : m_sample(sample)
+        , m_accounts(accounts)
+    {
+    }
+
+    void add(const metrics_line& line, objective_kind kind,
+             const burn_counts& counts)
+    {
+        const std::string route = label_of(line, "route");
+        const std::string account = label_of(line, "account");
+        m_sample.counts[{route, "", kind}] += counts;
+        if (!account.empty() && m_accounts.contains(account))
+        {
+            m_sample.counts[{route, account, kind}] += counts;
+        }
+    }
+
+private:
+    domain::burn_sample& m_sample;
+    const std::set<std::string>& m_accounts;
+};
+
+void add_request(burn_adder& adder, const metrics_line& line)
+{
+    const auto count = static_cast<std::int64_t>(line.value);
+    const result_class seen = class_of(label_of(line, "code"));
+    if (seen != result_class::callers_fault)
+    {
+        adder.add(line, objective_kind::availability,
+                  {count, seen == result_class::bad ? count : 0});
+    }
+}
+
+void add_move(burn_adder& adder, const metrics_line& line)
+{
+    const auto count = static_cast<std::int64_t>(line.value);
+    const std::string outcome = label_of(line, "outcome");
+    if (outcome == "on_time" || outcome == "late")
+    {
+        adder.add(line, objective_kind::move_on_time,
+                  {count, outcome == "late" ? count : 0});
+    }
+}
+
+/// Finds, for each histogram, how many entries are within the objective.
+class histogram_reader
+{
+public:
+    /// Takes one line of a histogram's buckets.
+    void take(const metrics_line& line, objective_kind kind,
+              std::chrono::milliseconds objective)
+    {
+        metrics_line series = line;
+        const std::string text = label_of(line, "le");
+        series.labels.erase("le");
+        entry& known = m_entries[{kind, series.labels}];
+        known.line = series;
+        if (text == "+Inf")
+        {
+            known.total = line.value;
+            return;
+        }
+        const double bound = std::strtod(text.c_str(), nullptr);
+        const double limit =
+            std::strtod(metrics::bound_text(objective).c_str(), nullptr);
+        // Lines are cumulative: the last one within the limit counts.
+        if (bound <= limit)
+        {
+            known.within = std::max(known.within, line.value);
+        }
+    }
+
+    /// Adds all histograms.
+    void finish(burn_adder& adder) const
+    {
+        for (const auto& [key, known] : m_entries)
+        {
+            adder.add(known.line, std::get<0>(key),
+                      {static_cast<std::int64_t>(known.total),
+                       static_cast<std::int64_t>(known.total - known.within)});
+        }
+    }
+
+private:
+    struct entry
+    {
+        metrics_line line;
+        double within = 0;
+        double total = 0;
+    };
+
+    std::map<std::pair<objective_kind, std::map<std::string, std::string>>,
+             entry>
+        m_entries;
+};
+
+} // namespace
+
+domain::burn_sample read_burn(const std::vector<metrics_line>& lines,
+                              const domain::burn_calculator& objectives,
+                              const std::set<std::string>& accounts)
+{
+    const std::string first_token =
+        std::string(metrics::first_token_name) + "_bucket";
+    const std::string token_gap =
+        std::string(metrics::token_gap_name) + "_bucket";
+    domain::burn_sample sample;
+    burn_adder adder(sample, accounts);
+    histogram_reader histograms;
+    for (const metrics_line& line : lines)
+    {
+        const domain::objective_declaration objective =
+            objectives.objective_of(label_of(line, "route"));
+        if (line.name == metrics::requests_name)
+        {
+            add_request(adder, line);
+        }
+        else if (line.name == first_token)
+        {
+            histograms.take(line, objective_kind::first_token,
+                            objective.first_token);
+        }
+        else if (line.name == token_gap)
+        {
+            histograms.take(line, objective_kind::token_gap,
+                            objective.token_gap);
+        }
+        else if (line.name == metrics::moves_name)
+        {
+            add_move(adder, line);
+        }
+        else if (line.name == metrics::start_time_name)
+        {
+            sample.start_s = static_cast<std::int64_t>(line.value);
+        }
+    }
+    histograms.finish(adder);
+    return sample;
+}
+
+} // namespace turmeric::codecs
--- a/libraries/core/metrics/router_metrics.cpp
+++ b/libraries/core/metrics/router_metrics.cpp
@@ -43,6 +43,8 @@
                                           {"call", "outcome"},
                                           max_call_sets,
                                           {}}))
+    , start_time(owner.make<gauge>(
+          {start_time_name, "When the process started.", {}, 1, {}}))
     , queue_depth(owner.make<gauge>({"turmeric_queue_depth",
                                      "Requests that wait for a place.",
                                      {},
--- a/libraries/core/metrics/router_metrics.hpp
+++ b/libraries/core/metrics/router_metrics.hpp
@@ -10,6 +10,7 @@
 inline constexpr const char* first_token_name = "turmeric_first_token_seconds";
 inline constexpr const char* token_gap_name = "turmeric_token_gap_seconds";
 inline constexpr const char* moves_name = "turmeric_moves_total";
+inline constexpr const char* start_time_name = "turmeric_start_time_seconds";
 
 /// The families of a router, listed in docs/metrics.md. Thread safe; lives
 /// no longer than the registry.
@@ -33,6 +34,9 @@
     family<counter>& billed_tokens;
     /// Labels: call, outcome ("ok" or the name of a result code).
     family<counter>& platform_calls;
+    /// No labels. Set it once to the process's start in seconds since 1970;
+    /// readers tell a restart by it.
+    family<gauge>& start_time;
     /// No labels.
     family<gauge>& queue_depth;
     /// No labels.
--- /dev/null
+++ b/libraries/domain/burn/burn_counts.hpp
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace turmeric::domain
+{
+
+/// What an objective is about.
+enum class objective_kind : std::uint8_t
+{
+    availability,
+    first_token,
+    token_gap,
+    move_on_time,
+};
+
+inline constexpr std::array<std::string_view, 4> objective_kind_names = {
+    "availability", "first_token", "token_gap", "move_on_time"};
+
+/// Returns the name used in reports. Thread safe.
+[[nodiscard]] constexpr std::string_view name_of(objective_kind kind)
+{
+    return objective_kind_names[static_cast<std::size_t>(kind)];
+}
+
+/// Names one line of counts.
+struct burn_key
+{
+    std::string route;
+    /// Empty: all client accounts together.
+    std::string account;
+    objective_kind kind = objective_kind::availability;
+
+    auto operator<=>(const burn_key&) const = default;
+};
+
+/// Events and how many of them missed the objective. Since a process start,
+/// or within a window.
+struct burn_counts
+{
+    std::int64_t events = 0;
+    std::int64_t bad = 0;
+
+    /// Adds other, disjoint events.
+    burn_counts& operator+=(const burn_counts& other)
+    {
+        events += other.events;
+        bad += other.bad;
+        return *this;
+    }
+
+    bool operator==(const burn_counts&) const = default;
+};
+
+} // namespace turmeric::domain
--- /dev/null
+++ b/libraries/domain/burn/burn_rules.hpp
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <array>
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+
+namespace turmeric::domain
+{
+
+/// How urgent an alert is.
+enum class alert_severity : std::uint8_t
+{
+    none,
+    ticket,
+    page,
+};
+
+/// Returns the name used in reports. Thread safe.
+[[nodiscard]] constexpr std::string_view name_of(alert_severity severity)
+{
+    constexpr std::array<std::string_view, 3> names = {"none", "ticket",
+                                                       "page"};
+    return names[static_cast<std::size_t>(severity)];
+}
+
+/// A window over which burn is computed.
+struct burn_window
+{
+    std::string_view name;
+    std::chrono::seconds length{0};
+};
+
+inline constexpr std::array<burn_window, 5> burn_windows = {
+    burn_window{"5m", std::chrono::minutes(5)},
+    burn_window{"30m", std::chrono::minutes(30)},
+    burn_window{"1h", std::chrono::hours(1)},
+    burn_window{"6h", std::chrono::hours(6)},
+    burn_window{"3d", std::chrono::hours(72)}};
+
+/// The window whose error budget is reported as left.
+inline constexpr std::size_t budget_window = 4;
+
+/// Alerts when the burn rate is above `rate` over both windows: the long one
+/// shows that it matters, the short one that it still goes on.
+struct burn_rule
+{
+    /// Indexes into `burn_windows`.
+    std::size_t long_window = 0;
+    std::size_t short_window = 0;
+    double rate = 0;
+    alert_severity severity = alert_severity::none;
+};
+
+/// The usual pairs: at these rates 2%, 5% and 10% of a budget of thirty days
+/// are spent within the long window.
+inline constexpr std::array<burn_rule, 3> burn_rules = {
+    burn_rule{2, 0, 14.4, alert_severity::page},
+    burn_rule{3, 1, 6, alert_severity::page},
+    burn_rule{4, 3, 1, alert_severity::ticket}};
+
+} // namespace turmeric::domain
--- a/libraries/domain/move/move_machine.cpp
+++ b/libraries/domain/move/move_machine.cpp
@@ -150,7 +150,7 @@
     }
     if (input.now >= declared.deadline - declared.soak)
     {
-        return take_back(state, input, "deadline");
+        return take_back(state, input, deadline_reason);
     }
     if (input.now < declared.start || !input.are_upstreams_ready ||
         !input.has_fresh_evidence)
@@ -182,7 +182,7 @@
     }
     if (input.now > declared.deadline - declared.soak)
     {
-        return take_back(state, input, "deadline");
+        return take_back(state, input, deadline_reason);
     }
     if (input.now < end_of_step(state, declared))
     {
@@ -215,7 +215,7 @@
     }
     if (input.now > declared.deadline)
     {
-        return take_back(state, input, "deadline");
+        return take_back(state, input, deadline_reason);
     }
     if (input.now < state.since + declared.soak || !input.has_fresh_evidence ||
         input.verdict.evidence >= m_settings.suspicion)
--- a/libraries/domain/move/move_state.hpp
+++ b/libraries/domain/move/move_state.hpp
@@ -15,6 +15,9 @@
 
 inline constexpr std::int32_t whole_share = 1'000'000;
 
+/// The reason of a move that was taken back because its time was over.
+inline constexpr const char* deadline_reason = "deadline";
+
 /// A version move as it is stored, changed by compare-and-swap alone.
 struct move_state
 {
--- a/libraries/drivers/move/move_driver.cpp
+++ b/libraries/drivers/move/move_driver.cpp
@@ -11,6 +11,9 @@
 namespace
 {
 
+/// Why a move whose declaration is gone was taken back.
+constexpr const char* withdrawn_reason = "withdrawn";
+
 const domain::move_declaration*
 find_declared(const domain::configuration& declared,
               const domain::move_state& state)
@@ -266,7 +269,7 @@
     input.now = m_clock.system_now();
     input.fencing = *m_fencing;
     std::optional<domain::move_state> made =
-        m_machine.take_back(current.state, input, "withdrawn");
+        m_machine.take_back(current.state, input, withdrawn_reason);
     if (!made)
     {
         made = m_machine.next(current.state, domain::move_declaration{}, input);
@@ -366,9 +369,29 @@
     current.state = made;
     current.revision = written.value();
     log_step(made);
+    count_end(made);
     return true;
 }
 
+void move_driver::count_moves_in(metrics::family<metrics::counter>& moves)
+{
+    m_moves = &moves;
+}
+
+void move_driver::count_end(const domain::move_state& made)
+{
+    const bool is_finished = made.phase == domain::move_phase::finished;
+    const bool is_back = made.phase == domain::move_phase::taking_back;
+    if (m_moves == nullptr || (!is_finished && !is_back) ||
+        made.reason == withdrawn_reason)
+    {
+        return;
+    }
+    const bool is_late = made.reason == domain::deadline_reason;
+    const std::string ended = is_late ? "late" : "bad";
+    m_moves->with({made.route, is_finished ? "on_time" : ended}).add();
+}
+
 void move_driver::log_step(const domain::move_state& made)
 {
     log_event event = log_event::move_stepped;
--- a/libraries/drivers/move/move_driver.hpp
+++ b/libraries/drivers/move/move_driver.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "libraries/core/logger.hpp"
+#include "libraries/core/metrics/registry.hpp"
 #include "libraries/domain/move/move_machine.hpp"
 #include "libraries/drivers/move/evidence_collector.hpp"
 #include "libraries/drivers/move/move_driver_settings.hpp"
@@ -32,6 +33,11 @@
                 ports::order_sender& orders, const ports::clock& clock,
                 logger& log, task_runner run_task);
 
+    /// Counts moves that end, by route and outcome ("on_time", "late" or
+    /// "bad"). Call it before `run`. Precondition: `moves` has these labels
+    /// and outlives the driver.
+    void count_moves_in(metrics::family<metrics::counter>& moves);
+
     /// Steps until told to stop. Blocks.
     void run(stop_signal& stop);
 
@@ -67,6 +73,7 @@
     judge(track& current, const domain::tally_pair& tally,
           const domain::move_declaration& declared);
     bool store(track& current, const domain::move_state& made);
+    void count_end(const domain::move_state& made);
     void log_step(const domain::move_state& made);
 
     const move_driver_settings m_settings;
@@ -77,6 +84,7 @@
     domain::move_machine m_machine;
     evidence_collector m_evidence;
     order_desk m_orders;
+    metrics::family<metrics::counter>* m_moves = nullptr;
     std::optional<std::int64_t> m_fencing;
     std::vector<std::string> m_routers;
     std::map<std::string, track> m_tracks;
--- /dev/null
+++ b/utilities/turmeric_burn/history_file.cpp
@@ -0,0 +1,101 @@
+#include "utilities/turmeric_burn/history_file.hpp"
+
+#include "libraries/codecs/burn/history_codec.hpp"
+
+#include <filesystem>
+#include <fmt/format.h>
+#include <fstream>
+#include <system_error>
+#include <utility>
+
+namespace turmeric::burn
+{
+
+namespace
+{
+
+/// Removes what a crash left of a last line.
+void drop_cut_off_line(const std::string& path)
+{
+    std::ifstream in(path, std::ios::binary);
+    if (!in)
+    {
+        return;
+    }
+    std::uintmax_t whole = 0;
+    std::string line;
+    while (std::getline(in, line) && !in.eof())
+    {
+        whole += line.size() + 1;
+    }
+    std::error_code ignored;
+    if (std::filesystem::file_size(path, ignored) != whole)
+    {
+        std::filesystem::resize_file(path, whole, ignored);
+    }
+}
+
+} // namespace
+
+history_file::history_file(std::string path)
+    : m_path(std::move(path))
+{
+}
+
+result<std::vector<domain::burn_sample>>
+history_file::read(std::chrono::system_clock::time_point oldest) const
+{
+    std::vector<domain::burn_sample> samples;
+    std::ifstream in(m_path);
+    std::string line;
+    int number = 0;
+    while (!m_path.empty() && std::getline(in, line))
+    {
+        ++number;
+        const bool is_cut_off = in.eof();
+        const result<domain::burn_sample> sample = codecs::decode_sample(line);
+        if (!sample && is_cut_off)
+        {
+            break;
+        }
+        if (!sample)
+        {
+            return error{result_code::corrupt_value,
+                         fmt::format("{}:{}", m_path, number),
+                         sample.failure().field + ": " +
+                             sample.failure().detail};
+        }
+        if (sample.value().time >= oldest)
+        {
+            samples.push_back(sample.value());
+        }
+    }
+    return samples;
+}
+
+status
+history_file::append(const std::vector<domain::burn_sample>& samples) const
+{
+    if (m_path.empty())
+    {
+        return success();
+    }
+    drop_cut_off_line(m_path);
+    std::string text;
+    for (const domain::burn_sample& sample : samples)
+    {
+        text += codecs::encode_sample(sample);
+        text += '\n';
+    }
+    std::ofstream out(m_path, std::ios::app | std::ios::binary);
+    out << text;
+    out.flush();
+    if (!out)
+    {
+        return error{result_code::settings_unreadable, m_path,
+                     "the samples cannot be written"};
+    }
+    return success();
+}
+
+} // namespace turmeric::burn
