--- a/libraries/codecs/burn/result_classes.cpp
+++ b/libraries/codecs/burn/result_classes.cpp
@@ -16,9 +16,9 @@
 {
     constexpr int http_too_many_requests = 429;
     constexpr int http_internal_server_error = 500;
-    // Routers give no code of operators, settings or peers to a caller.
+    // What fails beyond the router is never the caller's fault.
     constexpr int first_code = 1000;
-    constexpr int past_last_code = 6000;
+    constexpr int past_last_code = 5000;
     class_map classes;
     for (int number = first_code; number < past_last_code; ++number)
     {
