--- /dev/null
+++ b/tests/controller/operators_test.py
@@ -0,0 +1,159 @@
+#!/usr/bin/env python3
+"""Operators' calls on real processes under faults. Needs TURMERIC_BINARY_DIR."""
+import hashlib
+import json
+import os
+import pathlib
+import subprocess
+import sys
+import unittest
+
+sys.path.insert(0, str(pathlib.Path(__file__).parent.parent / 'processes'))
+import fleet as processes  # noqa: E402
+
+DIGEST = hashlib.sha256(processes.OPERATOR_KEY.encode()).hexdigest()
+PATH = '/turmericfront.v1.Operator/'
+
+
+def account(name, weight):
+    return {'account': {'name': name, 'weight': weight,
+                        'budgets': [{'name': 'season'}]}}
+
+
+class OperatorsTest(unittest.TestCase):
+    def setUp(self):
+        self.fleet = processes.Fleet()
+        self.addCleanup(self.fleet.close)
+
+    def start_controller(self, name):
+        controller = self.fleet.start_controller(
+            name, operators={'key_digests': [DIGEST]}, lease_s=3)
+        processes.wait_until(
+            f'{name} is ready',
+            lambda: processes.call(controller.address, 'GET',
+                                   '/readyz')[0] == 200)
+        return controller
+
+    def apply(self, *declarations, base=0, controller=None):
+        return self.fleet.operate(
+            'Apply', {'declarations': list(declarations),
+                      'base_version': base}, controller)
+
+    def router_versions(self):
+        status, reply = self.fleet.operate('GetStatus', {})
+        self.assertEqual(status, 200)
+        return [int(row['configuration_version'])
+                for row in reply['routers'] if row['state'] == 'live']
+
+    def wait_for_version(self, version, count):
+        processes.wait_until(
+            f'{count} routers have version {version}',
+            lambda: self.router_versions() == [version] * count)
+
+    def is_leading(self, controller):
+        text = processes.call(controller.address, 'GET', '/metrics')[2]
+        return 'turmeric_leading{duty="budgets"} 1' in text
+
+    def control(self, *arguments, controllers):
+        return subprocess.run(
+            [str(processes.BINARIES / 'turmericctl'), '--controllers',
+             ','.join(controllers), *arguments],
+            env={**os.environ,
+                 'TURMERIC_OPERATOR_KEY': processes.OPERATOR_KEY},
+            capture_output=True, text=True, timeout=processes.PATIENCE)
+
+    def test_a_version_is_in_force_with_watches_that_went_silent(self):
+        self.start_controller('c1')
+        for name in ('r1', 'r2'):
+            self.fleet.start_router(name)
+        self.assertEqual(self.apply(account('a', 1))[0], 200)
+        self.wait_for_version(1, 2)
+        self.fleet.key_value.set_faults(silent_watches=True)
+        self.assertEqual(self.apply(account('a', 2))[0], 200)
+        self.wait_for_version(2, 2)
+
+    def test_racing_operators_get_one_winner_and_typed_conflicts(self):
+        self.start_controller('c1')
+        self.start_controller('c2')
+        self.assertEqual(self.apply(account('a', 1))[0], 200)
+        joins = [processes.in_background(
+            self.apply, account('a', weight), base=1,
+            controller=self.fleet.controllers[weight % 2])
+            for weight in range(2, 10)]
+        replies = [join() for join in joins]
+        winners = [reply for status, reply in replies if status == 200]
+        self.assertEqual(len(winners), 1)
+        for status, reply in replies:
+            if status != 200:
+                self.assertEqual((status, reply['code']), (409, 6001))
+                self.assertIn('in_force', reply['conflicts'][0])
+                self.assertIn('wanted', reply['conflicts'][0])
+
+    def test_changes_of_other_objects_all_merge(self):
+        self.start_controller('c1')
+        self.start_controller('c2')
+        self.assertEqual(self.apply(account('a', 1))[0], 200)
+        joins = [processes.in_background(
+            self.apply, account(f'b{number}', 1), base=1,
+            controller=self.fleet.controllers[number % 2])
+            for number in range(6)]
+        self.assertEqual([join()[0] for join in joins], [200] * 6)
+        exported = self.fleet.operate('Export', {})[1]
+        self.assertEqual(exported['version'], '7')
+        self.assertEqual(len(exported['declarations']), 7)
+
+    def test_a_write_whose_reply_is_lost_takes_effect_once(self):
+        self.start_controller('c1')
+        for dropped in (1, 2, 3):
+            self.fleet.key_value.set_faults(drop_reply_after_effect=dropped)
+            status, reply = self.apply(account('a', dropped))
+            self.assertEqual((status, reply['version']), (200, str(dropped)))
+        self.fleet.key_value.set_faults(drop_reply_after_effect=1)
+        status, reply = self.fleet.operate(
+            'TopUp', {'account': 'a', 'budget': 'season', 'id': 'one',
+                      'tokens': 40})
+        self.assertEqual(status, 200)
+        self.assertEqual(reply['balance']['topped_up'], '40')
+
+    def test_a_frozen_leader_leads_no_more_when_it_thaws(self):
+        first = self.start_controller('c1')
+        processes.wait_until('c1 leads', lambda: self.is_leading(first))
+        second = self.start_controller('c2')
+        self.assertFalse(self.is_leading(second))
+        first.pause()
+        processes.wait_until('c2 leads', lambda: self.is_leading(second))
+        first.resume()
+        self.assertFalse(self.is_leading(first))
+        self.assertTrue(self.is_leading(second))
+
+    def test_the_command_line_goes_on_with_the_next_controller(self):
+        first = self.start_controller('c1')
+        second = self.start_controller('c2')
+        folder = self.fleet.folder / 'declarations'
+        folder.mkdir()
+        (folder / 'a.json').write_text(
+            json.dumps({'kind': 'account', 'name': 'a'}), encoding='utf-8')
+        controllers = [first.address, second.address]
+        first.kill()
+        done = self.control('apply', '-f', str(folder),
+                            controllers=controllers)
+        self.assertEqual(done.returncode, 0, done.stderr)
+        self.assertIn('added    account/a', done.stdout)
+        second.kill()
+        none = self.control('status', controllers=controllers)
+        self.assertEqual(none.returncode, 6, none.stderr)
+
+    def test_a_router_that_starts_in_an_outage_asks_its_peers(self):
+        self.start_controller('c1')
+        self.fleet.start_router('r1')
+        self.assertEqual(self.apply(account('a', 1))[0], 200)
+        self.wait_for_version(1, 1)
+        self.fleet.key_value.set_faults(outage=True)
+        late = self.fleet.start_router('r2')
+        processes.wait_until(
+            'r2 has version 1',
+            lambda: 'name=configuration_in_force' in late.log_text())
+
+
+if __name__ == '__main__':
+    unittest.main()
