--- /dev/null
+++ b/bench/routing/routing_run.cpp
@@ -0,0 +1,282 @@
+#include "bench/routing/routing_run.hpp"
+
+#include "libraries/domain/membership/locate.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <limits>
+
+namespace turmeric::bench
+{
+
+namespace
+{
+
+constexpr double percent = 100;
+const std::string lane = "v1";
+
+ports::steady_time at(double ms)
+{
+    constexpr double ns_per_ms = 1e6;
+    return ports::steady_time(
+        std::chrono::nanoseconds(static_cast<std::int64_t>(ms * ns_per_ms)));
+}
+
+double percentile(std::vector<double>& values, double part)
+{
+    if (values.empty())
+    {
+        return 0;
+    }
+    std::size_t index =
+        static_cast<std::size_t>(part * static_cast<double>(values.size()));
+    index = std::min(index, values.size() - 1);
+    std::nth_element(values.begin(),
+                     values.begin() + static_cast<std::ptrdiff_t>(index),
+                     values.end());
+    return values[index];
+}
+
+double share_of(std::size_t part, std::size_t whole)
+{
+    return whole == 0 ? 0
+                      : percent * static_cast<double>(part) /
+                            static_cast<double>(whole);
+}
+
+} // namespace
+
+routing_run::routing_run(const workload_settings& settings,
+                         const std::string& policy, double report_lag_ms)
+    : m_settings(settings)
+    , m_report_lag_ms(report_lag_ms)
+    , m_workload(settings)
+    , m_reports(settings.upstreams)
+{
+    for (std::size_t router = 0; router < settings.routers; ++router)
+    {
+        m_policies.push_back(
+            make_policy(policy, {router, settings.routers, settings.upstreams,
+                                 settings.capacity, settings.seed}));
+        m_queues.emplace_back(domain::admission_limits{});
+    }
+    for (std::size_t index = 0; index < settings.upstreams; ++index)
+    {
+        m_upstreams.emplace_back(settings.capacity, settings.cached_prefixes);
+    }
+    place_accounts();
+}
+
+void routing_run::place_accounts()
+{
+    domain::membership_snapshot snapshot;
+    for (std::size_t router = 0; router < m_policies.size(); ++router)
+    {
+        domain::member_status& status = snapshot.members.emplace_back();
+        status.row.who.incarnation = "router" + std::to_string(router);
+        status.row.who.address = std::to_string(router);
+        status.row.share = m_policies[router]->share();
+        status.is_located = true;
+    }
+    for (std::size_t account = 0; account < m_workload.accounts(); ++account)
+    {
+        domain::locate_answer answer = domain::locate(
+            snapshot,
+            {std::to_string(account), m_workload.traffic_part(account)}, {});
+        std::vector<std::size_t>& routers = m_account_routers.emplace_back();
+        for (const domain::located_router& located : answer.routers)
+        {
+            routers.insert(routers.end(),
+                           static_cast<std::size_t>(located.weight),
+                           std::stoul(located.address));
+        }
+    }
+}
+
+void routing_run::take_reports(double now_ms)
+{
+    constexpr double report_every_ms = 1000;
+    while (now_ms >= m_next_report_ms)
+    {
+        // What was seen a lag ago arrives now; then it is seen anew.
+        if (m_next_report_ms >= m_report_lag_ms)
+        {
+            for (std::size_t index = 0; index < m_upstreams.size(); ++index)
+            {
+                for (const std::unique_ptr<routing_policy>& policy : m_policies)
+                {
+                    policy->update_load(index, m_reports[index].running,
+                                        m_reports[index].waiting,
+                                        at(m_next_report_ms - m_report_lag_ms));
+                }
+            }
+        }
+        for (std::size_t index = 0; index < m_upstreams.size(); ++index)
+        {
+            const upstream_fake& upstream = m_upstreams[index];
+            m_reports[index] = {upstream.held() - upstream.waiting(),
+                                upstream.waiting()};
+        }
+        m_next_report_ms += std::max(m_report_lag_ms, report_every_ms);
+    }
+}
+
+void routing_run::arrive(const arrival& request)
+{
+    const std::vector<std::size_t>& routers =
+        m_account_routers[request.account];
+    running_request made;
+    made.router = routers[request.draw % routers.size()];
+    made.prefix = request.prefix;
+    made.arrived_ms = request.at_ms;
+    made.decode_ms = request.decode_ms;
+    domain::admission_queue& queue = m_queues[made.router];
+    if (queue.size() == 0 && send(made, request.at_ms))
+    {
+        return;
+    }
+    domain::admission_ticket ticket;
+    ticket.id = m_ticket++;
+    ticket.account = std::to_string(request.account);
+    ticket.lane = lane;
+    result<domain::admission> offered =
+        queue.offer(ticket, false, at(request.at_ms));
+    if (!offered)
+    {
+        ++m_refused;
+        return;
+    }
+    m_waiting[ticket.id] = made;
+}
+
+bool routing_run::send(const running_request& request, double now_ms)
+{
+    auto before = std::chrono::steady_clock::now();
+    std::optional<std::size_t> chosen = m_policies[request.router]->choose(
+        request.prefix * 0x9e3779b97f4a7c15ULL, at(now_ms));
+    auto after = std::chrono::steady_clock::now();
+    ++m_decisions;
+    m_decision_ns += static_cast<std::uint64_t>(
+        std::chrono::nanoseconds(after - before).count());
+    if (!chosen)
+    {
+        return false;
+    }
+    running_request sent = request;
+    sent.upstream = *chosen;
+    upstream_fake& upstream = m_upstreams[*chosen];
+    bool is_started = upstream.accept(sent);
+    m_peak_held = std::max(m_peak_held, upstream.held());
+    if (is_started)
+    {
+        begin(sent, now_ms);
+    }
+    else if (now_ms >= m_measure_from_ms)
+    {
+        ++m_over_capacity;
+    }
+    return true;
+}
+
+void routing_run::begin(const running_request& request, double now_ms)
+{
+    bool is_hit = m_upstreams[request.upstream].touch(request.prefix);
+    double prefill_ms =
+        is_hit ? m_settings.cached_prefill_ms : m_settings.whole_prefill_ms;
+    if (request.arrived_ms >= m_measure_from_ms)
+    {
+        double queueing_ms = now_ms - request.arrived_ms;
+        m_queueing_ms.push_back(queueing_ms);
+        m_first_token_ms.push_back(queueing_ms + prefill_ms);
+        m_hits += is_hit ? 1 : 0;
+    }
+    m_ends.push({now_ms + prefill_ms + request.decode_ms, request});
+}
+
+void routing_run::end(const end_event& event)
+{
+    const running_request& done = event.request;
+    std::optional<running_request> next = m_upstreams[done.upstream].finish();
+    m_policies[done.router]->finish(done.upstream, at(event.at_ms));
+    if (next)
+    {
+        begin(*next, event.at_ms);
+    }
+    drain(done.router, event.at_ms);
+}
+
+void routing_run::drain(std::size_t router, double now_ms)
+{
+    std::optional<domain::admission_ticket> ticket =
+        m_queues[router].next(lane, at(now_ms));
+    if (ticket)
+    {
+        auto found = m_waiting.find(ticket->id);
+        if (!send(found->second, now_ms))
+        {
+            ++m_refused;
+        }
+        m_waiting.erase(found);
+    }
+}
+
+void routing_run::refuse_overdue(double now_ms)
+{
+    for (domain::admission_queue& queue : m_queues)
+    {
+        for (const domain::refused_ticket& refused : queue.expire(at(now_ms)))
+        {
+            m_waiting.erase(refused.ticket.id);
+            m_refused += now_ms >= m_measure_from_ms ? 1 : 0;
+        }
+    }
+}
+
+routing_figures routing_run::run(double warm_up_ms, double measured_ms)
+{
+    constexpr double expire_every_ms = 100;
+    double next_expiry_ms = 0;
+    m_measure_from_ms = warm_up_ms;
+    arrival next = m_workload.next();
+    while (next.at_ms < warm_up_ms + measured_ms)
+    {
+        while (!m_ends.empty() && m_ends.top().at_ms <= next.at_ms)
+        {
+            end_event event = m_ends.top();
+            m_ends.pop();
+            end(event);
+        }
+        take_reports(next.at_ms);
+        if (next.at_ms >= next_expiry_ms)
+        {
+            refuse_overdue(next.at_ms);
+            next_expiry_ms = next.at_ms + expire_every_ms;
+        }
+        arrive(next);
+        next = m_workload.next();
+    }
+    return figures();
+}
+
+routing_figures routing_run::figures()
+{
+    constexpr double median = 0.5;
+    constexpr double most = 0.95;
+    constexpr double nearly_all = 0.99;
+    routing_figures made;
+    made.requests = m_queueing_ms.size() + m_refused;
+    made.queueing_p50_ms = percentile(m_queueing_ms, median);
+    made.queueing_p95_ms = percentile(m_queueing_ms, most);
+    made.queueing_p99_ms = percentile(m_queueing_ms, nearly_all);
+    made.first_token_p95_ms = percentile(m_first_token_ms, most);
+    made.cache_hit_percent = share_of(m_hits, m_queueing_ms.size());
+    made.refused_percent = share_of(m_refused, made.requests);
+    made.over_capacity_percent = share_of(m_over_capacity, made.requests);
+    made.peak_held_percent = percent * static_cast<double>(m_peak_held) /
+                             static_cast<double>(m_settings.capacity);
+    made.cpu_ns_per_decision =
+        static_cast<double>(m_decision_ns) / static_cast<double>(m_decisions);
+    return made;
+}
+
+} // namespace turmeric::bench
--- /dev/null
+++ b/bench/routing/upstream_fake.hpp
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "libraries/domain/routing/choice.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <list>
+#include <optional>
+#include <unordered_map>
+
+namespace turmeric::bench
+{
+
+/// A request that an upstream runs or keeps waiting.
+struct running_request
+{
+    std::size_t router = 0;
+    std::size_t upstream = 0;
+    std::uint64_t prefix = 0;
+    double arrived_ms = 0;
+    double decode_ms = 0;
+};
+
+/// An engine: runs up to its capacity, queues the rest in order, and keeps
+/// the prefixes used last. Not thread safe.
+class upstream_fake
+{
+public:
+    /// Not thread safe.
+    upstream_fake(std::int32_t capacity, std::size_t cached_prefixes);
+
+    /// Starts the request or queues it; tells whether it started. Not thread
+    /// safe.
+    bool accept(const running_request& request);
+
+    /// Ends a running request and returns the queued one that may start now.
+    /// Not thread safe.
+    std::optional<running_request> finish();
+
+    /// Looks the prefix up and remembers it; tells whether it was there. Not
+    /// thread safe.
+    bool touch(std::uint64_t prefix);
+
+    /// Returns how many it holds, running and queued. Not thread safe.
+    [[nodiscard]] std::int64_t held() const;
+
+    /// Returns how many wait. Not thread safe.
+    [[nodiscard]] std::int64_t waiting() const;
+
+private:
+    std::int64_t m_capacity;
+    std::size_t m_cached_prefixes;
+    std::int64_t m_running = 0;
+    std::deque<running_request> m_queue;
+    std::list<std::uint64_t> m_recent;
+    std::unordered_map<std::uint64_t, std::list<std::uint64_t>::iterator>
+        m_places;
+};
+
+} // namespace turmeric::bench
--- a/libraries/codecs/membership/membership_json.cpp
+++ b/libraries/codecs/membership/membership_json.cpp
@@ -46,9 +46,15 @@
         epochs.push_back(
             {{"number", epoch.number}, {"routers", epoch.routers}});
     }
+    json origins = json::object();
+    for (const auto& [router, origin] : value.origins)
+    {
+        origins[router] = {{"vm", origin.vm},
+                           {"started_ms", to_milliseconds(origin.started)}};
+    }
     return json{
         {"epochs", epochs},
-        {"vms", value.vms},
+        {"origins", origins},
         {"ended", value.ended},
         {"revision", value.revision},
     };
@@ -103,6 +109,13 @@
         return *found;
     }
 
+    [[nodiscard]] ports::system_time read_time(const char* name)
+    {
+        std::int64_t milliseconds = 0;
+        read(name, milliseconds);
+        return ports::system_time(std::chrono::milliseconds(milliseconds));
+    }
+
     void fail(const char* name)
     {
         m_fault = m_fault.value_or(name);
@@ -142,7 +155,13 @@
             epoch_fields.fail("routers");
         }
     }
-    fields.read("vms", value.vms);
+    for (const auto& [router, item] : fields.object("origins").items())
+    {
+        field_reader origin_fields(item, fault);
+        domain::router_origin& origin = value.origins[router];
+        origin_fields.read("vm", origin.vm);
+        origin.started = origin_fields.read_time("started_ms");
+    }
     fields.read("ended", value.ended);
     fields.read("revision", value.revision);
 }
--- a/libraries/domain/membership/locate.hpp
+++ b/libraries/domain/membership/locate.hpp
@@ -14,7 +14,7 @@
 struct locate_limits
 {
     /// The fewest routers that an account is sent to.
-    std::size_t least_routers = 3;
+    std::size_t least_routers = 8;
     /// Further routers named for failover.
     std::size_t spare_routers = 2;
     /// Routers for an account relative to its part of the traffic.
--- a/libraries/domain/membership/membership_epochs.cpp
+++ b/libraries/domain/membership/membership_epochs.cpp
@@ -22,7 +22,7 @@
     {
         used.insert(epoch.routers.begin(), epoch.routers.end());
     }
-    std::erase_if(record.vms, [&used](const auto& item)
+    std::erase_if(record.origins, [&used](const auto& item)
                   { return !used.contains(item.first); });
     std::erase_if(record.ended, [&used](const std::string& router)
                   { return !used.contains(router); });
@@ -30,26 +30,20 @@
 
 } // namespace
 
-bool membership_view::has_successor(const std::string& incarnation,
-                                    const std::string& vm) const
+bool membership_view::has_successor(const router_origin& origin) const
 {
-    auto known = m_members.find(incarnation);
-    if (known == m_members.end())
-    {
-        return false;
-    }
-    ports::system_time started = known->second.row.who.started;
     return std::any_of(m_members.begin(), m_members.end(),
-                       [&vm, started](const auto& item)
+                       [&origin](const auto& item)
                        {
                            const known_member& other = item.second;
-                           return other.has_lease && other.row.who.vm == vm &&
-                                  other.row.who.started > started;
+                           return other.has_lease &&
+                                  other.row.who.vm == origin.vm &&
+                                  other.row.who.started > origin.started;
                        });
 }
 
 bool membership_view::has_evidence(const std::string& incarnation,
-                                   const std::string& vm,
+                                   const router_origin& origin,
                                    ports::steady_time now) const
 {
     auto known = m_members.find(incarnation);
@@ -59,11 +53,11 @@
     {
         return false;
     }
-    if (has_successor(incarnation, vm))
+    if (has_successor(origin))
     {
         return true;
     }
-    auto sighting = m_vms.find(vm);
+    auto sighting = m_vms.find(origin.vm);
     return sighting != m_vms.end() && !sighting->second.is_listed &&
            *m_vms_read - sighting->second.seen >= m_limits.vm_gone_after;
 }
@@ -71,9 +65,9 @@
 void membership_view::update_evidence(ports::steady_time now)
 {
     std::map<std::string, ports::steady_time> since;
-    for (const auto& [incarnation, vm] : m_record.vms)
+    for (const auto& [incarnation, origin] : m_record.origins)
     {
-        if (has_evidence(incarnation, vm, now))
+        if (has_evidence(incarnation, origin, now))
         {
             auto known = m_ended_since.find(incarnation);
             since[incarnation] =
@@ -163,7 +157,7 @@
 epoch_record membership_view::next_record(ports::steady_time now) const
 {
     epoch_record next = m_record;
-    for (const auto& [incarnation, vm] : m_record.vms)
+    for (const auto& [incarnation, origin] : m_record.origins)
     {
         if (has_ended(incarnation, now) && !contains(next.ended, incarnation))
         {
@@ -183,7 +177,8 @@
         auto known = m_members.find(router);
         if (known != m_members.end())
         {
-            next.vms[router] = known->second.row.who.vm;
+            const member& who = known->second.row.who;
+            next.origins[router] = {who.vm, who.started};
         }
     }
     return next;
--- a/libraries/domain/membership/membership_view.cpp
+++ b/libraries/domain/membership/membership_view.cpp
@@ -130,9 +130,9 @@
     {
         m_vms.try_emplace(entry.row.who.vm, vm_sighting{.seen = now});
     }
-    for (const auto& [incarnation, vm] : m_record.vms)
+    for (const auto& [incarnation, origin] : m_record.origins)
     {
-        m_vms.try_emplace(vm, vm_sighting{.seen = now});
+        m_vms.try_emplace(origin.vm, vm_sighting{.seen = now});
     }
     m_vms_read = now;
 }
@@ -309,7 +309,7 @@
                       bool is_old = now - entry.raised >= m_limits.forget_after;
                       return item.first != m_self && !entry.has_lease &&
                              (is_new || is_old) &&
-                             !m_record.vms.contains(item.first);
+                             !m_record.origins.contains(item.first);
                   });
 }
 
--- a/libraries/domain/membership/membership_view.hpp
+++ b/libraries/domain/membership/membership_view.hpp
@@ -130,10 +130,9 @@
     [[nodiscard]] bool is_located(const known_member& entry,
                                   ports::steady_time now) const;
     [[nodiscard]] bool has_evidence(const std::string& incarnation,
-                                    const std::string& vm,
+                                    const router_origin& origin,
                                     ports::steady_time now) const;
-    [[nodiscard]] bool has_successor(const std::string& incarnation,
-                                     const std::string& vm) const;
+    [[nodiscard]] bool has_successor(const router_origin& origin) const;
     void update_evidence(ports::steady_time now);
     [[nodiscard]] bool has_ended(const std::string& incarnation,
                                  ports::steady_time now) const;
--- a/libraries/domain/membership/router_epoch.hpp
+++ b/libraries/domain/membership/router_epoch.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "libraries/ports/clock.hpp"
+
 #include <cstdint>
 #include <map>
 #include <string>
@@ -12,6 +14,15 @@
 /// none yet.
 using epoch_number = std::int64_t;
 
+/// Where and when a router was started.
+struct router_origin
+{
+    std::string vm;
+    ports::system_time started{};
+
+    bool operator==(const router_origin&) const = default;
+};
+
 /// The routers that share the upstreams' capacity from one number on.
 struct router_epoch
 {
@@ -28,8 +39,8 @@
 {
     /// Rising numbers without a gap; the last one is the newest.
     std::vector<router_epoch> epochs;
-    /// The VM of each router of these epochs, by incarnation.
-    std::map<std::string, std::string> vms;
+    /// The origin of each router of these epochs, by incarnation.
+    std::map<std::string, router_origin> origins;
     /// Routers of these epochs that ended and whose requests are over.
     std::vector<std::string> ended;
     /// Goes up by one with each change of the record.
--- a/libraries/domain/routing/share_table.cpp
+++ b/libraries/domain/routing/share_table.cpp
@@ -19,12 +19,12 @@
 constexpr std::int64_t bound_numerator = 5;
 constexpr std::int64_t bound_denominator = 4;
 
-bool has_room(std::int64_t owned, std::int64_t slots, std::int64_t routers)
+bool has_room(std::int64_t owned, std::int64_t seats, std::int64_t routers)
 {
-    return owned * bound_denominator * routers < slots * bound_numerator;
+    return owned * bound_denominator * routers < seats * bound_numerator;
 }
 
-std::uint16_t owner_of_slot(std::uint64_t key, std::int64_t slots,
+std::uint16_t owner_of_seat(std::uint64_t key, std::int64_t seats,
                             const std::vector<std::uint64_t>& routers,
                             const std::vector<std::int32_t>& owned)
 {
@@ -33,7 +33,7 @@
     std::uint64_t best_rank = 0;
     for (std::size_t index = 0; index < routers.size(); ++index)
     {
-        if (!has_room(owned[index], slots, count))
+        if (!has_room(owned[index], seats, count))
         {
             continue;
         }
@@ -49,23 +49,37 @@
 
 } // namespace
 
+std::size_t count_seats(std::size_t routers)
+{
+    // A large fleet divides an upstream between few routers, so that each
+    // has several slots there and a prompt prefix keeps to one upstream.
+    constexpr std::size_t small_fleet = 32;
+    constexpr std::size_t seats_in_large_fleet = 16;
+    return routers <= small_fleet ? SIZE_MAX : seats_in_large_fleet;
+}
+
 std::vector<std::uint16_t>
 owners_of_slots(std::uint64_t upstream, std::int32_t capacity,
                 const std::vector<std::uint64_t>& routers)
 {
     assert(!routers.empty());
+    std::size_t slots = static_cast<std::size_t>(std::max(capacity, 0));
+    std::size_t seats = std::min(slots, count_seats(routers.size()));
     std::vector<std::uint16_t> owners;
-    owners.reserve(static_cast<std::size_t>(std::max(capacity, 0)));
+    owners.reserve(slots);
     std::vector<std::int32_t> owned(routers.size(), 0);
-    for (std::int32_t slot = 0; slot < capacity; ++slot)
+    for (std::size_t seat = 0; seat < seats; ++seat)
     {
-        std::uint64_t key =
-            rank_of(upstream, static_cast<std::uint64_t>(slot) + 1);
-        std::uint16_t owner =
-            owner_of_slot(key, std::int64_t{slot} + 1, routers, owned);
+        std::uint64_t key = rank_of(upstream, seat + 1);
+        std::uint16_t owner = owner_of_seat(
+            key, static_cast<std::int64_t>(seat) + 1, routers, owned);
         ++owned[owner];
         owners.push_back(owner);
     }
+    for (std::size_t slot = seats; slot < slots; ++slot)
+    {
+        owners.push_back(owners[slot % seats]);
+    }
     return owners;
 }
 
--- a/libraries/domain/routing/share_table.hpp
+++ b/libraries/domain/routing/share_table.hpp
@@ -3,6 +3,7 @@
 #include "libraries/domain/configuration/declarations.hpp"
 #include "libraries/domain/membership/router_epoch.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <unordered_map>
@@ -11,6 +12,10 @@
 namespace turmeric::domain
 {
 
+/// Returns between how many routers an upstream's slots are divided at most.
+/// Thread safe.
+[[nodiscard]] std::size_t count_seats(std::size_t routers);
+
 /// Returns for each of an upstream's slots the index in `routers` of the
 /// router that owns it: rendezvous hashing with a bound of 5/4 of the even
 /// share. A slot's owner depends on nothing but the upstream's name, the
--- a/libraries/domain/routing/upstream_selector.cpp
+++ b/libraries/domain/routing/upstream_selector.cpp
@@ -52,6 +52,10 @@
     {
         upstream_entry& entry = declare(share.upstream);
         entry.share = share.slots;
+        if (share.slots == 0)
+        {
+            continue;
+        }
         for (const std::string& version : share.upstream.versions)
         {
             m_by_version[version].push_back(&entry);
@@ -146,7 +150,7 @@
             bool is_excluded =
                 std::find(request.excluded.begin(), request.excluded.end(),
                           entry->declaration.name) != request.excluded.end();
-            has_share = has_share || (entry->share > 0 && !is_excluded);
+            has_share = has_share || !is_excluded;
             if (is_excluded || !takes_work(*entry, now))
             {
                 continue;
--- a/tests/membership/fleet.cpp
+++ b/tests/membership/fleet.cpp
@@ -47,11 +47,32 @@
     self.peer_address = self.incarnation + ":81";
     self.vm = vm.value_or("vm" + self.incarnation);
     m_removed_vms.erase(self.vm);
-    self.started = ports::system_time(now.time_since_epoch());
+    // A VM runs one router at a time.
+    kill_all_on(self.vm);
     routers.push_back(std::make_unique<router>(self, m_limits, now));
     return index;
 }
 
+void fleet::kill_all_on(const std::string& vm)
+{
+    for (std::size_t index = 0; index < routers.size(); ++index)
+    {
+        if (routers[index]->self.vm == vm)
+        {
+            kill(index);
+        }
+    }
+}
+
+bool fleet::has_successor(std::size_t index) const
+{
+    return std::any_of(routers.begin(), routers.end(),
+                       [this, index](const auto& each) {
+                           return !each->died &&
+                                  each->self.vm == routers[index]->self.vm;
+                       });
+}
+
 bool fleet::runs(std::size_t index) const
 {
     return !routers[index]->died && !routers[index]->is_frozen;
@@ -64,6 +85,7 @@
 
 void fleet::remove_vm(std::size_t index)
 {
+    kill_all_on(routers[index]->self.vm);
     m_removed_vms.insert(routers[index]->self.vm);
 }
 
--- a/tests/membership/fleet.hpp
+++ b/tests/membership/fleet.hpp
@@ -44,7 +44,7 @@
     std::size_t start(std::optional<std::string> vm = std::nullopt);
     /// Ends a router at once; its requests go on for a while upstream.
     void kill(std::size_t index);
-    /// Takes a killed router's VM off the list.
+    /// Ends the router's VM and takes it off the list.
     void remove_vm(std::size_t index);
     void leave(std::size_t index);
     void dispatch(std::size_t index, std::uint64_t prefix);
@@ -53,6 +53,7 @@
     void run_round();
 
     [[nodiscard]] std::int64_t held_in_all() const;
+    [[nodiscard]] bool has_successor(std::size_t index) const;
     [[nodiscard]] bool runs(std::size_t index) const;
     [[nodiscard]] bool locates(std::size_t by, std::size_t whom) const;
     [[nodiscard]] bool are_joined(const router& left,
@@ -67,6 +68,7 @@
     ports::steady_time now{std::chrono::hours(1)};
 
 private:
+    void kill_all_on(const std::string& vm);
     void exchange(router& from, router& to);
     void call_platform(router& subject);
     void apply(router& subject);
--- a/tests/membership/fleet_test.cpp
+++ b/tests/membership/fleet_test.cpp
@@ -53,10 +53,7 @@
         subject.kill(index);
         break;
     case 1:
-        if (router.died)
-        {
-            subject.remove_vm(index);
-        }
+        subject.remove_vm(index);
         break;
     case 2:
         if (router.died && subject.routers.size() < 12)
@@ -185,7 +182,7 @@
                 router.side = 0;
                 router.has_platform = true;
                 router.is_frozen = false;
-                if (router.died)
+                if (router.died && !subject.has_successor(index))
                 {
                     subject.remove_vm(index);
                 }
