--- a/libraries/adapters/httplib/http_server.cpp
+++ b/libraries/adapters/httplib/http_server.cpp
@@ -145,6 +145,10 @@
         {
             int on = 1;
             ::setsockopt(made, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+            // Accepted connections inherit it; without it the kernel grows
+            // the buffer of a slow reader to megabytes.
+            int bytes = static_cast<int>(settings.send_buffer_bytes);
+            ::setsockopt(made, SOL_SOCKET, SO_SNDBUF, &bytes, sizeof(bytes));
             socket = made;
         });
 }
--- a/libraries/adapters/httplib/http_server.hpp
+++ b/libraries/adapters/httplib/http_server.hpp
@@ -34,6 +34,8 @@
     std::chrono::milliseconds read_timeout{10'000};
     /// The longest time that one piece of an answer may block.
     std::chrono::milliseconds write_timeout{60'000};
+    /// What the kernel may hold of an answer that its caller does not read.
+    std::size_t send_buffer_bytes = std::size_t{64} * 1024;
     std::chrono::seconds keep_alive{5};
     std::optional<tls_files> tls;
 };
--- a/services/router/router_settings.cpp
+++ b/services/router/router_settings.cpp
@@ -40,6 +40,7 @@
             "body_bytes": {"type": "integer", "minimum": 1024},
             "headers": {"type": "integer", "minimum": 8},
             "header_bytes": {"type": "integer", "minimum": 1024},
+            "send_buffer_bytes": {"type": "integer", "minimum": 4096},
             "read_timeout_ms": {"type": "integer", "minimum": 10},
             "write_timeout_ms": {"type": "integer", "minimum": 10},
             "queue_requests": {"type": "integer", "minimum": 0},
@@ -103,6 +104,8 @@
     server.most_headers = limits.value("headers", server.most_headers);
     server.most_header_bytes =
         limits.value("header_bytes", server.most_header_bytes);
+    server.send_buffer_bytes =
+        limits.value("send_buffer_bytes", server.send_buffer_bytes);
     server.read_timeout =
         read_time(limits, "read_timeout_ms", server.read_timeout);
     server.write_timeout =
--- a/tests/processes/fleet.py
+++ b/tests/processes/fleet.py
@@ -10,7 +10,9 @@
 import threading
 import time
 
-BINARIES = pathlib.Path(os.environ['TURMERIC_BINARY_DIR'])
+BINARIES = pathlib.Path(os.environ.get(
+    'TURMERIC_BINARY_DIR',
+    pathlib.Path(__file__).resolve().parents[2] / 'build'))
 PATIENCE = 60.0
 OPERATOR_KEY = 'operator-key-for-tests'
 
