--- /dev/null
+++ b/bench/budget/measure.hpp
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "libraries/core/json.hpp"
+#include "libraries/domain/configuration/declarations.hpp"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace turmeric::bench
+{
+
+/// The figures of one run.
+struct measure
+{
+    domain::tokens overspend_tokens = 0;
+    std::int64_t double_billed = 0;
+    std::int64_t delivered_unbilled = 0;
+    std::int64_t billed_undelivered = 0;
+    std::int64_t requests = 0;
+    std::int64_t admitted = 0;
+    std::int64_t delivered = 0;
+    std::int64_t refused = 0;
+    std::int64_t false_refusals = 0;
+    std::int64_t undurable = 0;
+    std::int64_t platform_reads = 0;
+    std::int64_t platform_writes = 0;
+    std::int64_t platform_bytes = 0;
+    std::int64_t largest_value = 0;
+    double seconds = 0.0;
+    /// By the name of the result code.
+    std::map<std::string, std::int64_t> refusals;
+    /// Samples of idle granted tokens, as parts of what is left.
+    std::vector<double> stranded;
+    /// Seconds from the end of an answer to its durable bill.
+    std::vector<double> durability;
+    /// Seconds that admitted requests waited for a grant.
+    std::vector<double> admission;
+    /// Share of the cut-off side's fair part that it could spend, or -1.
+    double spendable_percent = -1.0;
+};
+
+/// Returns the figures as one JSON object. Thread safe.
+json to_json(const measure& figures);
+
+} // namespace turmeric::bench
--- /dev/null
+++ b/bench/budget/options.cpp
@@ -0,0 +1,84 @@
+#include "bench/budget/options.hpp"
+
+#include <limits>
+
+namespace turmeric::bench
+{
+
+namespace
+{
+
+/// Grants just what waiting requests need.
+class exact_policy final : public domain::grant_policy
+{
+public:
+    [[nodiscard]] domain::tokens
+    target(const domain::grant_situation&) const override
+    {
+        return 0;
+    }
+
+    [[nodiscard]] domain::tokens
+    reserve(const domain::grant_situation&) const override
+    {
+        return 0;
+    }
+};
+
+/// Takes all it can get and gives nothing back.
+class greedy_policy final : public domain::grant_policy
+{
+public:
+    [[nodiscard]] domain::tokens
+    target(const domain::grant_situation&) const override
+    {
+        return std::numeric_limits<domain::tokens>::max() / 4;
+    }
+
+    [[nodiscard]] domain::tokens
+    reserve(const domain::grant_situation&) const override
+    {
+        return 0;
+    }
+};
+
+constexpr std::chrono::seconds short_term(10);
+
+} // namespace
+
+domain::router_ledger_settings ledger_settings(const bench_options& options)
+{
+    domain::router_ledger_settings settings;
+    settings.shard_count = options.shards;
+    settings.pending_bills = 2'000'000;
+    if (options.policy == "expiry_only")
+    {
+        settings.grant_term = short_term;
+        settings.clock_skew = std::chrono::seconds(1);
+        settings.refresh_interval = std::chrono::seconds(3);
+    }
+    if (options.policy == "write_per_request")
+    {
+        settings.bills_per_batch = 1;
+        settings.lines_per_batch = 1;
+    }
+    return settings;
+}
+
+std::unique_ptr<domain::grant_policy> make_policy(const bench_options& options)
+{
+    if (options.policy == "write_per_request")
+    {
+        return std::make_unique<exact_policy>();
+    }
+    if (options.policy == "fixed_split" || options.policy == "sole_owner")
+    {
+        return std::make_unique<greedy_policy>();
+    }
+    domain::rate_share_settings settings;
+    settings.horizon =
+        options.policy == "expiry_only" ? short_term : options.horizon;
+    return std::make_unique<domain::rate_share_policy>(settings);
+}
+
+} // namespace turmeric::bench
--- a/libraries/domain/budget/apply_commit.cpp
+++ b/libraries/domain/budget/apply_commit.cpp
@@ -264,10 +264,14 @@
             account.recalled_until = m_now + m_limits.recall_time;
             return;
         }
+        const grant_situation situation = situation_of(account, grant->rate);
         const tokens ahead =
-            m_policy.target(situation_of(account, grant->rate)) -
-            outstanding_of(*grant);
-        grant->granted += std::clamp<tokens>(ahead, 0, pool);
+            m_policy.target(situation) - outstanding_of(*grant);
+        const tokens spare = pool - m_policy.reserve(situation);
+        // A grant at most doubles in one step, so that the first router of a
+        // budget does not take it whole before others have shown their rate.
+        const tokens step = outstanding_of(*grant) + grant->rate;
+        grant->granted += std::max<tokens>(std::min({ahead, spare, step}), 0);
     }
 
     grant_record* find_or_add(budget_account& account, const budget_line& line,
--- a/libraries/domain/budget/grant_policy.cpp
+++ b/libraries/domain/budget/grant_policy.cpp
@@ -36,4 +36,10 @@
     return static_cast<tokens>(std::min(share, covered));
 }
 
+tokens rate_share_policy::reserve(const grant_situation& situation) const
+{
+    return static_cast<tokens>(static_cast<double>(situation.remaining) *
+                               m_settings.reserve);
+}
+
 } // namespace turmeric::domain
--- a/libraries/domain/budget/grant_policy.hpp
+++ b/libraries/domain/budget/grant_policy.hpp
@@ -33,6 +33,11 @@
     /// Returns the tokens to hold. Thread safe.
     [[nodiscard]] virtual tokens
     target(const grant_situation& situation) const = 0;
+
+    /// Returns the tokens of the budget that are granted to waiting requests
+    /// only, never ahead of need. Thread safe.
+    [[nodiscard]] virtual tokens
+    reserve(const grant_situation& situation) const = 0;
 };
 
 /// Settings of `rate_share_policy`.
@@ -44,7 +49,7 @@
     double reserve = 0.03;
     /// Nothing is granted ahead when the fleet would spend the remaining
     /// tokens within this time.
-    std::chrono::seconds exact_below{20};
+    std::chrono::seconds exact_below{60};
     /// Nothing is granted ahead when fewer tokens remain.
     tokens exact_below_tokens = 20'000;
 };
@@ -59,6 +64,8 @@
 
     [[nodiscard]] tokens
     target(const grant_situation& situation) const override;
+    [[nodiscard]] tokens
+    reserve(const grant_situation& situation) const override;
 
 private:
     rate_share_settings m_settings;
--- a/libraries/domain/budget/router_ledger.cpp
+++ b/libraries/domain/budget/router_ledger.cpp
@@ -289,8 +289,9 @@
     {
         return false;
     }
-    const tokens reachable =
-        budget.reading->pool + budget.reading->others + free_of(budget);
+    // Open holds, here as elsewhere, may settle for less than their bounds.
+    const tokens reachable = budget.reading->pool + budget.reading->others +
+                             budget.granted - budget.unsettled;
     return reachable < bound;
 }
 
@@ -330,6 +331,7 @@
     {
         counts.granted += budget.granted;
         counts.held += budget.held;
+        counts.unsettled += budget.unsettled;
     }
     return counts;
 }
--- a/libraries/domain/budget/router_ledger.hpp
+++ b/libraries/domain/budget/router_ledger.hpp
@@ -60,12 +60,12 @@
 {
     std::int32_t shard_count = 64;
     /// How long grants may be spent without the platform.
-    std::chrono::seconds grant_term{std::chrono::hours(1)};
+    std::chrono::seconds grant_term{std::chrono::minutes(75)};
     /// Subtracted from the term here, so that a router stops before a
     /// controller with another clock counts the term as over.
     std::chrono::seconds clock_skew{30};
     /// Grants unused for this long are read again or given back.
-    std::chrono::seconds refresh_interval{10};
+    std::chrono::seconds refresh_interval{5};
     /// How long a reading proves that a budget is exhausted.
     std::chrono::milliseconds exhausted_age{1000};
     /// Averaging time of spend rates.
@@ -87,6 +87,8 @@
     std::size_t budgets = 0;
     tokens granted = 0;
     tokens held = 0;
+    /// Tokens of the pending bills.
+    tokens unsettled = 0;
     bool is_fenced = false;
 };
 
@@ -248,8 +250,9 @@
     void add_lines(shard_state& shard, router_batch& batch, ledger_time now);
     budget_line line_for(const std::string& name, budget_state& budget,
                          ledger_time now) const;
-    [[nodiscard]] static std::vector<tokens>
-    needs_of(const budget_state& budget);
+    [[nodiscard]] bool gives_all_back(const budget_state& budget) const;
+    [[nodiscard]] std::vector<tokens>
+    needs_of(const budget_state& budget) const;
     void take_back(shard_state& shard);
     [[nodiscard]] bool is_leavable(const shard_state& shard) const;
     [[nodiscard]] tokens surplus_of(const budget_state& budget,
--- a/libraries/domain/budget/router_ledger_batches.cpp
+++ b/libraries/domain/budget/router_ledger_batches.cpp
@@ -146,10 +146,18 @@
     return line;
 }
 
-std::vector<tokens> router_ledger::needs_of(const budget_state& budget)
+bool router_ledger::gives_all_back(const budget_state& budget) const
+{
+    // While a need of some router is unmet, parts of grants that are too
+    // small for a request here must not lie idle at several routers.
+    return m_is_draining || m_is_fenced ||
+           (budget.reading.has_value() && budget.reading->is_recalled);
+}
+
+std::vector<tokens> router_ledger::needs_of(const budget_state& budget) const
 {
     std::vector<tokens> needs;
-    tokens unused = free_of(budget);
+    tokens unused = gives_all_back(budget) ? 0 : free_of(budget);
     for (const waiting_need& waiting : budget.waiting)
     {
         const tokens covered = std::clamp<tokens>(unused, 0, waiting.bound);
@@ -165,7 +173,7 @@
 tokens router_ledger::surplus_of(const budget_state& budget, tokens rate) const
 {
     const tokens unused = std::max<tokens>(free_of(budget), 0);
-    if (m_is_draining || m_is_fenced)
+    if (gives_all_back(budget))
     {
         return unused;
     }
@@ -179,7 +187,6 @@
         reading.pool + reading.others + budget.granted - budget.unsettled;
     situation.rate = rate;
     situation.total_rate = std::max(reading.total_rate, rate);
-    situation.is_recalled = reading.is_recalled;
     constexpr tokens hysteresis_divisor = 4;
     const tokens target = m_policy.target(situation);
     const tokens surplus = budget.granted - budget.unsettled - target;
--- a/libraries/domain/budget/shard_writer.cpp
+++ b/libraries/domain/budget/shard_writer.cpp
@@ -105,6 +105,11 @@
                             m_settings.most_backoff);
 }
 
+const std::vector<ticket_reply>& shard_writer::proposed() const
+{
+    return m_replies;
+}
+
 std::size_t shard_writer::queued() const
 {
     return m_queue.size();
--- a/libraries/domain/budget/shard_writer.hpp
+++ b/libraries/domain/budget/shard_writer.hpp
@@ -85,6 +85,10 @@
     /// The call failed; `jitter` is uniform within 0 and 1. Not thread safe.
     void on_failed(result_code code, ports::steady_time now, double jitter);
 
+    /// Returns the outcomes that the write under way will have if it takes
+    /// effect. Not thread safe.
+    [[nodiscard]] const std::vector<ticket_reply>& proposed() const;
+
     /// Returns the number of batches that wait. Not thread safe.
     [[nodiscard]] std::size_t queued() const;
 
--- a/tests/budget/shard_test.cpp
+++ b/tests/budget/shard_test.cpp
@@ -20,6 +20,11 @@
     {
         return 0;
     }
+
+    [[nodiscard]] tokens reserve(const grant_situation&) const override
+    {
+        return 0;
+    }
 };
 
 } // namespace
@@ -170,6 +175,19 @@
     LONGS_EQUAL(100, settled());
 }
 
+TEST(shard, lets_no_late_first_batch_revive_a_closed_incarnation)
+{
+    commit(batch(1, {600}));
+    CHECK_TRUE(freeze_incarnation(value, "r1", start) == change::made);
+    CHECK_TRUE(close_incarnation(value, "r1", start, seconds(0)) ==
+               change::made);
+    commit(batch(1, {600}));
+    router_batch next = batch(3, {});
+    next.bills.push_back(bill(5, 100));
+    CHECK_TRUE(commit(next).state == batch_state::closed);
+    LONGS_EQUAL(0, settled());
+}
+
 TEST(shard, keeps_its_bounds)
 {
     limits.incarnations = 1;
