Bench: Count late requests of moves without a leader apart

The test of the outage had passed without its mechanism, since each router cut by itself; now one router alone sees the failures.

--- a/bench/moves/move_run.cpp
+++ b/bench/moves/move_run.cpp
@@ -118,11 +118,7 @@
             now_s(), static_cast<double>(share) / domain::whole_share, soak_s);
     if (is_bad)
     {
-        m_outcome.was_bad = true;
-        ++m_outcome.bad_requests;
-        const bool is_after =
-            m_evidence_s && now_s() > *m_evidence_s + grace_after_evidence_s;
-        m_outcome.after_evidence_requests += is_after ? 1 : 0;
+        count_bad_request();
     }
     const domain::request_observation seen =
         m_model.draw(is_new, is_bad, now_s(), m_random);
@@ -137,6 +133,21 @@
         {now_s() + duration_s, router, is_new, seen});
 }
 
+void move_run::count_bad_request()
+{
+    m_outcome.was_bad = true;
+    ++m_outcome.bad_requests;
+    if (!m_evidence_s || now_s() <= *m_evidence_s + grace_after_evidence_s)
+    {
+        return;
+    }
+    ++m_outcome.after_evidence_requests;
+    const bool is_leaderless =
+        now_s() >= m_scenario.gap_begin_s &&
+        now_s() < m_scenario.gap_end_s + grace_after_evidence_s;
+    m_outcome.after_evidence_leaderless_requests += is_leaderless ? 1 : 0;
+}
+
 void move_run::record_ended()
 {
     std::vector<dispatched>& ended = m_running[m_tick % longest_ticks];
--- a/bench/moves/move_run.hpp
+++ b/bench/moves/move_run.hpp
@@ -34,6 +34,8 @@
     std::int64_t bad_requests = 0;
     /// Those that were dispatched over 2 s after the evidence was there.
     std::int64_t after_evidence_requests = 0;
+    /// Of these, the ones while no controller led or within the 2 s after.
+    std::int64_t after_evidence_leaderless_requests = 0;
 };
 
 /// Steps the decision objects of one fleet through one move on one route, by
@@ -60,6 +62,7 @@
 
     void dispatch_tick();
     void dispatch_one();
+    void count_bad_request();
     void record_ended();
     void deliver_state();
     void step_controller();
--- a/bench/moves/move_score.cpp
+++ b/bench/moves/move_score.cpp
@@ -31,6 +31,8 @@
     kind.requests += outcome.requests;
     kind.bad_requests += outcome.bad_requests;
     kind.after_evidence_requests += outcome.after_evidence_requests;
+    kind.after_evidence_leaderless_requests +=
+        outcome.after_evidence_leaderless_requests;
 }
 
 move_score::totals move_score::all_bad() const
@@ -44,6 +46,8 @@
         sum.requests += kind.requests;
         sum.bad_requests += kind.bad_requests;
         sum.after_evidence_requests += kind.after_evidence_requests;
+        sum.after_evidence_leaderless_requests +=
+            kind.after_evidence_leaderless_requests;
     }
     return sum;
 }
@@ -70,6 +74,8 @@
         {"bad_taken_back_percent", percent(bad.taken_back, bad.moves)},
         {"bad_exposure_percent", percent(bad.bad_requests, bad.requests)},
         {"after_evidence_requests", bad.after_evidence_requests},
+        {"after_evidence_leaderless_requests",
+         bad.after_evidence_leaderless_requests},
         {"false_take_back_percent",
          percent(good.taken_back - good.late, good.moves)}};
     for (std::size_t index = 0; index < m_kinds.size(); ++index)
--- a/bench/moves/move_score.hpp
+++ b/bench/moves/move_score.hpp
@@ -31,6 +31,7 @@
         std::int64_t requests = 0;
         std::int64_t bad_requests = 0;
         std::int64_t after_evidence_requests = 0;
+        std::int64_t after_evidence_leaderless_requests = 0;
     };
 
     [[nodiscard]] totals all_bad() const;
--- a/bench/moves/sweep.py
+++ b/bench/moves/sweep.py
@@ -15,6 +15,7 @@
           ('bad_taken_back_percent', '100'),
           ('bad_exposure_percent', '≤ 0.5'),
           ('after_evidence_requests', '0'),
+          ('after_evidence_leaderless_requests', ''),
           ('false_take_back_percent', '≤ 0.5')]
 KINDS = ['bad_at_once', 'bad_later', 'bad_in_soak', 'bad_under_load']
 
--- a/tests/move_driver/fleet.cpp
+++ b/tests/move_driver/fleet.cpp
@@ -70,7 +70,8 @@
         const std::string version =
             guard.pick("narration", std::to_string(next_request++));
         new_requests += version == "b" ? 1 : 0;
-        const bool fails = failing_versions.contains(version);
+        const bool fails = failing_versions.contains(version) &&
+                           (failing_at == nullptr || failing_at == &guard);
         domain::request_observation seen{fails, std::nullopt, std::nullopt};
         if (!fails)
         {
--- a/tests/move_driver/fleet.hpp
+++ b/tests/move_driver/fleet.hpp
@@ -96,6 +96,8 @@
     std::deque<std::optional<std::int64_t>> fencings;
     std::deque<turmeric::drivers::move_driver> controllers;
     std::set<std::string> failing_versions;
+    /// Where they fail; null: on each router.
+    const turmeric::drivers::version_guard* failing_at = nullptr;
     /// Requests to the new version since the last reset.
     int new_requests = 0;
     int next_request = 0;
--- a/tests/move_driver/move_driver_test.cpp
+++ b/tests/move_driver/move_driver_test.cpp
@@ -55,7 +55,9 @@
     whole.add_controller(7);
     whole.run(400);
     whole.store.set_outage(true);
+    // Two of the three routers see nothing wrong with the version.
     whole.failing_versions = {"b"};
+    whole.failing_at = &whole.guards.front();
     whole.run(200);
     whole.new_requests = 0;
     whole.run(50);
