--- a/services/controller/controller_process.cpp
+++ b/services/controller/controller_process.cpp
@@ -15,8 +15,10 @@
 constexpr std::size_t key_bytes = 24;
 constexpr std::chrono::milliseconds resolve_pause{200};
 constexpr std::chrono::milliseconds reclaim_period{10'000};
+constexpr std::chrono::milliseconds fleet_period{2'000};
 constexpr std::chrono::milliseconds reclaim_patience{2'000};
 constexpr const char* budgets_duty = "budgets";
+constexpr const char* moves_duty = "moves";
 
 std::string make_incarnation(const std::string& name)
 {
@@ -94,6 +96,10 @@
     , m_server(settings.operator_server,
                [this](const adapters::http_request& request)
                { return handle(request); })
+    , m_move_duty({m_store, m_peers, m_clock, m_log,
+                   [this] { return m_fleet.peer_addresses(); },
+                   [this] { return *m_follower.current(); }},
+                  duty_settings(moves_duty))
 {
 }
 
@@ -118,6 +124,9 @@
         m_budget_leader,
         [this](const drivers::leadership& leader) { reclaim_grants(leader); },
         reclaim_period);
+    m_move_duty.start();
+    m_fleet_reader = std::make_unique<drivers::control_thread>(
+        fleet_period, [this] { read_fleet(); });
     return controller_addresses{
         fmt::format("{}:{}", m_settings.operator_server.host,
                     operator_port.value()),
@@ -126,6 +135,8 @@
 
 void controller_process::stop()
 {
+    m_fleet_reader.reset();
+    m_move_duty.stop();
     m_editor.stop();
     m_budget_duty.reset();
     m_budget_leader.stop();
@@ -179,12 +190,23 @@
 {
     m_metrics.set_configuration_version(m_follower.current()->version);
     m_metrics.set_leading(budgets_duty, m_budget_leader.fencing().has_value());
+    m_metrics.set_leading(moves_duty, m_move_duty.is_leading());
     adapters::http_reply reply;
     reply.content_type = metrics::registry::content_type;
     reply.body = m_metrics.render();
     return reply;
 }
 
+void controller_process::read_fleet()
+{
+    // Only who leads needs the fleet, so that the reads of the members do not
+    // grow with the number of controllers.
+    if (!duties().empty())
+    {
+        (void)m_fleet.refresh();
+    }
+}
+
 void controller_process::reclaim_grants(const drivers::leadership& leader)
 {
     if (!m_fleet.refresh())
@@ -218,6 +240,10 @@
     {
         held.emplace_back(budgets_duty);
     }
+    if (m_move_duty.is_leading())
+    {
+        held.emplace_back(moves_duty);
+    }
     return held;
 }
 
--- a/services/controller/controller_process.hpp
+++ b/services/controller/controller_process.hpp
@@ -11,10 +11,12 @@
 #include "libraries/drivers/configuration/configuration_follower.hpp"
 #include "libraries/drivers/configuration/configuration_writer.hpp"
 #include "libraries/drivers/leadership/leadership.hpp"
+#include "libraries/drivers/threads/control_thread.hpp"
 #include "services/controller/controller_metrics.hpp"
 #include "services/controller/controller_settings.hpp"
 #include "services/controller/duty_thread.hpp"
 #include "services/controller/fleet_watch.hpp"
+#include "services/controller/move_duty.hpp"
 #include "services/controller/operator_service.hpp"
 
 #include <memory>
@@ -56,6 +58,7 @@
     adapters::http_reply handle(const adapters::http_request& request);
     adapters::http_reply show_readiness() const;
     adapters::http_reply show_metrics();
+    void read_fleet();
     void reclaim_grants(const drivers::leadership& leader);
     [[nodiscard]] std::vector<std::string> duties() const;
     [[nodiscard]] drivers::leadership_settings
@@ -82,6 +85,8 @@
     operator_service m_service;
     adapters::http_server m_server;
     std::unique_ptr<duty_thread> m_budget_duty;
+    move_duty m_move_duty;
+    std::unique_ptr<drivers::control_thread> m_fleet_reader;
 };
 
 } // namespace turmeric::controller
--- /dev/null
+++ b/services/controller/move_duty.hpp
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "libraries/adapters/httplib/http_upstream_caller.hpp"
+#include "libraries/core/logger.hpp"
+#include "libraries/drivers/leadership/leadership.hpp"
+#include "libraries/drivers/move/move_driver.hpp"
+#include "libraries/drivers/move/upstream_order_sender.hpp"
+#include "libraries/drivers/threads/stop_signal.hpp"
+#include "libraries/drivers/threads/thread_pool.hpp"
+#include "libraries/ports/clock.hpp"
+#include "libraries/ports/key_value_store.hpp"
+#include "libraries/ports/peer.hpp"
+
+#include <functional>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace turmeric::controller
+{
+
+/// What the duty needs of the process.
+struct move_duty_sources
+{
+    ports::key_value_store& store;
+    ports::peer_caller& peers;
+    const ports::clock& clock;
+    logger& log;
+    /// Returns the peer addresses of the routers that are up. Thread safe.
+    std::function<std::vector<std::string>()> routers;
+    /// Returns the declarations in force. Thread safe.
+    std::function<domain::configuration()> configuration;
+};
+
+/// Contends for the lead of version moves and runs them while it leads.
+/// Thread safe after `start`.
+class move_duty
+{
+public:
+    /// Precondition: the sources outlive this object.
+    move_duty(const move_duty_sources& sources,
+              drivers::leadership_settings leading);
+    move_duty(const move_duty&) = delete;
+    move_duty& operator=(const move_duty&) = delete;
+    ~move_duty();
+
+    /// Starts to contend. Precondition: not started before.
+    void start();
+
+    /// Gives the lead up and ends the threads; waits for an order in
+    /// progress.
+    void stop();
+
+    /// Tells whether this process leads now. Thread safe.
+    [[nodiscard]] bool is_leading() const;
+
+private:
+    drivers::leadership m_leader;
+    adapters::http_upstream_caller m_upstreams;
+    drivers::upstream_order_sender m_orders;
+    drivers::thread_pool m_tasks;
+    drivers::stop_signal m_stop;
+    drivers::move_driver m_driver;
+    std::thread m_thread;
+};
+
+} // namespace turmeric::controller
--- a/services/controller/status_calls.cpp
+++ b/services/controller/status_calls.cpp
@@ -3,6 +3,7 @@
 #include "libraries/adapters/protobuf/declaration_messages.hpp"
 #include "libraries/codecs/common/json_reader.hpp"
 #include "libraries/codecs/configuration/configuration_codec.hpp"
+#include "libraries/codecs/move/move_state_codec.hpp"
 #include "libraries/drivers/configuration/configuration_keys.hpp"
 
 #include <algorithm>
@@ -45,6 +46,18 @@
     }
 }
 
+void set_state(const std::string& text, v1::MoveStatus& status)
+{
+    status.set_state(text);
+    const result<domain::move_state> state = codecs::decode_move_state(text);
+    if (state)
+    {
+        status.set_phase(std::string(name_of(state.value().phase)));
+        status.set_share(state.value().share);
+        status.set_reason(state.value().reason);
+    }
+}
+
 } // namespace
 
 status_calls::status_calls(status_sources sources)
@@ -82,7 +95,7 @@
     {
         v1::MoveStatus& row = *reply.add_moves();
         row.set_route(route);
-        row.set_state(state);
+        set_state(state, row);
         set_declared(declared.value(), route, row);
     }
     return reply;
--- a/tests/controller/operators_test.py
+++ b/tests/controller/operators_test.py
@@ -126,6 +126,24 @@
         self.assertFalse(self.is_leading(first))
         self.assertTrue(self.is_leading(second))
 
+    def test_the_leader_takes_a_declared_move_up(self):
+        self.start_controller('c1')
+        upstream = {'name': 'e1', 'address': '127.0.0.1:1',
+                    'data_centre': 'dc1', 'versions': ['v1', 'v2'],
+                    'capacity': 4}
+        versions = [{'version': 'v1', 'parts_per_million': 1000000}]
+        move = {'route': 'chat', 'from_version': 'v1', 'to_version': 'v2',
+                'start': '2026-01-01T00:00:00Z',
+                'deadline': '2036-01-01T00:00:00Z'}
+        status, reply = self.apply(
+            {'route': {'name': 'chat', 'versions': versions}},
+            {'upstream': upstream}, {'move': move})
+        self.assertEqual(status, 200, reply)
+
+        def phase():
+            return self.fleet.operate('ListMoves', {})[1]['moves'][0]['phase']
+        processes.wait_until('the move has begun', phase)
+
     def test_the_command_line_goes_on_with_the_next_controller(self):
         first = self.start_controller('c1')
         second = self.start_controller('c2')
@@ -145,9 +163,15 @@
 
     def test_a_router_that_starts_in_an_outage_asks_its_peers(self):
         self.start_controller('c1')
-        self.fleet.start_router('r1')
+        early = self.fleet.start_router('r1')
         self.assertEqual(self.apply(account('a', 1))[0], 200)
         self.wait_for_version(1, 1)
+        status, _, text = processes.call(
+            self.fleet.vm_list.address, 'PUT', '/vms',
+            [{'targets': [early.ready['peer_address']],
+              'labels': {'vm': 'vm-r1', 'data_centre': 'dc1',
+                         'state': 'live'}}])
+        self.assertEqual(status, 200, text)
         self.fleet.key_value.set_faults(outage=True)
         late = self.fleet.start_router('r2')
         processes.wait_until(
--- a/utilities/turmericctl/print.cpp
+++ b/utilities/turmericctl/print.cpp
@@ -61,14 +61,18 @@
 
 void print_moves(const v1::ListMovesReply& reply)
 {
+    constexpr double parts_per_percent = 10'000.0;
+    fmt::print("{:<24} {:<36} {:<12} {:>8}  {}\n", "route", "declared", "phase",
+               "share", "reason");
     for (const v1::MoveStatus& row : reply.moves())
     {
         const std::string declared =
             row.has_declared() ? row.declared().from_version() + " -> " +
                                      row.declared().to_version()
                                : "(no longer declared)";
-        fmt::print("{:<24} {:<32} {}\n", row.route(), declared,
-                   row.state().empty() ? "not begun" : row.state());
+        fmt::print("{:<24} {:<36} {:<12} {:>7.2f}%  {}\n", row.route(),
+                   declared, row.phase().empty() ? "not begun" : row.phase(),
+                   row.share() / parts_per_percent, row.reason());
     }
 }
 
