Membership: Send callers where slots are free

Members pass their load on when it moved by an eighth of the share, at most every 2 s, so that heartbeats stay small.

--- a/bench/routing/routing_run.cpp
+++ b/bench/routing/routing_run.cpp
@@ -64,11 +64,19 @@
     {
         m_upstreams.emplace_back(settings.capacity, settings.cached_prefixes);
     }
-    place_accounts();
+    m_loads.assign(settings.routers, 0);
+    place_accounts(0);
 }
 
-void routing_run::place_accounts()
+void routing_run::place_accounts(double now_ms)
 {
+    if (now_ms < m_next_placing_ms)
+    {
+        return;
+    }
+    domain::locate_limits limits;
+    m_next_placing_ms += static_cast<double>(limits.time_to_live.count());
+    m_account_routers.clear();
     domain::membership_snapshot snapshot;
     for (std::size_t router = 0; router < m_policies.size(); ++router)
     {
@@ -76,13 +84,16 @@
         status.row.who.incarnation = "router" + std::to_string(router);
         status.row.who.address = std::to_string(router);
         status.row.share = m_policies[router]->share();
+        status.row.load = m_loads[router] +
+                          static_cast<std::int64_t>(m_queues[router].size());
         status.is_located = true;
     }
     for (std::size_t account = 0; account < m_workload.accounts(); ++account)
     {
         domain::locate_answer answer = domain::locate(
             snapshot,
-            {std::to_string(account), m_workload.traffic_part(account)}, {});
+            {std::to_string(account), m_workload.traffic_part(account)},
+            limits);
         std::vector<std::size_t>& routers = m_account_routers.emplace_back();
         for (const domain::located_router& located : answer.routers)
         {
@@ -162,6 +173,7 @@
     {
         return false;
     }
+    ++m_loads[request.router];
     running_request sent = request;
     sent.upstream = *chosen;
     upstream_fake& upstream = m_upstreams[*chosen];
@@ -197,6 +209,7 @@
 {
     const running_request& done = event.request;
     std::optional<running_request> next = m_upstreams[done.upstream].finish();
+    --m_loads[done.router];
     m_policies[done.router]->finish(done.upstream, at(event.at_ms));
     if (next)
     {
@@ -247,6 +260,7 @@
             end(event);
         }
         take_reports(next.at_ms);
+        place_accounts(next.at_ms);
         if (next.at_ms >= next_expiry_ms)
         {
             refuse_overdue(next.at_ms);
--- a/libraries/codecs/membership/membership_json.cpp
+++ b/libraries/codecs/membership/membership_json.cpp
@@ -67,6 +67,7 @@
         {"version", value.version},
         {"state", std::string(name_of(value.state))},
         {"share", value.share},
+        {"load", value.load},
         {"acknowledged", value.acknowledged},
         {"configuration_version", value.configuration_version},
         {"configuration_digest", value.configuration_digest},
@@ -184,6 +185,7 @@
     }
     value.state = *known;
     fields.read("share", value.share);
+    fields.read("load", value.load);
     fields.read("acknowledged", value.acknowledged);
     fields.read("configuration_version", value.configuration_version);
     fields.read("configuration_digest", value.configuration_digest);
--- a/libraries/domain/membership/locate.cpp
+++ b/libraries/domain/membership/locate.cpp
@@ -43,6 +43,15 @@
     return ranked;
 }
 
+/// Callers go where slots are free; a full router keeps a little weight so
+/// that a late report does not shut it out.
+std::int64_t weight_of(const member_row& row)
+{
+    constexpr std::int64_t least_part = 16;
+    std::int64_t least = std::max<std::int64_t>(row.share / least_part, 1);
+    return std::max(row.share - row.load, least);
+}
+
 std::size_t subset_size(std::size_t routers, double traffic_part,
                         const locate_limits& limits)
 {
@@ -65,8 +74,7 @@
     for (std::size_t index = 0; index < named; ++index)
     {
         const member_row& row = *ranked[index].row;
-        std::int64_t weight =
-            index < chosen ? std::max<std::int64_t>(row.share, 1) : 0;
+        std::int64_t weight = index < chosen ? weight_of(row) : 0;
         answer.routers.push_back(
             {row.who.address, row.who.data_centre, weight});
     }
--- a/libraries/domain/membership/locate.hpp
+++ b/libraries/domain/membership/locate.hpp
@@ -35,7 +35,8 @@
 {
     std::string address;
     std::string data_centre;
-    /// Callers choose in proportion; spare routers have 0.
+    /// Free slots as last heard; callers choose in proportion; spare routers
+    /// have 0.
     std::int64_t weight = 0;
 };
 
--- a/libraries/domain/membership/member.hpp
+++ b/libraries/domain/membership/member.hpp
@@ -65,6 +65,8 @@
     member_state state = member_state::live;
     /// Requests that it may hold at all upstreams together.
     std::int64_t share = 0;
+    /// Requests that it holds or keeps waiting, rounded.
+    std::int64_t load = 0;
     epoch_number acknowledged = 0;
     std::int64_t configuration_version = 0;
     std::string configuration_digest;
--- a/libraries/domain/membership/membership_view.cpp
+++ b/libraries/domain/membership/membership_view.cpp
@@ -3,6 +3,7 @@
 #include "libraries/domain/membership/peer_ring.hpp"
 
 #include <algorithm>
+#include <cstdlib>
 
 namespace turmeric::domain
 {
@@ -68,6 +69,21 @@
     }
 }
 
+void membership_view::set_load(std::int64_t load, ports::steady_time now)
+{
+    constexpr std::int64_t steps = 8;
+    member_row& row = self().row;
+    std::int64_t step = std::max<std::int64_t>(row.share / steps, 1);
+    bool is_early = m_load_told && now - *m_load_told < m_limits.load_pause;
+    if (is_early || std::abs(load - row.load) < step)
+    {
+        return;
+    }
+    row.load = load;
+    m_load_told = now;
+    raise_self();
+}
+
 void membership_view::set_acknowledged(epoch_number number)
 {
     if (number > self().row.acknowledged)
--- a/libraries/domain/membership/membership_view.hpp
+++ b/libraries/domain/membership/membership_view.hpp
@@ -24,6 +24,8 @@
     std::chrono::milliseconds silent_after{2'000};
     /// Each router raises its row's version at least this often.
     std::chrono::milliseconds refresh{15'000};
+    /// The least time between two changes of a told load.
+    std::chrono::milliseconds load_pause{2'000};
     /// A row not raised for this long counts as silent.
     std::chrono::milliseconds stale_after{45'000};
     /// How long a VM must be missing from the VM list to count as gone; more
@@ -54,6 +56,10 @@
     void set_state(member_state state);
     /// Sets the weight of this router in locate answers. Not thread safe.
     void set_share(std::int64_t share);
+    /// Sets the requests that this router holds or keeps waiting; passed on
+    /// when it moved by an eighth of the share, and at most once in
+    /// `load_pause`. Not thread safe.
+    void set_load(std::int64_t load, ports::steady_time now);
     /// Sets the epoch that this router keeps to. Not thread safe.
     void set_acknowledged(epoch_number number);
     /// Sets the configuration in force here. Not thread safe.
@@ -153,6 +159,7 @@
     std::uint64_t m_changes = 0;
     std::size_t m_round = 0;
     ports::steady_time m_refreshed{};
+    std::optional<ports::steady_time> m_load_told;
     /// Since when each router of the record is known to have ended.
     std::map<std::string, ports::steady_time> m_ended_since;
     /// Since when the record lags behind what this router sees.
--- a/libraries/domain/routing/share_table.cpp
+++ b/libraries/domain/routing/share_table.cpp
@@ -54,7 +54,7 @@
     // A large fleet divides an upstream between few routers, so that each
     // has several slots there and a prompt prefix keeps to one upstream.
     constexpr std::size_t small_fleet = 32;
-    constexpr std::size_t seats_in_large_fleet = 16;
+    constexpr std::size_t seats_in_large_fleet = 8;
     return routers <= small_fleet ? SIZE_MAX : seats_in_large_fleet;
 }
 
--- a/libraries/drivers/membership/membership_service.cpp
+++ b/libraries/drivers/membership/membership_service.cpp
@@ -75,6 +75,12 @@
     m_view.set_share(share);
 }
 
+void membership_service::set_load(std::int64_t load)
+{
+    std::lock_guard<std::mutex> lock(m_mutex);
+    m_view.set_load(load, m_clock.steady_now());
+}
+
 void membership_service::set_acknowledged(domain::epoch_number number)
 {
     std::lock_guard<std::mutex> lock(m_mutex);
--- a/libraries/drivers/membership/membership_service.hpp
+++ b/libraries/drivers/membership/membership_service.hpp
@@ -56,6 +56,9 @@
     void set_state(domain::member_state state);
     /// Sets this router's weight in locate answers. Thread safe.
     void set_share(std::int64_t share);
+    /// Sets the requests that this router holds or keeps waiting. Thread
+    /// safe.
+    void set_load(std::int64_t load);
     /// Sets the epoch that this router keeps to. Thread safe.
     void set_acknowledged(domain::epoch_number number);
     /// Sets the configuration in force here. Thread safe.
--- a/tests/membership/fleet.cpp
+++ b/tests/membership/fleet.cpp
@@ -49,6 +49,7 @@
     m_removed_vms.erase(self.vm);
     // A VM runs one router at a time.
     kill_all_on(self.vm);
+    self.started = ports::system_time(now.time_since_epoch());
     routers.push_back(std::make_unique<router>(self, m_limits, now));
     return index;
 }
