--- a/bench/routing/routing_run.cpp
+++ b/bench/routing/routing_run.cpp
@@ -51,7 +51,6 @@
     : m_settings(settings)
     , m_report_lag_ms(report_lag_ms)
     , m_workload(settings)
-    , m_reports(settings.upstreams)
 {
     for (std::size_t router = 0; router < settings.routers; ++router)
     {
@@ -109,26 +108,36 @@
     constexpr double report_every_ms = 1000;
     while (now_ms >= m_next_report_ms)
     {
-        // What was seen a lag ago arrives now; then it is seen anew.
-        if (m_next_report_ms >= m_report_lag_ms)
+        load_sample sample{m_next_report_ms, {}};
+        for (const upstream_fake& upstream : m_upstreams)
         {
-            for (std::size_t index = 0; index < m_upstreams.size(); ++index)
+            sample.reports.push_back(
+                {upstream.held() - upstream.waiting(), upstream.waiting()});
+        }
+        m_samples.push_back(std::move(sample));
+        while (m_samples.front().taken_ms + m_report_lag_ms <= m_next_report_ms)
+        {
+            deliver(m_samples.front());
+            m_samples.pop_front();
+            if (m_samples.empty())
             {
-                for (const std::unique_ptr<routing_policy>& policy : m_policies)
-                {
-                    policy->update_load(index, m_reports[index].running,
-                                        m_reports[index].waiting,
-                                        at(m_next_report_ms - m_report_lag_ms));
-                }
+                break;
             }
         }
-        for (std::size_t index = 0; index < m_upstreams.size(); ++index)
+        m_next_report_ms += report_every_ms;
+    }
+}
+
+void routing_run::deliver(const load_sample& sample)
+{
+    for (const std::unique_ptr<routing_policy>& policy : m_policies)
+    {
+        for (std::size_t index = 0; index < sample.reports.size(); ++index)
         {
-            const upstream_fake& upstream = m_upstreams[index];
-            m_reports[index] = {upstream.held() - upstream.waiting(),
-                                upstream.waiting()};
+            const report& seen = sample.reports[index];
+            policy->update_load(index, seen.running, seen.waiting,
+                                at(sample.taken_ms));
         }
-        m_next_report_ms += std::max(m_report_lag_ms, report_every_ms);
     }
 }
 
@@ -136,6 +145,7 @@
 {
     const std::vector<std::size_t>& routers =
         m_account_routers[request.account];
+    m_requests += request.at_ms >= m_measure_from_ms ? 1 : 0;
     running_request made;
     made.router = routers[request.draw % routers.size()];
     made.prefix = request.prefix;
@@ -154,7 +164,7 @@
         queue.offer(ticket, false, at(request.at_ms));
     if (!offered)
     {
-        ++m_refused;
+        m_refused += request.at_ms >= m_measure_from_ms ? 1 : 0;
         return;
     }
     m_waiting[ticket.id] = made;
@@ -227,7 +237,7 @@
         auto found = m_waiting.find(ticket->id);
         if (!send(found->second, now_ms))
         {
-            ++m_refused;
+            m_refused += now_ms >= m_measure_from_ms ? 1 : 0;
         }
         m_waiting.erase(found);
     }
@@ -278,7 +288,7 @@
     constexpr double most = 0.95;
     constexpr double nearly_all = 0.99;
     routing_figures made;
-    made.requests = m_queueing_ms.size() + m_refused;
+    made.requests = m_requests;
     made.queueing_p50_ms = percentile(m_queueing_ms, median);
     made.queueing_p95_ms = percentile(m_queueing_ms, most);
     made.queueing_p99_ms = percentile(m_queueing_ms, nearly_all);
--- a/bench/routing/routing_run.hpp
+++ b/bench/routing/routing_run.hpp
@@ -7,6 +7,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <memory>
 #include <queue>
 #include <string>
@@ -63,9 +64,16 @@
         std::int64_t waiting = 0;
     };
 
+    struct load_sample
+    {
+        double taken_ms = 0;
+        std::vector<report> reports;
+    };
+
     /// Does what locate answers with a limited life do.
     void place_accounts(double now_ms);
     void take_reports(double now_ms);
+    void deliver(const load_sample& sample);
     void arrive(const arrival& request);
     bool send(const running_request& request, double now_ms);
     void begin(const running_request& request, double now_ms);
@@ -80,7 +88,7 @@
     std::vector<std::unique_ptr<routing_policy>> m_policies;
     std::vector<domain::admission_queue> m_queues;
     std::vector<upstream_fake> m_upstreams;
-    std::vector<report> m_reports;
+    std::deque<load_sample> m_samples;
     std::vector<std::vector<std::size_t>> m_account_routers;
     std::priority_queue<end_event, std::vector<end_event>,
                         std::greater<end_event>>
@@ -93,6 +101,7 @@
     double m_measure_from_ms = 0;
     std::vector<double> m_queueing_ms;
     std::vector<double> m_first_token_ms;
+    std::size_t m_requests = 0;
     std::size_t m_hits = 0;
     std::size_t m_refused = 0;
     std::size_t m_over_capacity = 0;
--- /dev/null
+++ b/tests/membership/locate_test.cpp
@@ -0,0 +1,106 @@
+#include <rapidcheck.h>
+
+#include "libraries/domain/membership/locate.hpp"
+
+#include <algorithm>
+#include <set>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace turmeric::domain;
+
+namespace
+{
+
+membership_snapshot make_snapshot(std::size_t routers)
+{
+    membership_snapshot snapshot;
+    for (std::size_t index = 0; index < routers; ++index)
+    {
+        member_status& status = snapshot.members.emplace_back();
+        status.row.who.incarnation = "router" + std::to_string(index);
+        status.row.who.address = status.row.who.incarnation + ":80";
+        status.row.share = 16;
+        status.is_located = true;
+    }
+    return snapshot;
+}
+
+std::set<std::string> chosen_of(const locate_answer& answer)
+{
+    std::set<std::string> chosen;
+    for (const located_router& router : answer.routers)
+    {
+        if (router.weight > 0)
+        {
+            chosen.insert(router.address);
+        }
+    }
+    return chosen;
+}
+
+} // namespace
+
+TEST_GROUP(locate_answers){};
+
+TEST(locate_answers, name_located_routers_alone)
+{
+    CHECK(rc::check(
+        "whoever is not located is not named, and an answer is not empty",
+        []
+        {
+            membership_snapshot snapshot =
+                make_snapshot(*rc::gen::inRange<std::size_t>(1, 30));
+            std::set<std::string> located;
+            for (member_status& status : snapshot.members)
+            {
+                status.is_located = *rc::gen::arbitrary<bool>();
+                status.row.share = *rc::gen::inRange(0, 9);
+                status.row.load = *rc::gen::inRange(0, 20);
+                if (status.is_located)
+                {
+                    located.insert(status.row.who.address);
+                }
+            }
+            locate_answer answer = locate(
+                snapshot, {"account", *rc::gen::inRange(0, 100) / 100.0}, {});
+            RC_ASSERT(answer.routers.empty() == located.empty());
+            for (const located_router& router : answer.routers)
+            {
+                RC_ASSERT(located.contains(router.address));
+            }
+        }));
+}
+
+TEST(locate_answers, keep_an_account_to_few_routers)
+{
+    membership_snapshot snapshot = make_snapshot(330);
+    locate_limits limits;
+    locate_answer small = locate(snapshot, {"small", 0.001}, limits);
+    LONGS_EQUAL(limits.least_routers, chosen_of(small).size());
+    LONGS_EQUAL(limits.least_routers + limits.spare_routers,
+                small.routers.size());
+    locate_answer large = locate(snapshot, {"large", 0.2}, limits);
+    LONGS_EQUAL(99, chosen_of(large).size());
+    // One router fewer moves at most one of the account's routers.
+    snapshot.members[7].is_located = false;
+    std::set<std::string> before = chosen_of(small);
+    std::set<std::string> after =
+        chosen_of(locate(snapshot, {"small", 0.001}, limits));
+    std::vector<std::string> moved;
+    std::set_difference(after.begin(), after.end(), before.begin(),
+                        before.end(), std::back_inserter(moved));
+    CHECK(moved.size() <= 1);
+}
+
+TEST(locate_answers, weigh_routers_by_free_slots)
+{
+    membership_snapshot snapshot = make_snapshot(2);
+    snapshot.members[0].row.load = 12;
+    snapshot.members[1].row.load = 40;
+    locate_answer answer = locate(snapshot, {"account", 1.0}, {});
+    for (const located_router& router : answer.routers)
+    {
+        LONGS_EQUAL(router.address == "router0:80" ? 4 : 1, router.weight);
+    }
+}
--- /dev/null
+++ b/tests/membership/service_test.cpp
@@ -0,0 +1,394 @@
+#include "libraries/codecs/membership/membership_json.hpp"
+#include "libraries/drivers/membership/membership_service.hpp"
+#include "libraries/fakes/manual_clock.hpp"
+
+#include <algorithm>
+#include <map>
+#include <memory>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace turmeric;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+class silent_logger final : public logger
+{
+public:
+    void write(log_level, log_event, const std::vector<log_field>&) override {}
+};
+
+/// A store in memory with leases, an outage and replies that get lost.
+class store_fake final : public ports::key_value_store
+{
+public:
+    explicit store_fake(const ports::clock& clock)
+        : m_clock(clock)
+    {
+    }
+
+    result<std::optional<ports::key_value>> get(const std::string& key) override
+    {
+        ++reads;
+        if (is_down)
+        {
+            return down();
+        }
+        drop_lapsed();
+        auto found = m_entries.find(key);
+        if (found == m_entries.end())
+        {
+            return std::optional<ports::key_value>();
+        }
+        return std::optional<ports::key_value>(found->second.entry);
+    }
+
+    result<ports::key_range> list(const std::string& prefix) override
+    {
+        ++reads;
+        if (is_down)
+        {
+            return down();
+        }
+        drop_lapsed();
+        ports::key_range range;
+        for (const auto& [key, held] : m_entries)
+        {
+            if (key.starts_with(prefix))
+            {
+                range.entries.push_back(held.entry);
+            }
+        }
+        return range;
+    }
+
+    result<ports::revision> compare_and_swap(const std::string& key,
+                                             const std::string& value,
+                                             ports::revision expected,
+                                             ports::lease_id lease) override
+    {
+        ++writes;
+        if (is_down)
+        {
+            return down();
+        }
+        drop_lapsed();
+        if (lease != 0 && !m_leases.contains(lease))
+        {
+            return error{result_code::lease_lost, "lease", ""};
+        }
+        auto found = m_entries.find(key);
+        ports::revision present =
+            found == m_entries.end() ? 0 : found->second.entry.modified;
+        if (present != expected)
+        {
+            return error{result_code::platform_conflict, key, ""};
+        }
+        m_entries[key] = {{key, value, ++m_revision}, lease};
+        if (loses_replies)
+        {
+            return error{result_code::platform_outcome_unknown, key, ""};
+        }
+        return m_revision;
+    }
+
+    status compare_and_delete(const std::string&, ports::revision) override
+    {
+        return success();
+    }
+
+    result<ports::lease_id>
+    create_lease(std::chrono::seconds time_to_live) override
+    {
+        ++writes;
+        if (is_down)
+        {
+            return down();
+        }
+        m_leases[++m_last_lease] = {time_to_live,
+                                    m_clock.steady_now() + time_to_live};
+        return m_last_lease;
+    }
+
+    status renew_lease(ports::lease_id lease) override
+    {
+        ++writes;
+        if (is_down)
+        {
+            return down();
+        }
+        drop_lapsed();
+        auto found = m_leases.find(lease);
+        if (found == m_leases.end())
+        {
+            return error{result_code::lease_lost, "lease", ""};
+        }
+        found->second.second = m_clock.steady_now() + found->second.first;
+        return success();
+    }
+
+    status revoke_lease(ports::lease_id lease) override
+    {
+        m_leases.erase(lease);
+        drop_lapsed();
+        return success();
+    }
+
+    result<ports::watch_batch> watch(const std::string&, ports::revision,
+                                     std::chrono::milliseconds) override
+    {
+        return ports::watch_batch{};
+    }
+
+    bool is_down = false;
+    bool loses_replies = false;
+    std::size_t reads = 0;
+    std::size_t writes = 0;
+
+private:
+    struct held_entry
+    {
+        ports::key_value entry;
+        ports::lease_id lease = 0;
+    };
+
+    static error down()
+    {
+        return error{result_code::platform_unavailable, "", ""};
+    }
+
+    void drop_lapsed()
+    {
+        std::erase_if(m_leases, [this](const auto& item)
+                      { return item.second.second <= m_clock.steady_now(); });
+        std::erase_if(m_entries,
+                      [this](const auto& item) {
+                          return item.second.lease != 0 &&
+                                 !m_leases.contains(item.second.lease);
+                      });
+    }
+
+    const ports::clock& m_clock;
+    std::map<std::string, held_entry> m_entries;
+    std::map<ports::lease_id,
+             std::pair<std::chrono::seconds, ports::steady_time>>
+        m_leases;
+    ports::lease_id m_last_lease = 0;
+    ports::revision m_revision = 0;
+};
+
+class vm_list_fake final : public ports::vm_list
+{
+public:
+    result<std::vector<ports::vm_entry>> read() override
+    {
+        return rows;
+    }
+
+    std::vector<ports::vm_entry> rows;
+};
+
+/// Hands a message straight to the service at the address.
+class peer_network final : public ports::peer_caller
+{
+public:
+    result<std::string> call(const std::string& address,
+                             const ports::peer_message& message,
+                             std::chrono::milliseconds) override
+    {
+        auto found = services.find(address);
+        if (found == services.end())
+        {
+            return error{result_code::peer_unavailable, address, ""};
+        }
+        return found->second->handle(message);
+    }
+
+    std::map<std::string, drivers::membership_service*> services;
+};
+
+} // namespace
+
+TEST_GROUP(membership_service)
+{
+    fakes::manual_clock clock;
+    silent_logger log;
+    store_fake store{clock};
+    vm_list_fake vms;
+    peer_network network;
+    std::map<std::string, std::unique_ptr<drivers::membership_service>> fleet;
+
+    drivers::membership_service& start(const std::string& name)
+    {
+        domain::member self{name,        name + ":80", name + ":81",
+                            "vm" + name, "north",      clock.system_now()};
+        vms.rows.push_back(
+            {self.address, self.vm, "north", ports::vm_state::live});
+        fleet[name] = std::make_unique<drivers::membership_service>(
+            self, drivers::membership_settings{}, store, vms, network, clock,
+            log);
+        network.services[self.peer_address] = fleet[name].get();
+        fleet[name]->set_share(1);
+        return *fleet[name];
+    }
+
+    void run_for(std::chrono::milliseconds duration)
+    {
+        constexpr std::chrono::milliseconds step{500};
+        for (std::chrono::milliseconds passed{0}; passed < duration;
+             passed += step)
+        {
+            clock.advance(step);
+            for (auto& [name, service] : fleet)
+            {
+                service->run_platform_round();
+                service->run_heartbeat_round(0, 1);
+            }
+        }
+    }
+
+    std::size_t located_by(const std::string& name)
+    {
+        std::shared_ptr<const drivers::published_membership> seen =
+            fleet[name]->snapshot();
+        return static_cast<std::size_t>(std::count_if(
+            seen->view.members.begin(), seen->view.members.end(),
+            [](const domain::member_status& each) { return each.is_located; }));
+    }
+
+    std::size_t registered()
+    {
+        return store.list("/turmericfront/members/").value().entries.size();
+    }
+};
+
+TEST(membership_service, routers_find_each_other_and_agree_on_an_epoch)
+{
+    start("a");
+    start("b");
+    start("c");
+    run_for(5s);
+    LONGS_EQUAL(3, registered());
+    for (const char* name : {"a", "b", "c"})
+    {
+        LONGS_EQUAL(3, located_by(name));
+        LONGS_EQUAL(
+            3,
+            fleet[name]->snapshot()->view.record.epochs.back().routers.size());
+    }
+}
+
+TEST(membership_service, registers_again_after_its_lease_lapsed)
+{
+    start("a");
+    run_for(1s);
+    // The process was paused for longer than its lease.
+    clock.advance(60s);
+    LONGS_EQUAL(0, registered());
+    run_for(1s);
+    LONGS_EQUAL(1, registered());
+}
+
+TEST(membership_service, resolves_a_registration_without_a_reply)
+{
+    start("a");
+    store.loses_replies = true;
+    run_for(1s);
+    store.loses_replies = false;
+    run_for(2s);
+    LONGS_EQUAL(1, registered());
+    LONGS_EQUAL(1, fleet["a"]->snapshot()->view.record.newest());
+}
+
+TEST(membership_service, heartbeats_alone_keep_members_in_an_outage)
+{
+    start("a");
+    start("b");
+    run_for(5s);
+    store.is_down = true;
+    run_for(120s);
+    LONGS_EQUAL(2, located_by("a"));
+    LONGS_EQUAL(2, located_by("b"));
+    // A router that dies in the outage is no longer named.
+    network.services.erase("b:81");
+    fleet.erase("b");
+    run_for(5s);
+    LONGS_EQUAL(1, located_by("a"));
+}
+
+TEST(membership_service, a_leaving_router_is_named_no_more_and_stops)
+{
+    start("a");
+    drivers::membership_service& going = start("b");
+    run_for(5s);
+    going.set_state(domain::member_state::leaving);
+    run_for(1s);
+    LONGS_EQUAL(1, located_by("a"));
+    LONGS_EQUAL(1, located_by("b"));
+    going.set_state(domain::member_state::live);
+    run_for(1s);
+    LONGS_EQUAL(1, located_by("a"));
+}
+
+TEST(membership_service, platform_calls_stay_few)
+{
+    constexpr std::size_t routers = 12;
+    for (std::size_t index = 0; index < routers; ++index)
+    {
+        start("router" + std::to_string(10 + index));
+    }
+    run_for(20s);
+    store.reads = 0;
+    store.writes = 0;
+    run_for(60s);
+    // One renewal in 10 s and one read in 5 s for each router.
+    CHECK(store.writes <= routers * 6);
+    CHECK(store.reads <= routers * 12);
+}
+
+TEST(membership_service, refuses_what_is_not_a_heartbeat)
+{
+    drivers::membership_service& subject = start("a");
+    CHECK(subject.handle({"heartbeat", "{"}).failure().code ==
+          result_code::peer_protocol);
+    result<std::string> faulty =
+        subject.handle({"heartbeat", R"({"sender": 7, "rows": []})"});
+    STRCMP_EQUAL("sender", faulty.failure().field.c_str());
+}
+
+TEST(membership_service, heartbeats_and_records_survive_their_json)
+{
+    domain::heartbeat message;
+    message.sender = "a";
+    message.index = 7;
+    message.received = 3;
+    message.record_revision = 4;
+    domain::member_row row;
+    row.who = {"a", "a:80", "a:81", "vm", "north", ports::system_time(1234ms)};
+    row.version = 9;
+    row.state = domain::member_state::leaving;
+    row.share = 5;
+    row.load = 2;
+    row.acknowledged = 6;
+    row.configuration_version = 8;
+    row.configuration_digest = "d";
+    row.silent_to = {"b"};
+    message.rows = {row};
+    domain::epoch_record record;
+    record.epochs = {{3, {"a", "b"}}, {4, {"a"}}};
+    record.origins["a"] = {"vm", ports::system_time(1234ms)};
+    record.ended = {"b"};
+    record.revision = 4;
+    message.record = record;
+    CHECK(codecs::read_heartbeat(codecs::write_heartbeat(message)).value() ==
+          message);
+    CHECK(codecs::read_epochs(codecs::write_epochs(record)).value() == record);
+    CHECK(
+        codecs::read_member(codecs::write_member(row.who, row.state)).value() ==
+        row.who);
+    CHECK(
+        codecs::read_epochs(R"({"epochs": [{"number": 1}]})").failure().code ==
+        result_code::corrupt_value);
+}
--- /dev/null
+++ b/tests/membership/spread_test.cpp
@@ -0,0 +1,113 @@
+#include "libraries/domain/membership/peer_ring.hpp"
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace turmeric::domain;
+
+namespace
+{
+
+constexpr std::size_t neighbours = 8;
+
+std::vector<std::string> make_members(std::size_t count)
+{
+    std::vector<std::string> members;
+    for (std::size_t index = 0; index < count; ++index)
+    {
+        members.push_back("router" + std::to_string(index));
+    }
+    return members;
+}
+
+/// Rounds until what one member knows is known to all, if each asks each of
+/// its peers once a round and every `dead`-th member does nothing.
+std::size_t rounds_to_all(std::size_t count, std::size_t dead)
+{
+    std::vector<std::string> members = make_members(count);
+    std::map<std::string, std::vector<std::string>> peers;
+    std::set<std::string> living;
+    for (std::size_t index = 0; index < count; ++index)
+    {
+        if (index % dead != dead - 1)
+        {
+            living.insert(members[index]);
+            peers[members[index]] =
+                choose_peers(members[index], members, neighbours);
+        }
+    }
+    std::set<std::string> told{members.front()};
+    std::size_t rounds = 0;
+    for (; told.size() < living.size() && rounds < count; ++rounds)
+    {
+        std::set<std::string> next = told;
+        for (const auto& [member, asked] : peers)
+        {
+            for (const std::string& peer : asked)
+            {
+                // A call carries news both ways, of the last round only.
+                bool is_news = told.contains(member) || told.contains(peer);
+                if (living.contains(peer) && is_news)
+                {
+                    next.insert(member);
+                    next.insert(peer);
+                }
+            }
+        }
+        told = std::move(next);
+    }
+    return rounds;
+}
+
+} // namespace
+
+TEST_GROUP(spread){};
+
+TEST(spread, a_change_reaches_all_of_330_routers_within_three_seconds)
+{
+    // A round is 500 ms; one round may pass before the first call.
+    constexpr std::size_t rounds_in_three_seconds = 6;
+    CHECK(1 + rounds_to_all(330, 1000) <= rounds_in_three_seconds);
+    CHECK(1 + rounds_to_all(330, 5) <= rounds_in_three_seconds);
+    CHECK(1 + rounds_to_all(6, 1000) <= rounds_in_three_seconds);
+}
+
+TEST(spread, peers_grow_with_the_logarithm_of_the_fleet)
+{
+    for (std::size_t count : {6U, 34U, 330U, 1000U})
+    {
+        std::size_t most = 0;
+        std::vector<std::string> members = make_members(count);
+        for (const std::string& member : members)
+        {
+            most = std::max(most,
+                            choose_peers(member, members, neighbours).size());
+        }
+        std::size_t links = 0;
+        for (std::size_t span = count / 3; span > neighbours; span /= 3)
+        {
+            links += 2;
+        }
+        CHECK(most <= 2 * neighbours + links);
+        CHECK(most <= count - 1);
+    }
+}
+
+TEST(spread, a_new_router_changes_few_peers_of_others)
+{
+    std::vector<std::string> before = make_members(330);
+    std::vector<std::string> after = make_members(331);
+    std::size_t changed = 0;
+    for (const std::string& member : before)
+    {
+        changed += choose_peers(member, before, neighbours) !=
+                           choose_peers(member, after, neighbours)
+                       ? 1
+                       : 0;
+    }
+    // Its neighbours, and those whose links now end at it.
+    CHECK(changed <= 2 * neighbours + 16);
+}
