--- a/bench/routing/routing_run.cpp
+++ b/bench/routing/routing_run.cpp
@@ -51,7 +51,6 @@
     : m_settings(settings)
     , m_report_lag_ms(report_lag_ms)
     , m_workload(settings)
-    , m_reports(settings.upstreams)
 {
     for (std::size_t router = 0; router < settings.routers; ++router)
     {
@@ -64,11 +63,19 @@
     {
         m_upstreams.emplace_back(settings.capacity, settings.cached_prefixes);
     }
-    place_accounts();
+    m_loads.assign(settings.routers, 0);
+    place_accounts(0);
 }
 
-void routing_run::place_accounts()
+void routing_run::place_accounts(double now_ms)
 {
+    if (now_ms < m_next_placing_ms)
+    {
+        return;
+    }
+    domain::locate_limits limits;
+    m_next_placing_ms += static_cast<double>(limits.time_to_live.count());
+    m_account_routers.clear();
     domain::membership_snapshot snapshot;
     for (std::size_t router = 0; router < m_policies.size(); ++router)
     {
@@ -76,13 +83,16 @@
         status.row.who.incarnation = "router" + std::to_string(router);
         status.row.who.address = std::to_string(router);
         status.row.share = m_policies[router]->share();
+        status.row.load = m_loads[router] +
+                          static_cast<std::int64_t>(m_queues[router].size());
         status.is_located = true;
     }
     for (std::size_t account = 0; account < m_workload.accounts(); ++account)
     {
         domain::locate_answer answer = domain::locate(
             snapshot,
-            {std::to_string(account), m_workload.traffic_part(account)}, {});
+            {std::to_string(account), m_workload.traffic_part(account)},
+            limits);
         std::vector<std::size_t>& routers = m_account_routers.emplace_back();
         for (const domain::located_router& located : answer.routers)
         {
@@ -98,26 +108,36 @@
     constexpr double report_every_ms = 1000;
     while (now_ms >= m_next_report_ms)
     {
-        // What was seen a lag ago arrives now; then it is seen anew.
-        if (m_next_report_ms >= m_report_lag_ms)
+        load_sample sample{m_next_report_ms, {}};
+        for (const upstream_fake& upstream : m_upstreams)
         {
-            for (std::size_t index = 0; index < m_upstreams.size(); ++index)
+            sample.reports.push_back(
+                {upstream.held() - upstream.waiting(), upstream.waiting()});
+        }
+        m_samples.push_back(std::move(sample));
+        while (m_samples.front().taken_ms + m_report_lag_ms <= m_next_report_ms)
+        {
+            deliver(m_samples.front());
+            m_samples.pop_front();
+            if (m_samples.empty())
             {
-                for (const std::unique_ptr<routing_policy>& policy : m_policies)
-                {
-                    policy->update_load(index, m_reports[index].running,
-                                        m_reports[index].waiting,
-                                        at(m_next_report_ms - m_report_lag_ms));
-                }
+                break;
             }
         }
-        for (std::size_t index = 0; index < m_upstreams.size(); ++index)
+        m_next_report_ms += report_every_ms;
+    }
+}
+
+void routing_run::deliver(const load_sample& sample)
+{
+    for (const std::unique_ptr<routing_policy>& policy : m_policies)
+    {
+        for (std::size_t index = 0; index < sample.reports.size(); ++index)
         {
-            const upstream_fake& upstream = m_upstreams[index];
-            m_reports[index] = {upstream.held() - upstream.waiting(),
-                                upstream.waiting()};
+            const report& seen = sample.reports[index];
+            policy->update_load(index, seen.running, seen.waiting,
+                                at(sample.taken_ms));
         }
-        m_next_report_ms += std::max(m_report_lag_ms, report_every_ms);
     }
 }
 
@@ -125,6 +145,7 @@
 {
     const std::vector<std::size_t>& routers =
         m_account_routers[request.account];
+    m_requests += request.at_ms >= m_measure_from_ms ? 1 : 0;
     running_request made;
     made.router = routers[request.draw % routers.size()];
     made.prefix = request.prefix;
@@ -143,7 +164,7 @@
         queue.offer(ticket, false, at(request.at_ms));
     if (!offered)
     {
-        ++m_refused;
+        m_refused += request.at_ms >= m_measure_from_ms ? 1 : 0;
         return;
     }
     m_waiting[ticket.id] = made;
@@ -162,6 +183,7 @@
     {
         return false;
     }
+    ++m_loads[request.router];
     running_request sent = request;
     sent.upstream = *chosen;
     upstream_fake& upstream = m_upstreams[*chosen];
@@ -197,6 +219,7 @@
 {
     const running_request& done = event.request;
     std::optional<running_request> next = m_upstreams[done.upstream].finish();
+    --m_loads[done.router];
     m_policies[done.router]->finish(done.upstream, at(event.at_ms));
     if (next)
     {
@@ -214,7 +237,7 @@
         auto found = m_waiting.find(ticket->id);
         if (!send(found->second, now_ms))
         {
-            ++m_refused;
+            m_refused += now_ms >= m_measure_from_ms ? 1 : 0;
         }
         m_waiting.erase(found);
     }
@@ -247,6 +270,7 @@
             end(event);
         }
         take_reports(next.at_ms);
+        place_accounts(next.at_ms);
         if (next.at_ms >= next_expiry_ms)
         {
             refuse_overdue(next.at_ms);
@@ -264,7 +288,7 @@
     constexpr double most = 0.95;
     constexpr double nearly_all = 0.99;
     routing_figures made;
-    made.requests = m_queueing_ms.size() + m_refused;
+    made.requests = m_requests;
     made.queueing_p50_ms = percentile(m_queueing_ms, median);
     made.queueing_p95_ms = percentile(m_queueing_ms, most);
     made.queueing_p99_ms = percentile(m_queueing_ms, nearly_all);
--- a/bench/routing/routing_run.hpp
+++ b/bench/routing/routing_run.hpp
@@ -7,6 +7,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <memory>
 #include <queue>
 #include <string>
@@ -63,8 +64,16 @@
         std::int64_t waiting = 0;
     };
 
-    void place_accounts();
+    struct load_sample
+    {
+        double taken_ms = 0;
+        std::vector<report> reports;
+    };
+
+    /// Does what locate answers with a limited life do.
+    void place_accounts(double now_ms);
     void take_reports(double now_ms);
+    void deliver(const load_sample& sample);
     void arrive(const arrival& request);
     bool send(const running_request& request, double now_ms);
     void begin(const running_request& request, double now_ms);
@@ -79,17 +88,20 @@
     std::vector<std::unique_ptr<routing_policy>> m_policies;
     std::vector<domain::admission_queue> m_queues;
     std::vector<upstream_fake> m_upstreams;
-    std::vector<report> m_reports;
+    std::deque<load_sample> m_samples;
     std::vector<std::vector<std::size_t>> m_account_routers;
     std::priority_queue<end_event, std::vector<end_event>,
                         std::greater<end_event>>
         m_ends;
     std::unordered_map<std::uint64_t, running_request> m_waiting;
     std::uint64_t m_ticket = 0;
+    std::vector<std::int64_t> m_loads;
+    double m_next_placing_ms = 0;
     double m_next_report_ms = 0;
     double m_measure_from_ms = 0;
     std::vector<double> m_queueing_ms;
     std::vector<double> m_first_token_ms;
+    std::size_t m_requests = 0;
     std::size_t m_hits = 0;
     std::size_t m_refused = 0;
     std::size_t m_over_capacity = 0;
