--- a/libraries/drivers/threads/control_thread.hpp
+++ b/libraries/drivers/threads/control_thread.hpp
@@ -5,6 +5,7 @@
 #include <deque>
 #include <functional>
 #include <future>
+#include <memory>
 #include <mutex>
 #include <thread>
 #include <type_traits>
@@ -38,9 +39,10 @@
     auto ask(Question question) -> std::invoke_result_t<Question>
     {
         using answer = std::invoke_result_t<Question>;
-        std::packaged_task<answer()> task(std::move(question));
-        std::future<answer> future = task.get_future();
-        post([&task] { task(); });
+        auto task = std::make_shared<std::packaged_task<answer()>>(
+            std::move(question));
+        std::future<answer> future = task->get_future();
+        post([task] { (*task)(); });
         return future.get();
     }
 
