--- a/standins/key_value/key_value_server.cpp
+++ b/standins/key_value/key_value_server.cpp
@@ -3,6 +3,7 @@
 #include "libraries/codecs/common/json_reader.hpp"
 #include "standins/common/json_reply.hpp"
 #include "standins/key_value/gateway_messages.hpp"
+#include "standins/key_value/gateway_refusals.hpp"
 
 #include <algorithm>
 #include <memory>
@@ -18,36 +19,6 @@
 constexpr std::size_t largest_value_bytes = 1'048'576;
 constexpr std::chrono::milliseconds watch_poll{100};
 
-/// A refusal in the form of the gateway.
-struct refusal
-{
-    int http_status;
-    int grpc_code;
-    const char* message;
-};
-
-constexpr refusal no_leader{503, 14, "etcdserver: no leader"};
-constexpr refusal too_many{429, 8, "etcdserver: too many requests"};
-constexpr refusal too_large{400, 3, "etcdserver: request is too large"};
-constexpr refusal no_lease{404, 5, "etcdserver: requested lease not found"};
-constexpr refusal not_json{400, 3, "the body is not a JSON object"};
-
-void refuse(httplib::Response& reply, const refusal& why)
-{
-    reply_json(reply,
-               {{"error", why.message},
-                {"code", why.grpc_code},
-                {"message", why.message}},
-               why.http_status);
-}
-
-void refuse_field(httplib::Response& reply, const error& why)
-{
-    const std::string message = why.field + ": " + why.detail;
-    reply_json(reply, {{"error", message}, {"code", 3}, {"message", message}},
-               400);
-}
-
 bool is_too_large(const operation& step)
 {
     const put_operation* put = std::get_if<put_operation>(&step);
--- a/tests/standins/engine_server_test.cpp
+++ b/tests/standins/engine_server_test.cpp
@@ -16,6 +16,8 @@
 namespace
 {
 
+/// Bounds a wait that ends at once unless something is broken.
+constexpr std::chrono::seconds patience{60};
 constexpr const char* chat_path = "/v1/chat/completions";
 
 std::string make_body(const std::string& text, std::int64_t tokens,
@@ -116,7 +118,7 @@
     {
         std::unique_ptr<httplib::Client> client =
             std::make_unique<httplib::Client>("127.0.0.1", m_port);
-        client->set_read_timeout(std::chrono::seconds(60));
+        client->set_read_timeout(patience);
         return client;
     }
 
@@ -133,10 +135,13 @@
 
     void wait_for_count(const std::string& name, std::int64_t wanted)
     {
-        while (count(name) != wanted)
+        const std::chrono::steady_clock::time_point end =
+            std::chrono::steady_clock::now() + patience;
+        while (count(name) != wanted && std::chrono::steady_clock::now() < end)
         {
             std::this_thread::yield();
         }
+        LONGS_EQUAL(wanted, count(name));
     }
 };
 
