Budget: Bound the shard's value and split the simulation

With every bound reached the value was 1,229,021 bytes, over the platform's megabyte; with 10,000 grants, 18,000 bills, 1,024 budgets and 2,000 top-ups it is 801,125 bytes. 204 budgets with 6 routers each, 330 incarnations and the bills of 120 s at 4,000 requests a second take 272,825 bytes.

--- a/bench/budget/platform_steps.cpp
+++ b/bench/budget/platform_steps.cpp
@@ -101,27 +101,37 @@
 
 void simulation::step_writers()
 {
-    for (auto& [key, place] : m_places)
+    // The bound on calls is shared fairly: each step starts behind the place
+    // that the step before began with.
+    auto place = m_places.upper_bound(m_first_place);
+    for (std::size_t i = 0; i < m_places.size(); ++i, ++place)
     {
-        if (m_routers[static_cast<std::size_t>(place.router)].is_paused)
-        {
-            continue;
-        }
-        if (place.under_way.has_value())
-        {
-            if (place.under_way->ends <= m_clock.steady_now())
-            {
-                end_call(place);
-            }
-            continue;
-        }
-        withdraw_late(place);
-        const std::optional<ports::steady_time> due = place.writer->due_at();
-        if (due.has_value() && *due <= m_clock.steady_now() &&
-            m_limiter.try_take(m_clock.steady_now()))
+        place = place == m_places.end() ? m_places.begin() : place;
+        m_first_place = i == 0 ? place->first : m_first_place;
+        step_writer(place->second);
+    }
+}
+
+void simulation::step_writer(shard_place& place)
+{
+    if (m_routers[static_cast<std::size_t>(place.router)].is_paused)
+    {
+        return;
+    }
+    if (place.under_way.has_value())
+    {
+        if (place.under_way->ends <= m_clock.steady_now())
         {
-            start_call(place);
+            end_call(place);
         }
+        return;
+    }
+    withdraw_late(place);
+    const std::optional<ports::steady_time> due = place.writer->due_at();
+    if (due.has_value() && *due <= m_clock.steady_now() &&
+        m_limiter.try_take(m_clock.steady_now()))
+    {
+        start_call(place);
     }
 }
 
--- a/bench/budget/simulation.hpp
+++ b/bench/budget/simulation.hpp
@@ -109,6 +109,7 @@
     void send_batches(std::int32_t index);
     void withdraw_late(shard_place& place);
     void step_writers();
+    void step_writer(shard_place& place);
     void start_call(shard_place& place);
     void end_call(shard_place& place);
     void note_charges(const shard_place& place);
@@ -138,6 +139,7 @@
     ports::steady_time m_start;
     std::vector<router> m_routers;
     std::map<std::pair<std::int32_t, std::int32_t>, shard_place> m_places;
+    std::pair<std::int32_t, std::int32_t> m_first_place{-1, -1};
     std::vector<std::string> m_names;
     std::vector<std::int32_t> m_shards;
     std::vector<domain::tokens> m_totals;
--- a/libraries/domain/budget/apply_top_up.cpp
+++ b/libraries/domain/budget/apply_top_up.cpp
@@ -11,6 +11,16 @@
 /// Far below the range of the type, so that sums cannot overflow.
 constexpr tokens max_budget_tokens = 1'000'000'000'000'000;
 
+std::size_t count_top_ups(const budget_shard& shard)
+{
+    std::size_t count = 0;
+    for (const auto& [key, account] : shard.budgets)
+    {
+        count += account.top_ups.size();
+    }
+    return count;
+}
+
 result<change> repeat_of(const top_up_record& known, const top_up& added)
 {
     if (known.amount == added.amount)
@@ -51,10 +61,11 @@
     {
         return repeat_of(*known, added);
     }
-    if (account.top_ups.size() >= limits.top_ups_per_budget)
+    if (account.top_ups.size() >= limits.top_ups_per_budget ||
+        count_top_ups(shard) >= limits.top_ups)
     {
         return error{result_code::ledger_full, "id",
-                     "the budget remembers as many top-ups as it may"};
+                     "as many top-ups are remembered as may be"};
     }
     if (total_of(account) > max_budget_tokens - added.amount)
     {
--- a/libraries/domain/budget/budget_shard.hpp
+++ b/libraries/domain/budget/budget_shard.hpp
@@ -118,11 +118,14 @@
     /// How long a repeated top-up id is found to be a duplicate.
     std::chrono::seconds top_up_window{std::chrono::hours(24 * 30)};
     std::chrono::seconds recall_time{5};
-    std::size_t budgets = 4096;
+    // A shard with all bounds reached stays under a megabyte.
+    std::size_t budgets = 1'024;
     std::size_t top_ups_per_budget = 256;
+    /// Top-ups remembered in the whole shard.
+    std::size_t top_ups = 2'000;
     std::size_t incarnations = 512;
-    std::size_t grants = 20'000;
-    std::size_t bills = 24'000;
+    std::size_t grants = 10'000;
+    std::size_t bills = 18'000;
 };
 
 /// Returns the shard of `account`. Precondition: `shard_count` is positive.
--- a/libraries/drivers/budget/budget_service.cpp
+++ b/libraries/drivers/budget/budget_service.cpp
@@ -9,7 +9,6 @@
 namespace turmeric::drivers
 {
 
-using domain::batch_reply;
 using domain::bill_receipt;
 using domain::bill_state;
 
--- a/tests/budget/codec_test.cpp
+++ b/tests/budget/codec_test.cpp
@@ -58,8 +58,62 @@
     return shard;
 }
 
+/// Fills a shard as an account's use does, with full-sized names and numbers.
+budget_shard filled_shard(std::size_t budgets, std::size_t grants,
+                          std::size_t incarnations, std::size_t bills)
+{
+    const sys_seconds now{seconds(1'780'000'000)};
+    budget_shard shard;
+    for (std::size_t i = 0; i < incarnations; ++i)
+    {
+        const std::int32_t slot = static_cast<std::int32_t>(i);
+        shard.incarnations.push_back({"router-vm-0123-5f3a9c1e", slot, 100'000,
+                                      now, grant_state::active, now});
+    }
+    for (std::size_t i = 0; i < budgets; ++i)
+    {
+        budget_account& account =
+            shard.budgets["account-0" + std::to_string(1000 + i) + "/main"];
+        account.top_ups.push_back({"2026-12-invoice-00017", 1LL << 40, now});
+        account.top_ups.push_back({"2026-12-invoice-00018", 1LL << 40, now});
+        for (std::size_t j = i; j < grants; j += budgets)
+        {
+            account.grants.push_back({static_cast<std::int32_t>(j % 330),
+                                      9'999'999, 8'888'888, 120'000});
+        }
+    }
+    for (std::size_t i = 0; i < bills; ++i)
+    {
+        if (i % 60 == 0)
+        {
+            shard.bill_pages.push_back({now, {}});
+        }
+        shard.bill_pages.back().bills.push_back({i << 40, 7, 900, 3});
+    }
+    return shard;
+}
+
 } // namespace
 
+TEST(codec, keeps_a_shard_within_the_platforms_bound)
+{
+    constexpr std::size_t value_bytes = 1'000'000;
+    // 13,000 budgets over 64 shards with 6 routers each, 330 incarnations and
+    // the bills of 120 s at 4,000 requests a second.
+    const std::size_t usual =
+        codecs::encode_shard(filled_shard(204, 1'224, 330, 7'500)).size();
+    const shard_limits limits;
+    const std::size_t full =
+        codecs::encode_shard(
+            filled_shard(204, limits.grants, limits.incarnations, limits.bills))
+            .size();
+    UT_PRINT(("usual " + std::to_string(usual) + " bytes, full " +
+              std::to_string(full) + " bytes")
+                 .c_str());
+    CHECK_TRUE(usual < value_bytes);
+    CHECK_TRUE(full < value_bytes);
+}
+
 TEST(codec, reads_back_every_shard)
 {
     CHECK(rc::check(
--- a/tests/budget/shard_test.cpp
+++ b/tests/budget/shard_test.cpp
@@ -103,6 +103,9 @@
     limits.top_ups_per_budget = 2;
     CHECK_TRUE(add("second", 5).has_value());
     CHECK_TRUE(add("third", 5).failure().code == result_code::ledger_full);
+    limits.top_ups_per_budget = 3;
+    limits.top_ups = 2;
+    CHECK_TRUE(add("third", 5).failure().code == result_code::ledger_full);
 }
 
 TEST(shard, grants_needs_whole_or_not_at_all)
