--- a/bench/budget/platform_steps.cpp
+++ b/bench/budget/platform_steps.cpp
@@ -53,11 +53,7 @@
 
 void simulation::send_batches(std::int32_t index)
 {
-    constexpr int pace_percent = 80;
     router& each = m_routers[static_cast<std::size_t>(index)];
-    const std::chrono::milliseconds pace =
-        m_options.is_forwarding ? m_options.commit_interval * pace_percent / 100
-                                : m_options.commit_interval;
     for (const std::int32_t shard : each.ledger->due_shards(now()))
     {
         if (each.paces[shard] > m_clock.steady_now())
@@ -70,7 +66,6 @@
         {
             continue;
         }
-        each.paces[shard] = m_clock.steady_now() + pace;
         shard_place& place = place_for(shard, index);
         origin from{index, each.name, batch->operation, batch->bills,
                     m_clock.steady_now()};
@@ -243,6 +238,14 @@
         }
         take_receipts(from.router,
                       owner.ledger->on_reply(place.shard, reply.reply));
+        // The next batch leaves shortly before the committer's next write,
+        // with all that came until then.
+        constexpr int pace_percent = 80;
+        owner.paces[place.shard] =
+            m_clock.steady_now() +
+            (m_options.is_forwarding
+                 ? m_options.commit_interval * pace_percent / 100
+                 : m_options.commit_interval);
     }
 }
 
--- a/bench/budget/simulation.cpp
+++ b/bench/budget/simulation.cpp
@@ -108,15 +108,35 @@
 
 void simulation::split_budgets()
 {
-    for (std::int32_t account = 0; account < m_options.accounts; ++account)
+    constexpr int split_steps = 400;
+    for (std::int32_t step_number = 0; step_number < split_steps; ++step_number)
     {
-        const std::size_t place = static_cast<std::size_t>(account);
-        const tokens part = (m_totals[place] - m_spent[place]) /
+        for_each_split(step_number == split_steps - 1);
+        step();
+    }
+}
+
+void simulation::for_each_split(bool is_last)
+{
+    for (std::size_t account = 0; account < m_names.size(); ++account)
+    {
+        const tokens part = (m_totals[account] - m_spent[account]) /
                             static_cast<tokens>(m_options.routers);
+        const domain::hold_request whole{m_names[account], "main", "split", 0,
+                                         part};
         for (router& each : m_routers)
         {
-            static_cast<void>(each.ledger->place_hold(
-                {m_names[place], "main", "split", 0, part}, now()));
+            result<domain::hold_id> placed =
+                each.ledger->place_hold(whole, now());
+            if (placed)
+            {
+                // The part is granted; the hold itself is not needed.
+                each.ledger->release(placed.value());
+            }
+            else if (is_last)
+            {
+                static_cast<void>(each.ledger->give_up(whole, now()));
+            }
         }
     }
 }
@@ -144,6 +164,8 @@
     {
         split_budgets();
     }
+    m_start = m_clock.steady_now();
+    m_measure = {};
     const fakes::store_counts before = m_store.counts();
     std::chrono::seconds next_sample(0);
     while (elapsed() < m_options.duration)
--- a/bench/budget/simulation.hpp
+++ b/bench/budget/simulation.hpp
@@ -95,6 +95,7 @@
 
     void fill_budgets();
     void split_budgets();
+    void for_each_split(bool is_last);
     void start_router(std::int32_t index);
     void step();
     void step_faults();
--- a/libraries/drivers/budget/budget_service.hpp
+++ b/libraries/drivers/budget/budget_service.hpp
@@ -27,8 +27,9 @@
     domain::rate_share_settings grants;
     store_committer_settings committer;
     claim_settings claims;
-    /// The least time between two batches of one shard.
-    std::chrono::milliseconds commit_interval{100};
+    /// The least time from one reply to the next batch of a shard; best a
+    /// little less than the committer's write interval.
+    std::chrono::milliseconds commit_interval{80};
     /// How long one commit is tried before its shard backs off.
     std::chrono::milliseconds commit_timeout{5000};
     /// How long a bill waits for the platform before a copy is kept
--- a/libraries/drivers/budget/budget_service_commit.cpp
+++ b/libraries/drivers/budget/budget_service_commit.cpp
@@ -69,7 +69,6 @@
     {
         return;
     }
-    m_paces[shard].not_before = time.steady + m_settings.commit_interval;
     lock.unlock();
     result<batch_reply> reply = m_committer.commit(
         shard, *batch, time.steady + m_settings.commit_timeout);
@@ -100,6 +99,10 @@
     else
     {
         pacing.failures = 0;
+        // Counted from the reply, so that the next batch carries all that
+        // came until shortly before the committer's next write.
+        pacing.not_before =
+            m_ports.clock.steady_now() + m_settings.commit_interval;
     }
     for (const bill_receipt& receipt : m_ledger.on_reply(shard, reply))
     {
