Metrics: Keep label sets in lists without locks

The inner layers hold no lock; families and the registry now only grow at the front of atomic lists.

--- a/libraries/core/metrics/family.hpp
+++ b/libraries/core/metrics/family.hpp
@@ -4,16 +4,21 @@
 #include "libraries/core/metrics/family_options.hpp"
 #include "libraries/core/metrics/text_format.hpp"
 
+#include <array>
+#include <atomic>
 #include <cassert>
+#include <cstddef>
+#include <functional>
 #include <map>
-#include <mutex>
-#include <shared_mutex>
+#include <memory>
 #include <utility>
 
 namespace turmeric::metrics
 {
 
-/// Metrics of one name told apart by labels, bounded in number. Thread safe.
+/// Metrics of one name told apart by labels, bounded in number. Label sets
+/// are never removed, so they are kept in lists that only grow at their
+/// front. Thread safe, without locks.
 template <class Metric>
 class family final : public family_base
 {
@@ -25,6 +30,19 @@
         assert(m_options.max_label_sets > 0);
     }
 
+    ~family() override
+    {
+        for (std::atomic<entry*>& head : m_heads)
+        {
+            entry* next = head.load(std::memory_order_relaxed);
+            while (next != nullptr)
+            {
+                const std::unique_ptr<entry> owned(next);
+                next = owned->next;
+            }
+        }
+    }
+
     /// Returns the metric of a label set, which lives as long as the family;
     /// a caller on a hot path may keep the reference. Past the bound the
     /// metric whose label values are all "other" is returned. Precondition:
@@ -32,39 +50,96 @@
     Metric& with(const std::vector<std::string>& values)
     {
         assert(values.size() == m_options.label_names.size());
+        entry* known =
+            find(head_of(values).load(std::memory_order_acquire), values);
+        if (known != nullptr)
         {
-            const std::shared_lock lock(m_mutex);
-            const auto found = m_metrics.find(values);
-            if (found != m_metrics.end())
-            {
-                return found->second;
-            }
+            return known->metric;
         }
-        const std::unique_lock lock(m_mutex);
-        if (m_metrics.size() >= m_options.max_label_sets &&
-            !m_metrics.contains(values))
+        if (m_count.fetch_add(1, std::memory_order_relaxed) <
+            m_options.max_label_sets)
         {
-            return m_metrics[std::vector<std::string>(values.size(), "other")];
+            const auto [metric, is_added] = insert(values);
+            m_count.fetch_sub(is_added ? 0 : 1, std::memory_order_relaxed);
+            return *metric;
         }
-        return m_metrics[values];
+        m_count.fetch_sub(1, std::memory_order_relaxed);
+        return *insert(std::vector<std::string>(values.size(), "other")).first;
     }
 
-    /// Appends all lines of the family. Thread safe.
+    /// Appends all lines of the family, ordered by labels. Thread safe.
     void render(std::string& out) const override
     {
-        const std::shared_lock lock(m_mutex);
+        std::map<std::string, const Metric*> ordered;
+        for (const std::atomic<entry*>& head : m_heads)
+        {
+            for (const entry* next = head.load(std::memory_order_acquire);
+                 next != nullptr; next = next->next)
+            {
+                ordered[label_text(m_options.label_names, next->values)] =
+                    &next->metric;
+            }
+        }
         append_header(out, m_options, Metric::type_name);
-        for (const auto& [values, metric] : m_metrics)
+        for (const auto& [labels, metric] : ordered)
         {
-            append_samples(out, m_options,
-                           label_text(m_options.label_names, values), metric);
+            append_samples(out, m_options, labels, *metric);
         }
     }
 
 private:
+    struct entry
+    {
+        std::vector<std::string> values;
+        Metric metric;
+        entry* next = nullptr;
+    };
+
+    static constexpr std::size_t list_count = 128;
+
+    std::atomic<entry*>& head_of(const std::vector<std::string>& values)
+    {
+        constexpr std::size_t multiplier = 31;
+        std::size_t digest = 0;
+        for (const std::string& value : values)
+        {
+            digest = digest * multiplier + std::hash<std::string>{}(value);
+        }
+        return m_heads[digest % list_count];
+    }
+
+    static entry* find(entry* first, const std::vector<std::string>& values)
+    {
+        while (first != nullptr && first->values != values)
+        {
+            first = first->next;
+        }
+        return first;
+    }
+
+    /// Returns the metric of a label set and whether it was added here; else
+    /// another thread has just done so.
+    std::pair<Metric*, bool> insert(const std::vector<std::string>& values)
+    {
+        std::atomic<entry*>& head = head_of(values);
+        auto made = std::make_unique<entry>();
+        made->values = values;
+        made->next = head.load(std::memory_order_acquire);
+        do
+        {
+            entry* known = find(made->next, values);
+            if (known != nullptr)
+            {
+                return {&known->metric, false};
+            }
+        } while (!head.compare_exchange_weak(made->next, made.get(),
+                                             std::memory_order_acq_rel));
+        return {&made.release()->metric, true};
+    }
+
     const family_options m_options;
-    mutable std::shared_mutex m_mutex;
-    std::map<std::vector<std::string>, Metric> m_metrics;
+    std::atomic<std::size_t> m_count{0};
+    std::array<std::atomic<entry*>, list_count> m_heads{};
 };
 
 } // namespace turmeric::metrics
--- a/libraries/core/metrics/registry.hpp
+++ b/libraries/core/metrics/registry.hpp
@@ -2,21 +2,26 @@
 
 #include "libraries/core/metrics/family.hpp"
 
+#include <atomic>
 #include <memory>
-#include <mutex>
 #include <string>
-#include <vector>
 
 namespace turmeric::metrics
 {
 
-/// Owns the families of one process and renders them. Thread safe.
+/// Owns the families of one process and renders them. Thread safe, without
+/// locks.
 class registry
 {
 public:
     /// The content type of `render`.
     static constexpr const char* content_type = "text/plain; version=0.0.4";
 
+    registry() = default;
+    registry(const registry&) = delete;
+    registry& operator=(const registry&) = delete;
+    ~registry();
+
     /// Adds a family, which lives as long as the registry. Precondition: the
     /// name is not in use. Thread safe.
     template <class Metric>
@@ -24,17 +29,25 @@
     {
         auto made = std::make_unique<family<Metric>>(std::move(options));
         family<Metric>& reference = *made;
-        const std::lock_guard lock(m_mutex);
-        m_families.push_back(std::move(made));
+        add(std::move(made));
         return reference;
     }
 
-    /// Returns all families in the Prometheus text format. Thread safe.
+    /// Returns all families in the Prometheus text format, in the order in
+    /// which they were made. Thread safe.
     [[nodiscard]] std::string render() const;
 
 private:
-    mutable std::mutex m_mutex;
-    std::vector<std::unique_ptr<family_base>> m_families;
+    struct entry
+    {
+        std::unique_ptr<family_base> owned;
+        entry* next = nullptr;
+    };
+
+    void add(std::unique_ptr<family_base> made);
+
+    /// The newest family first.
+    std::atomic<entry*> m_newest{nullptr};
 };
 
 } // namespace turmeric::metrics
--- a/libraries/domain/burn/burn_counts.hpp
+++ b/libraries/domain/burn/burn_counts.hpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <tuple>
 
 namespace turmeric::domain
 {
@@ -35,7 +36,14 @@
     std::string account;
     objective_kind kind = objective_kind::availability;
 
-    auto operator<=>(const burn_key&) const = default;
+    bool operator==(const burn_key&) const = default;
+
+    /// Orders by route, then client account, then kind. Thread safe.
+    bool operator<(const burn_key& other) const
+    {
+        return std::tie(route, account, kind) <
+               std::tie(other.route, other.account, other.kind);
+    }
 };
 
 /// Events and how many of them missed the objective. Since a process start,
--- a/libraries/domain/move/local_guard.cpp
+++ b/libraries/domain/move/local_guard.cpp
@@ -6,7 +6,7 @@
 namespace turmeric::domain
 {
 
-local_guard::local_guard(guard_settings settings, move_state state,
+local_guard::local_guard(const guard_settings& settings, move_state state,
                          time_point now)
     : m_settings(settings)
     , m_state(std::move(state))
--- a/libraries/domain/move/local_guard.hpp
+++ b/libraries/domain/move/local_guard.hpp
@@ -21,7 +21,8 @@
     using time_point = std::chrono::steady_clock::time_point;
 
     /// Starts to guard. Precondition: `state` is what this router last read.
-    local_guard(guard_settings settings, move_state state, time_point now);
+    local_guard(const guard_settings& settings, move_state state,
+                time_point now);
 
     /// Takes a state that was read; one of another move, or with a lower
     /// sequence or fencing number, is ignored. A higher share waits until a
--- a/libraries/domain/move/move_machine.cpp
+++ b/libraries/domain/move/move_machine.cpp
@@ -49,7 +49,7 @@
 
 } // namespace
 
-move_machine::move_machine(move_settings settings)
+move_machine::move_machine(const move_settings& settings)
     : m_settings(settings)
 {
 }
--- a/libraries/domain/move/move_machine.hpp
+++ b/libraries/domain/move/move_machine.hpp
@@ -18,7 +18,7 @@
 {
 public:
     /// Makes a machine. No precondition.
-    explicit move_machine(move_settings settings);
+    explicit move_machine(const move_settings& settings);
 
     /// Returns the state that follows, or nothing when the move stays where
     /// it is or the input carries an older fencing number than the state.
--- a/libraries/domain/move/version_judge.cpp
+++ b/libraries/domain/move/version_judge.cpp
@@ -31,7 +31,8 @@
 
 } // namespace
 
-version_judge::version_judge(judge_settings settings, const tally_pair& start)
+version_judge::version_judge(const judge_settings& settings,
+                             const tally_pair& start)
     : m_settings(settings)
     , m_whole(start)
 {
--- a/libraries/domain/move/version_judge.hpp
+++ b/libraries/domain/move/version_judge.hpp
@@ -29,7 +29,7 @@
     /// Starts a judgement. Precondition: `start` is what was counted when the
     /// new version got its first request; the old version's counts within
     /// `start` still serve as its baseline.
-    version_judge(judge_settings settings, const tally_pair& start);
+    version_judge(const judge_settings& settings, const tally_pair& start);
 
     /// Starts the test anew from here on, besides the ones that run; without
     /// effect once all planned marks are used.
--- a/libraries/drivers/move/move_driver.cpp
+++ b/libraries/drivers/move/move_driver.cpp
@@ -1,8 +1,8 @@
 #include "libraries/drivers/move/move_driver.hpp"
 
 #include "libraries/codecs/move/move_state_codec.hpp"
+#include "libraries/drivers/move/move_targets.hpp"
 
-#include <algorithm>
 #include <utility>
 
 namespace turmeric::drivers
@@ -14,56 +14,10 @@
 /// Why a move whose declaration is gone was taken back.
 constexpr const char* withdrawn_reason = "withdrawn";
 
-const domain::move_declaration*
-find_declared(const domain::configuration& declared,
-              const domain::move_state& state)
-{
-    const auto found = std::find_if(
-        declared.moves.begin(), declared.moves.end(),
-        [&state](const domain::move_declaration& candidate)
-        { return domain::identity_of(candidate) == state.identity; });
-    return found == declared.moves.end() ? nullptr : &*found;
-}
-
-/// Returns the engines that are to load the new version of a move; plain
-/// services take no orders.
-std::vector<const domain::upstream_declaration*>
-engines_of(const domain::configuration& declared,
-           const domain::move_state& state)
-{
-    const auto route =
-        std::find_if(declared.routes.begin(), declared.routes.end(),
-                     [&state](const domain::route_declaration& candidate)
-                     { return candidate.name == state.route; });
-    std::vector<const domain::upstream_declaration*> engines;
-    if (route == declared.routes.end() ||
-        route->kind != domain::route_kind::engine)
-    {
-        return engines;
-    }
-    for (const domain::upstream_declaration& upstream : declared.upstreams)
-    {
-        const bool has_version =
-            std::find(upstream.versions.begin(), upstream.versions.end(),
-                      state.to_version) != upstream.versions.end();
-        if (has_version && upstream.state == domain::upstream_state::serving)
-        {
-            engines.push_back(&upstream);
-        }
-    }
-    return engines;
-}
-
-bool is_ready(const domain::move_state& state, const std::string& upstream)
-{
-    return std::find(state.ready_upstreams.begin(), state.ready_upstreams.end(),
-                     upstream) != state.ready_upstreams.end();
-}
-
 } // namespace
 
-move_driver::move_driver(move_driver_settings settings, move_sources sources,
-                         ports::key_value_store& store,
+move_driver::move_driver(const move_driver_settings& settings,
+                         move_sources sources, ports::key_value_store& store,
                          ports::peer_caller& peers, ports::order_sender& orders,
                          const ports::clock& clock, logger& log,
                          task_runner run_task)
@@ -302,16 +256,6 @@
     store(current, made);
 }
 
-bool move_driver::are_upstreams_ready(const domain::configuration& declared,
-                                      const track& current) const
-{
-    const std::vector<const domain::upstream_declaration*> engines =
-        engines_of(declared, current.state);
-    return std::all_of(engines.begin(), engines.end(),
-                       [&current](const domain::upstream_declaration* engine)
-                       { return is_ready(current.state, engine->name); });
-}
-
 domain::move_input
 move_driver::make_input(const domain::configuration& declared, track& current)
 {
@@ -320,7 +264,7 @@
     input.now = m_clock.system_now();
     input.fencing = *m_fencing;
     input.has_fresh_evidence = m_evidence.is_fresh(m_routers) && !m_needs_read;
-    input.are_upstreams_ready = are_upstreams_ready(declared, current);
+    input.are_upstreams_ready = are_engines_ready(declared, current.state);
     input.cut_reason = known.cut_reason;
     input.from_evidence = known.from_evidence;
     const domain::move_declaration* move =
--- a/libraries/drivers/move/move_driver.hpp
+++ b/libraries/drivers/move/move_driver.hpp
@@ -28,7 +28,7 @@
 public:
     /// Makes a driver that leads nothing yet. `run_task` runs orders, which
     /// take long. Precondition: the references outlive it.
-    move_driver(move_driver_settings settings, move_sources sources,
+    move_driver(const move_driver_settings& settings, move_sources sources,
                 ports::key_value_store& store, ports::peer_caller& peers,
                 ports::order_sender& orders, const ports::clock& clock,
                 logger& log, task_runner run_task);
@@ -64,9 +64,6 @@
     bool claim(track& current);
     void step_withdrawn(track& current);
     void load_versions(const domain::configuration& declared, track& current);
-    [[nodiscard]] bool
-    are_upstreams_ready(const domain::configuration& declared,
-                        const track& current) const;
     [[nodiscard]] domain::move_input
     make_input(const domain::configuration& declared, track& current);
     [[nodiscard]] domain::version_verdict
--- a/libraries/drivers/move/version_guard.cpp
+++ b/libraries/drivers/move/version_guard.cpp
@@ -8,7 +8,7 @@
 namespace turmeric::drivers
 {
 
-version_guard::version_guard(domain::guard_settings settings,
+version_guard::version_guard(const domain::guard_settings& settings,
                              std::string incarnation, const ports::clock& clock,
                              logger& log)
     : m_settings(settings)
--- a/libraries/drivers/move/version_guard.hpp
+++ b/libraries/drivers/move/version_guard.hpp
@@ -24,8 +24,9 @@
 public:
     /// Makes a guard that knows no route. `incarnation` names this process.
     /// Precondition: `clock` and `log` outlive it.
-    version_guard(domain::guard_settings settings, std::string incarnation,
-                  const ports::clock& clock, logger& log);
+    version_guard(const domain::guard_settings& settings,
+                  std::string incarnation, const ports::clock& clock,
+                  logger& log);
 
     /// Takes the routes in force. Moves whose route is gone are forgotten.
     /// Thread safe.
--- a/tests/metrics/metrics_test.cpp
+++ b/tests/metrics/metrics_test.cpp
@@ -95,8 +95,9 @@
 {
     registry owner;
     family<counter>& requests =
-        owner.make<counter>({"requests", "Requests.", {"route"}, 4, {}});
+        owner.make<counter>({"requests", "Requests.", {"route"}, 64, {}});
     constexpr int per_thread = 10'000;
+    constexpr int sets = 100;
     std::vector<std::thread> threads;
     for (int number = 0; number < 4; ++number)
     {
@@ -105,7 +106,7 @@
             {
                 for (int turn = 0; turn < per_thread; ++turn)
                 {
-                    requests.with({"a"}).add();
+                    requests.with({std::to_string(turn % sets)}).add();
                 }
             });
     }
@@ -113,5 +114,16 @@
     {
         thread.join();
     }
-    LONGS_EQUAL(4 * per_thread, requests.with({"a"}).value());
+    // Each thread races the others to each label set; those past the bound
+    // are counted as "other".
+    std::uint64_t total = requests.with({"other"}).value();
+    for (int set = 0; set < sets; ++set)
+    {
+        counter& counted = requests.with({std::to_string(set)});
+        total += &counted == &requests.with({"other"}) ? 0 : counted.value();
+    }
+    LONGS_EQUAL(4 * per_thread, total);
+    const std::string text = owner.render();
+    // Two header lines, at most 64 sets and "other".
+    CHECK_COMPARE(std::count(text.begin(), text.end(), '\n'), <=, 2 + 64 + 1);
 }
--- a/utilities/turmeric_burn/main.cpp
+++ b/utilities/turmeric_burn/main.cpp
@@ -55,7 +55,7 @@
     }
     for (std::size_t index = 0; index < list.size(); ++index)
     {
-        const status read = codecs::decode_declaration(
+        status read = codecs::decode_declaration(
             list[index], fmt::format("{}[{}]", path, index), into);
         if (!read)
         {
