Configuration: Test a writer that dies at any call, and the schema's fields

Seen to fail without their mechanism: with the head swapped before its parts are written, a_writer_that_dies_at_any_call_... ends the program, as the version in force cannot be read; with parts_per_million unable to carry 0, the_schema_carries_every_field fails.

--- a/services/controller/budget_calls.cpp
+++ b/services/controller/budget_calls.cpp
@@ -41,7 +41,7 @@
 budget_calls::budget_calls(drivers::shard_editor& editor,
                            drivers::configuration_writer& declarations,
                            const ports::clock& clock,
-                           budget_call_settings settings)
+                           const budget_call_settings& settings)
     : m_editor(editor)
     , m_declarations(declarations)
     , m_clock(clock)
--- a/services/controller/budget_calls.hpp
+++ b/services/controller/budget_calls.hpp
@@ -34,7 +34,8 @@
     /// Precondition: the references outlive this object.
     budget_calls(drivers::shard_editor& editor,
                  drivers::configuration_writer& declarations,
-                 const ports::clock& clock, budget_call_settings settings);
+                 const ports::clock& clock,
+                 const budget_call_settings& settings);
 
     /// Adds tokens to a budget, once for each id. Errors: `unknown_object`,
     /// `invalid_field`, `amount_overflow`, `top_up_reused`, `ledger_full`,
--- a/services/controller/operator_service.cpp
+++ b/services/controller/operator_service.cpp
@@ -48,7 +48,7 @@
         {"GetStatus", &operator_service::get_status},
 };
 
-operator_service::operator_service(operator_calls calls,
+operator_service::operator_service(const operator_calls& calls,
                                    std::vector<std::string> key_digests,
                                    logger& log)
     : m_calls(calls)
--- a/services/controller/operator_service.hpp
+++ b/services/controller/operator_service.hpp
@@ -28,8 +28,8 @@
 public:
     /// `key_digests` are the SHA-256 digests of the operators' keys.
     /// Precondition: the calls and `log` outlive this object.
-    operator_service(operator_calls calls, std::vector<std::string> key_digests,
-                     logger& log);
+    operator_service(const operator_calls& calls,
+                     std::vector<std::string> key_digests, logger& log);
 
     /// Answers a request; errors are problem documents. Thread safe;
     /// blocks.
--- a/tests/configuration/writer_test.cpp
+++ b/tests/configuration/writer_test.cpp
@@ -222,6 +222,33 @@
     LONGS_EQUAL(5, weight_of(f.first, "a"));
 }
 
+TEST(configuration_writer,
+     a_writer_that_dies_at_any_call_leaves_a_whole_version)
+{
+    for (int last_call = 0; last_call < 16; ++last_call)
+    {
+        fixture f;
+        (void)f.first.apply(weigh("a", 1));
+        int calls = 0;
+        f.store.set_hook(
+            [&]
+            {
+                if (calls++ == last_call)
+                {
+                    f.store.set_outage(true);
+                }
+            });
+        (void)f.first.apply(weigh("a", 3));
+        f.store.set_hook(nullptr);
+        f.store.set_outage(false);
+        const std::int64_t seen = f.second.read(0).value().version;
+        LONGS_EQUAL(seen == 2 ? 3 : 1, weight_of(f.second, "a"));
+        const change_outcome repeated = f.second.apply(weigh("a", 3));
+        LONGS_EQUAL(2, accepted_version(repeated));
+        LONGS_EQUAL(3, weight_of(f.second, "a"));
+    }
+}
+
 TEST(configuration_writer, an_invalid_set_changes_nothing)
 {
     fixture f;
--- /dev/null
+++ b/tests/controller/declaration_messages_test.cpp
@@ -0,0 +1,81 @@
+#include "libraries/adapters/protobuf/declaration_messages.hpp"
+#include "libraries/adapters/protobuf/message_body.hpp"
+
+#include <operator.pb.h>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace turmeric;
+
+namespace
+{
+
+/// One object of each kind, no field of which has its default.
+domain::configuration one_of_each()
+{
+    domain::configuration whole;
+    whole.accounts = {
+        {"club", {std::string(64, 'a')}, {{"season", {"chat"}}}, 3, -4}};
+    domain::route_declaration route;
+    route.name = "chat";
+    route.kind = domain::route_kind::service;
+    route.versions = {{"v1", 1'000'000}, {"v2", 0}};
+    route.is_idempotent = false;
+    route.tokens_per_call = 5'000'000'000;
+    route.max_tokens = 7;
+    route.idle_timeout = std::chrono::milliseconds(8);
+    route.objective = {0.5, std::chrono::milliseconds(9),
+                       std::chrono::milliseconds(10), 0.25};
+    whole.routes = {route};
+    whole.upstreams = {{"e1",
+                        "a:1",
+                        "north",
+                        {"v1"},
+                        2,
+                        domain::upstream_state::leaving,
+                        false}};
+    domain::move_declaration move;
+    move.route = "chat";
+    move.from_version = "v1";
+    move.to_version = "v2";
+    move.start += std::chrono::milliseconds(1'700'000'000'250);
+    move.deadline = move.start + std::chrono::hours(2);
+    move.steps = {5, 1'000'000};
+    move.soak = std::chrono::seconds(11);
+    whole.moves = {move};
+    whole.vms = {{"vm-1", domain::upstream_state::serving}};
+    return whole;
+}
+
+} // namespace
+
+TEST_GROUP(declaration_messages){};
+
+TEST(declaration_messages, the_schema_carries_every_field)
+{
+    turmericfront::v1::ExportReply sent;
+    adapters::write_declarations(one_of_each(), *sent.mutable_declarations());
+    for (const adapters::body_format format :
+         {adapters::body_format::json, adapters::body_format::binary})
+    {
+        turmericfront::v1::ExportReply got;
+        CHECK(
+            adapters::read_body(adapters::write_body(sent, format), format, got)
+                .has_value());
+        const result<domain::declaration_set> read =
+            adapters::read_declarations(got.declarations());
+        CHECK(read.has_value());
+        CHECK(read.value().objects == one_of_each());
+        CHECK(read.value().stateless_upstreams.empty());
+    }
+}
+
+TEST(declaration_messages, an_empty_declaration_is_refused)
+{
+    turmericfront::v1::ExportReply sent;
+    (void)sent.add_declarations();
+    const result<domain::declaration_set> read =
+        adapters::read_declarations(sent.declarations());
+    CHECK_FALSE(read.has_value());
+    STRCMP_EQUAL("declarations[0].kind", read.failure().field.c_str());
+}
--- a/utilities/turmericctl/print.cpp
+++ b/utilities/turmericctl/print.cpp
@@ -23,6 +23,11 @@
 
 void print_faults(const json& faults)
 {
+    // A single fault is in the problem itself.
+    if (faults.size() < 2)
+    {
+        return;
+    }
     for (const json& fault : faults)
     {
         fmt::print(stderr, "  {}: {}\n", fault.value("field", ""),
