--- /dev/null
+++ b/libraries/domain/move/version_judge.cpp
@@ -0,0 +1,188 @@
+#include "libraries/domain/move/version_judge.hpp"
+
+#include "libraries/domain/move/sequential_test.hpp"
+
+#include <algorithm>
+#include <bit>
+#include <cmath>
+
+namespace turmeric::domain
+{
+
+namespace
+{
+
+/// Half of the level is for the test over the whole move.
+constexpr double whole_move_weight = 0.5;
+
+/// Of the marks of about the same age, at least this many are kept.
+constexpr std::size_t kept_per_age = 8;
+
+/// The old version's rate is taken as constant over spans with about this
+/// many of its requests.
+constexpr std::int64_t least_block_requests = 20;
+
+/// Returns log(exp(a) + exp(b)).
+double log_sum(double a, double b)
+{
+    const double larger = std::max(a, b);
+    return larger + std::log1p(std::exp(std::min(a, b) - larger));
+}
+
+} // namespace
+
+version_judge::version_judge(judge_settings settings, const tally_pair& start)
+    : m_settings(settings)
+    , m_whole(start)
+{
+}
+
+void version_judge::mark(const tally_pair& now)
+{
+    if (m_marked >= m_settings.marks)
+    {
+        return;
+    }
+    ++m_marked;
+    m_marks.push_back({m_marked, now});
+    std::erase_if(m_marks, [this](const mark_point& point)
+                  { return !is_kept(point.number); });
+}
+
+bool version_judge::is_kept(std::size_t number) const
+{
+    const std::size_t age = m_marked - number;
+    const std::size_t spacing =
+        std::bit_floor(std::max<std::size_t>(1, age / kept_per_age));
+    return number % spacing == 0;
+}
+
+double version_judge::with_margin(judged_property property, double rate) const
+{
+    constexpr double highest = 0.999;
+    const double margin =
+        m_settings.margins[static_cast<std::size_t>(property)];
+    return std::min(highest, rate + (1 - rate) * margin);
+}
+
+double version_judge::window_ratio(judged_property property, double from_rate,
+                                   const window_view& window) const
+{
+    const proportion& seen = window.counted.to.of(property);
+    const double ratio =
+        sequential_test::log_ratio(seen, with_margin(property, from_rate));
+    if (ratio <= 0)
+    {
+        return 0;
+    }
+    // A trouble that the old version has as well is no fault of the new one;
+    // a few requests of the old version do not show that it has none.
+    const double window_rate = sequential_test::rate_bound(
+        window.counted.from.of(property), m_settings.window_confidence,
+        from_rate, m_settings.prior_requests);
+    const double null_rate =
+        std::max({from_rate, window_rate, window.standard_rate});
+    return sequential_test::log_ratio(seen, with_margin(property, null_rate));
+}
+
+std::vector<version_judge::window_view>
+version_judge::windows(judged_property property, double from_rate,
+                       const tally_pair& now) const
+{
+    std::vector<window_view> views;
+    double expected = 0;
+    std::size_t settled = 0;
+    tally_pair end = now;
+    for (std::size_t index = m_marks.size() + 1; index-- > 0;)
+    {
+        const tally_pair& start =
+            index == 0 ? m_whole : m_marks[index - 1].counted;
+        views.push_back({now - start, 0});
+        const tally_pair block = end - start;
+        const proportion& from = block.from.of(property);
+        if (from.trials < least_block_requests && index > 0)
+        {
+            continue;
+        }
+        const double prior = m_settings.prior_requests;
+        const double rate =
+            (static_cast<double>(from.hits) + prior * from_rate) /
+            (static_cast<double>(from.trials) + prior);
+        const std::int64_t before = (now - end).to.of(property).trials;
+        for (; settled < views.size(); ++settled)
+        {
+            const std::int64_t trials =
+                views[settled].counted.to.of(property).trials;
+            const double hits =
+                expected + rate * static_cast<double>(trials - before);
+            views[settled].standard_rate =
+                trials == 0 ? 0 : hits / static_cast<double>(trials);
+        }
+        expected += rate * static_cast<double>(block.to.of(property).trials);
+        end = start;
+    }
+    return views;
+}
+
+bool version_judge::has_excess(judged_property property,
+                               const tally_pair& now) const
+{
+    const proportion& baseline = now.from.of(property);
+    const double rate = baseline.trials == 0
+                            ? 0
+                            : static_cast<double>(baseline.hits) /
+                                  static_cast<double>(baseline.trials);
+    const double allowed = with_margin(property, rate);
+    const auto exceeds = [&](const tally_pair& start)
+    {
+        const proportion seen = now.to.of(property) - start.to.of(property);
+        return static_cast<double>(seen.hits) >
+               allowed * static_cast<double>(seen.trials);
+    };
+    return exceeds(m_whole) || std::any_of(m_marks.begin(), m_marks.end(),
+                                           [&](const mark_point& point)
+                                           { return exceeds(point.counted); });
+}
+
+double version_judge::total_ratio(judged_property property,
+                                  const tally_pair& now) const
+{
+    if (!has_excess(property, now))
+    {
+        return 0;
+    }
+    const double from_rate = sequential_test::rate_bound(
+        now.from.of(property), m_settings.baseline_confidence);
+    const double mark_weight =
+        (1 - whole_move_weight) / static_cast<double>(m_settings.marks);
+    const std::vector<window_view> views = windows(property, from_rate, now);
+    double total = std::log(whole_move_weight) +
+                   window_ratio(property, from_rate, views.back());
+    for (std::size_t index = 0; index + 1 < views.size(); ++index)
+    {
+        total =
+            log_sum(total, std::log(mark_weight) +
+                               window_ratio(property, from_rate, views[index]));
+    }
+    return total;
+}
+
+version_verdict version_judge::judge(const tally_pair& now) const
+{
+    const double threshold =
+        std::log(static_cast<double>(judged_property_count) / m_settings.level);
+    version_verdict verdict;
+    for (std::size_t index = 0; index < judged_property_count; ++index)
+    {
+        const auto property = static_cast<judged_property>(index);
+        const double evidence =
+            std::max(0.0, total_ratio(property, now)) / threshold;
+        if (evidence > verdict.evidence)
+        {
+            verdict = {evidence >= 1, property, evidence};
+        }
+    }
+    return verdict;
+}
+
+} // namespace turmeric::domain
