--- a/bench/budget/options.cpp
+++ b/bench/budget/options.cpp
@@ -25,21 +25,32 @@
     }
 };
 
-/// Takes all it can get and gives nothing back.
+constexpr domain::tokens unlimited =
+    std::numeric_limits<domain::tokens>::max() / 4;
+
+/// Gives nothing back; takes what it can beyond `reserve`.
 class greedy_policy final : public domain::grant_policy
 {
 public:
+    explicit greedy_policy(domain::tokens reserve)
+        : m_reserve(reserve)
+    {
+    }
+
     [[nodiscard]] domain::tokens
     target(const domain::grant_situation&) const override
     {
-        return std::numeric_limits<domain::tokens>::max() / 4;
+        return unlimited;
     }
 
     [[nodiscard]] domain::tokens
     reserve(const domain::grant_situation&) const override
     {
-        return 0;
+        return m_reserve;
     }
+
+private:
+    domain::tokens m_reserve;
 };
 
 constexpr std::chrono::seconds short_term(10);
@@ -71,9 +82,14 @@
     {
         return std::make_unique<exact_policy>();
     }
-    if (options.policy == "fixed_split" || options.policy == "sole_owner")
+    if (options.policy == "fixed_split")
+    {
+        // The parts are granted at the start and never grow.
+        return std::make_unique<greedy_policy>(unlimited);
+    }
+    if (options.policy == "sole_owner")
     {
-        return std::make_unique<greedy_policy>();
+        return std::make_unique<greedy_policy>(0);
     }
     domain::rate_share_settings settings;
     settings.horizon =
--- a/tests/budget/ledger_test.cpp
+++ b/tests/budget/ledger_test.cpp
@@ -150,6 +150,28 @@
     LONGS_EQUAL(sent->bills.at(0).key, again->bills.at(0).key);
 }
 
+TEST(ledger, sends_a_batch_again_with_a_term_that_is_not_over)
+{
+    CHECK_TRUE(code_of(place("a", 100)) == result_code::grant_unavailable);
+    CHECK_TRUE(book->plan(0, now()).has_value());
+    book->on_unresolved(0);
+    clock.advance(2 * settings.grant_term);
+    commit();
+    CHECK_FALSE(book->is_fenced());
+    LONGS_EQUAL(1, value.incarnations.size());
+}
+
+TEST(ledger, keeps_no_part_of_a_grant_while_a_need_is_unmet)
+{
+    book->release(get("a", 100));
+    clock.advance(settings.exhausted_age + seconds(1));
+    CHECK_TRUE(code_of(place("b", 20'000)) == result_code::grant_unavailable);
+    commit();
+    commit();
+    LONGS_EQUAL(0, outstanding_of(value.budgets.at("acme/main")));
+    LONGS_EQUAL(10'000, pool_of(value.budgets.at("acme/main")));
+}
+
 TEST(ledger, gives_everything_back_when_it_drains)
 {
     const hold_id held = get("a", 100);
