Router: Forward budget batches to one committer a shard

Ruled out: more shards, since calls follow routers times shards.

The least time between two writes of a shard is a setting now.

--- a/libraries/drivers/threads/control_thread.hpp
+++ b/libraries/drivers/threads/control_thread.hpp
@@ -39,8 +39,8 @@
     auto ask(Question question) -> std::invoke_result_t<Question>
     {
         using answer = std::invoke_result_t<Question>;
-        auto task = std::make_shared<std::packaged_task<answer()>>(
-            std::move(question));
+        auto task =
+            std::make_shared<std::packaged_task<answer()>>(std::move(question));
         std::future<answer> future = task->get_future();
         post([task] { (*task)(); });
         return future.get();
--- a/services/router/router_gauges.cpp
+++ b/services/router/router_gauges.cpp
@@ -6,10 +6,12 @@
 router_gauges::router_gauges(metrics::registry& registry,
                              drivers::traffic_control& traffic,
                              drivers::answer_store& answers,
-                             drivers::budget_service& budgets)
+                             drivers::budget_service& budgets,
+                             drivers::store_committer& committer)
     : m_traffic(traffic)
     , m_answers(answers)
     , m_budgets(budgets)
+    , m_committer(committer)
     , m_queue_depth(add(registry, "turmeric_queue_depth",
                         "Requests that wait for a place."))
     , m_queue_bytes(add(registry, "turmeric_queue_bytes",
@@ -51,9 +53,10 @@
     m_held.set(budgets.ledger.held);
     m_pending_bills.set(
         static_cast<std::int64_t>(budgets.ledger.pending_bills));
-    m_ledger_calls.with({"read"}).set(budgets.committer.reads);
-    m_ledger_calls.with({"write"}).set(budgets.committer.writes);
-    m_ledger_calls.with({"conflict"}).set(budgets.committer.conflicts);
+    drivers::committer_counts calls = m_committer.counts();
+    m_ledger_calls.with({"read"}).set(calls.reads);
+    m_ledger_calls.with({"write"}).set(calls.writes);
+    m_ledger_calls.with({"conflict"}).set(calls.conflicts);
 }
 
 void router_gauges::set_configuration_version(std::int64_t version)
--- a/services/router/router_gauges.hpp
+++ b/services/router/router_gauges.hpp
@@ -16,7 +16,8 @@
     router_gauges(metrics::registry& registry,
                   drivers::traffic_control& traffic,
                   drivers::answer_store& answers,
-                  drivers::budget_service& budgets);
+                  drivers::budget_service& budgets,
+                  drivers::store_committer& committer);
 
     /// Sets the gauges anew. Thread safe; blocks shortly.
     void refresh();
@@ -32,6 +33,7 @@
     drivers::traffic_control& m_traffic;
     drivers::answer_store& m_answers;
     drivers::budget_service& m_budgets;
+    drivers::store_committer& m_committer;
     metrics::gauge& m_queue_depth;
     metrics::gauge& m_queue_bytes;
     metrics::gauge& m_slots;
--- a/services/router/router_process.cpp
+++ b/services/router/router_process.cpp
@@ -4,6 +4,7 @@
 #include "libraries/codecs/move/move_state_codec.hpp"
 #include "libraries/core/json.hpp"
 #include "libraries/domain/membership/locate.hpp"
+#include "services/router/shard_committers.hpp"
 
 #include <algorithm>
 #include <array>
@@ -17,6 +18,8 @@
 
 constexpr std::chrono::milliseconds refresh_interval{200};
 constexpr std::size_t idle_upstream_connections = 64;
+// A committer that is silent for longer is passed over.
+constexpr std::chrono::milliseconds longest_forward{1'500};
 constexpr std::size_t incarnation_bytes = 6;
 
 std::string make_incarnation(const std::string& name)
@@ -45,6 +48,9 @@
     made.ledger.grant_term = settings.grant_term;
     made.ledger.clock_skew = settings.clock_skew;
     made.committer.shard_count = settings.budget_shards;
+    made.committer.writer.write_interval = settings.write_interval;
+    // Ready just before the committer's next write.
+    made.commit_interval = settings.write_interval * 4 / 5;
     return made;
 }
 
@@ -67,8 +73,16 @@
     , m_upstreams(settings.connect_timeout, idle_upstream_connections)
     , m_peers(m_clock, [this](const ports::peer_message& message)
               { return handle_peer(message); })
-    , m_budgets({m_store, m_clock, m_random, m_log},
-                budget_settings_of(settings), m_incarnation)
+    , m_budget_settings(budget_settings_of(settings))
+    , m_grant_policy(m_budget_settings.grants)
+    , m_local_committer(m_store, m_clock, m_random, m_log,
+                        m_budget_settings.committer, m_grant_policy)
+    , m_committer(
+          m_peers, m_local_committer, m_clock,
+          [this](std::int32_t shard) { return find_committer(shard); },
+          longest_forward)
+    , m_budgets({m_store, m_clock, m_random, m_log, &m_committer},
+                m_budget_settings, m_incarnation)
     , m_ledger(m_budgets, m_clock, {settings.hold_wait, settings.bill_wait})
     , m_versions({}, m_incarnation, m_clock, m_log)
     , m_traffic(settings.traffic, m_clock, m_random, m_log)
@@ -76,7 +90,7 @@
     , m_runner({m_traffic, m_versions, m_ledger, m_upstreams, m_counters,
                 m_clock, settings.data_centre},
                settings.patience)
-    , m_gauges(m_metrics, m_traffic, m_answers, m_budgets)
+    , m_gauges(m_metrics, m_traffic, m_answers, m_budgets, m_local_committer)
     , m_runs(settings.caller_server.most_connections)
     , m_front({m_answers, m_runner, m_runs, m_counters, m_metrics, m_clock,
                [this](const std::string& account) { return locate(account); },
@@ -185,7 +199,7 @@
         std::string_view kind;
         handler handle;
     };
-    static const std::array<handler_row, 4> table = {{
+    static const std::array<handler_row, 5> table = {{
         {"heartbeat", [](router_process& own, const ports::peer_message& asked)
          { return own.m_membership->handle(asked); }},
         {"configuration",
@@ -193,6 +207,13 @@
          { return own.m_follower->serve(asked.body); }},
         {"evidence", [](router_process& own, const ports::peer_message& asked)
          { return own.m_versions.answer(asked); }},
+        {"commit",
+         [](router_process& own, const ports::peer_message& asked)
+         {
+             return drivers::answer_commit(asked.body, own.m_local_committer,
+                                           own.m_clock.steady_now() +
+                                               longest_forward);
+         }},
         {"status", [](router_process& own, const ports::peer_message&)
          { return result<std::string>(own.describe()); }},
     }};
@@ -312,6 +333,15 @@
                  outcome::not_run, std::chrono::seconds(1)};
 }
 
+std::string router_process::find_committer(std::int32_t shard) const
+{
+    if (!m_is_serving_peers)
+    {
+        return {};
+    }
+    return committer_of_shard(m_membership->snapshot()->view, shard);
+}
+
 std::string router_process::locate(const std::string& account)
 {
     domain::locate_request asked;
--- a/services/router/router_process.hpp
+++ b/services/router/router_process.hpp
@@ -9,6 +9,7 @@
 #include "libraries/adapters/system/system_random.hpp"
 #include "libraries/adapters/vm_list/http_vm_list.hpp"
 #include "libraries/drivers/budget/budget_service.hpp"
+#include "libraries/drivers/budget/peer_committer.hpp"
 #include "libraries/drivers/configuration/configuration_follower.hpp"
 #include "libraries/drivers/membership/membership_service.hpp"
 #include "libraries/drivers/move/version_guard.hpp"
@@ -76,6 +77,7 @@
                        const domain::configuration& declared);
     void mark_leaving_upstreams(const drivers::published_membership& fleet,
                                 const domain::configuration& declared);
+    std::string find_committer(std::int32_t shard) const;
     std::string locate(const std::string& account);
     std::vector<std::string> peer_addresses();
     std::string describe();
@@ -92,6 +94,10 @@
     adapters::http_vm_list m_vms;
     adapters::http_upstream_caller m_upstreams;
     adapters::peer_node m_peers;
+    const drivers::budget_settings m_budget_settings;
+    domain::rate_share_policy m_grant_policy;
+    drivers::store_committer m_local_committer;
+    drivers::peer_committer m_committer;
     drivers::budget_service m_budgets;
     budget_ledger m_ledger;
     drivers::version_guard m_versions;
--- a/services/router/router_settings.cpp
+++ b/services/router/router_settings.cpp
@@ -67,6 +67,7 @@
             "shards": {"type": "integer", "minimum": 1, "maximum": 1000},
             "grant_term_s": {"type": "integer", "minimum": 2},
             "clock_skew_s": {"type": "integer", "minimum": 0},
+            "write_interval_ms": {"type": "integer", "minimum": 5},
             "hold_wait_ms": {"type": "integer", "minimum": 0},
             "bill_wait_ms": {"type": "integer", "minimum": 10}
         }
@@ -147,6 +148,8 @@
         budgets.value("grant_term_s", read.grant_term.count()));
     read.clock_skew = std::chrono::seconds(
         budgets.value("clock_skew_s", read.clock_skew.count()));
+    read.write_interval =
+        read_time(budgets, "write_interval_ms", read.write_interval);
     read.hold_wait = read_time(budgets, "hold_wait_ms", read.hold_wait);
     read.bill_wait = read_time(budgets, "bill_wait_ms", read.bill_wait);
 }
--- a/services/router/router_settings.hpp
+++ b/services/router/router_settings.hpp
@@ -41,6 +41,8 @@
     std::chrono::seconds grant_term{3'600};
     /// The most that two VMs' clocks may differ.
     std::chrono::seconds clock_skew{30};
+    /// The least time between two writes of one budget shard.
+    std::chrono::milliseconds write_interval{100};
     std::chrono::milliseconds hold_wait{2'000};
     std::chrono::milliseconds bill_wait{10'000};
 };
--- /dev/null
+++ b/services/router/shard_committers.cpp
@@ -0,0 +1,30 @@
+#include "services/router/shard_committers.hpp"
+
+#include "libraries/domain/digest.hpp"
+#include "libraries/domain/routing/rendezvous.hpp"
+
+namespace turmeric::router
+{
+
+std::string committer_of_shard(const domain::membership_snapshot& fleet,
+                               std::int32_t shard)
+{
+    std::uint64_t key = domain::digest_of(std::to_string(shard));
+    const domain::member* best = nullptr;
+    std::uint64_t best_rank = 0;
+    for (const domain::member_status& candidate : fleet.members)
+    {
+        const domain::member& who = candidate.row.who;
+        std::uint64_t rank =
+            domain::rank_of(key, domain::digest_of(who.incarnation));
+        if (candidate.is_located && (best == nullptr || rank > best_rank))
+        {
+            best = &who;
+            best_rank = rank;
+        }
+    }
+    bool is_own = best == nullptr || best->incarnation == fleet.self;
+    return is_own ? std::string() : best->peer_address;
+}
+
+} // namespace turmeric::router
