--- a/libraries/domain/budget/router_ledger.hpp
+++ b/libraries/domain/budget/router_ledger.hpp
@@ -60,12 +60,12 @@
 {
     std::int32_t shard_count = 64;
     /// How long grants may be spent without the platform.
-    std::chrono::seconds grant_term{std::chrono::hours(1)};
+    std::chrono::seconds grant_term{std::chrono::minutes(75)};
     /// Subtracted from the term here, so that a router stops before a
     /// controller with another clock counts the term as over.
     std::chrono::seconds clock_skew{30};
     /// Grants unused for this long are read again or given back.
-    std::chrono::seconds refresh_interval{10};
+    std::chrono::seconds refresh_interval{5};
     /// How long a reading proves that a budget is exhausted.
     std::chrono::milliseconds exhausted_age{1000};
     /// Averaging time of spend rates.
@@ -87,6 +87,8 @@
     std::size_t budgets = 0;
     tokens granted = 0;
     tokens held = 0;
+    /// Tokens of the pending bills.
+    tokens unsettled = 0;
     bool is_fenced = false;
 };
 
@@ -122,6 +124,11 @@
     /// Errors: `ledger_full`, `invalid_field` for an unknown hold.
     result<bill_line> settle(hold_id hold, tokens used, ledger_time now);
 
+    /// Notes that the answer of a settled hold was released on the strength
+    /// of a copy of its bill, so that the bill is charged however late. Not
+    /// thread safe.
+    void mark_delivered(std::int32_t shard, hold_id hold);
+
     /// Frees the hold: nothing ran. Not thread safe.
     void release(hold_id hold);
 
@@ -136,8 +143,8 @@
 
     /// Takes the outcome of the batch in flight and returns the receipts of
     /// its bills. Not thread safe.
-    std::vector<bill_receipt>
-    on_reply(std::int32_t shard, const batch_reply& reply, ledger_time now);
+    std::vector<bill_receipt> on_reply(std::int32_t shard,
+                                       const batch_reply& reply);
 
     /// The batch in flight may or may not have taken effect; `plan` gives it
     /// again. Not thread safe.
@@ -179,7 +186,9 @@
         std::int32_t shard = 0;
         tokens granted = 0;
         tokens held = 0;
+        /// Tokens of the bills that are not durable yet, and their number.
         tokens unsettled = 0;
+        std::size_t bills = 0;
         std::deque<waiting_need> waiting;
         spend_rate rate;
         std::optional<budget_reading> reading;
@@ -236,19 +245,19 @@
     [[nodiscard]] bool is_expired(const budget_state& budget,
                                   ledger_time now) const;
     [[nodiscard]] bool is_due(const shard_state& shard, ledger_time now) const;
-    void make_batch(std::int32_t index, shard_state& shard, ledger_time now);
+    void make_batch(shard_state& shard, ledger_time now);
     void add_bills(shard_state& shard, router_batch& batch);
     void add_lines(shard_state& shard, router_batch& batch, ledger_time now);
     budget_line line_for(const std::string& name, budget_state& budget,
                          ledger_time now) const;
-    [[nodiscard]] static std::vector<tokens>
-    needs_of(const budget_state& budget);
+    [[nodiscard]] bool gives_all_back(const budget_state& budget) const;
+    [[nodiscard]] std::vector<tokens>
+    needs_of(const budget_state& budget) const;
     void take_back(shard_state& shard);
     [[nodiscard]] bool is_leavable(const shard_state& shard) const;
-    [[nodiscard]] tokens surplus_of(const budget_state& budget, tokens rate,
-                                    ledger_time now) const;
-    void take_readings(shard_state& shard, const batch_reply& reply,
-                       ledger_time now);
+    [[nodiscard]] tokens surplus_of(const budget_state& budget,
+                                    tokens rate) const;
+    void take_readings(shard_state& shard, const batch_reply& reply);
     std::vector<bill_receipt> take_bills(shard_state& shard,
                                          const batch_reply& reply);
     void mark_dirty(budget_state& budget);
--- a/services/router/router_settings.cpp
+++ b/services/router/router_settings.cpp
@@ -40,6 +40,7 @@
             "body_bytes": {"type": "integer", "minimum": 1024},
             "headers": {"type": "integer", "minimum": 8},
             "header_bytes": {"type": "integer", "minimum": 1024},
+            "send_buffer_bytes": {"type": "integer", "minimum": 4096},
             "read_timeout_ms": {"type": "integer", "minimum": 10},
             "write_timeout_ms": {"type": "integer", "minimum": 10},
             "queue_requests": {"type": "integer", "minimum": 0},
@@ -65,6 +66,7 @@
         "properties": {
             "shards": {"type": "integer", "minimum": 1, "maximum": 1000},
             "grant_term_s": {"type": "integer", "minimum": 2},
+            "clock_skew_s": {"type": "integer", "minimum": 0},
             "hold_wait_ms": {"type": "integer", "minimum": 0},
             "bill_wait_ms": {"type": "integer", "minimum": 10}
         }
@@ -102,6 +104,8 @@
     server.most_headers = limits.value("headers", server.most_headers);
     server.most_header_bytes =
         limits.value("header_bytes", server.most_header_bytes);
+    server.send_buffer_bytes =
+        limits.value("send_buffer_bytes", server.send_buffer_bytes);
     server.read_timeout =
         read_time(limits, "read_timeout_ms", server.read_timeout);
     server.write_timeout =
@@ -141,6 +145,8 @@
     read.budget_shards = budgets.value("shards", read.budget_shards);
     read.grant_term = std::chrono::seconds(
         budgets.value("grant_term_s", read.grant_term.count()));
+    read.clock_skew = std::chrono::seconds(
+        budgets.value("clock_skew_s", read.clock_skew.count()));
     read.hold_wait = read_time(budgets, "hold_wait_ms", read.hold_wait);
     read.bill_wait = read_time(budgets, "bill_wait_ms", read.bill_wait);
 }
