--- a/bench/control_cost/measure.py
+++ b/bench/control_cost/measure.py
@@ -235,4 +235,5 @@
         path.write_text(f'{head}<!-- tables -->\n\n{text}\n')
 
 
-main()
+if __name__ == '__main__':
+    main()
--- a/bench/router_cost/measure.py
+++ b/bench/router_cost/measure.py
@@ -142,4 +142,5 @@
     ' KiB per stream | not whole |\n| --- | --- | --- | --- | --- | --- | --- |'
     ' --- |')
 
-main()
+if __name__ == '__main__':
+    main()
