Answers: Bound what one read hands to a slow reader

Cause: a reader took all unread pieces at once and made events of them before it blocked; 64 KiB of short tokens became over a megabyte. Ruled out: the kernel's buffers, which resident memory does not count.

--- a/libraries/drivers/answers/answer_record.cpp
+++ b/libraries/drivers/answers/answer_record.cpp
@@ -119,14 +119,19 @@
         part.is_superseded = true;
         return part;
     }
-    for (; m_read_pieces < m_ends.size(); ++m_read_pieces)
+    while (m_read_pieces < m_ends.size() &&
+           part.pieces.size() < most_pieces_read)
     {
         std::size_t start = m_read_pieces == 0 ? 0 : m_ends[m_read_pieces - 1];
         part.pieces.push_back(
             m_text.substr(start, m_ends[m_read_pieces] - start));
+        ++m_read_pieces;
+    }
+    if (m_read_pieces == m_ends.size())
+    {
+        part.end = m_end;
+        part.failure = m_failure;
     }
-    part.end = m_end;
-    part.failure = m_failure;
     m_taken.notify_all();
     return part;
 }
--- a/libraries/drivers/answers/answer_record.hpp
+++ b/libraries/drivers/answers/answer_record.hpp
@@ -91,6 +91,10 @@
     /// Returns the head. Precondition: it is set. Thread safe.
     [[nodiscard]] answer_head head() const;
 
+    /// The most pieces that one read returns, so that what a reader makes of
+    /// them is bounded while it blocks.
+    static constexpr std::size_t most_pieces_read = 32;
+
     /// Waits up to `wait` for pieces after those read so far; none come back
     /// when the wait ended first. Thread safe; blocks.
     answer_part read(std::uint64_t reader, std::chrono::milliseconds wait);
--- a/tests/answers/answer_store_test.cpp
+++ b/tests/answers/answer_store_test.cpp
@@ -82,6 +82,25 @@
     CHECK_TRUE(record.append("6", at_once));
 }
 
+TEST(answers, one_read_returns_a_bounded_part)
+{
+    constexpr std::size_t roomy = 1U << 20U;
+    constexpr std::size_t count = answer_record::most_pieces_read + 1;
+    answer_record record(roomy);
+    std::uint64_t reader = record.attach();
+    for (std::size_t i = 0; i < count; ++i)
+    {
+        record.append("x", at_once);
+    }
+    record.finish({});
+    answer_part first = record.read(reader, at_once);
+    LONGS_EQUAL(answer_record::most_pieces_read, first.pieces.size());
+    CHECK_FALSE(first.end.has_value());
+    answer_part rest = record.read(reader, at_once);
+    LONGS_EQUAL(1, rest.pieces.size());
+    CHECK_TRUE(rest.end.has_value());
+}
+
 TEST(answers, wakes_a_writer_when_its_reader_is_gone)
 {
     constexpr std::size_t bound = 1;
