Router: Find peers in an outage, leave with the VM, refuse bodies without length

Routers ignored a VM that was declared or listed as leaving; they leave locate answers now. A POST without a length held its thread for 10 s.

--- a/libraries/adapters/httplib/http_server.cpp
+++ b/libraries/adapters/httplib/http_server.cpp
@@ -175,6 +175,15 @@
                      "all connections of this router are taken",
                      outcome::not_run, std::chrono::seconds(1)};
     }
+    bool may_have_body = request.method == "POST" || request.method == "PUT" ||
+                         request.method == "PATCH";
+    if (may_have_body && !request.has_header("Content-Length") &&
+        !request.has_header("Transfer-Encoding"))
+    {
+        // The library would read until the caller closes.
+        return error{result_code::malformed_body, "Content-Length",
+                     "the length of the body is missing"};
+    }
     if (request.path.size() > most_path_bytes)
     {
         return error{result_code::headers_too_large, "path",
--- a/services/router/router_process.cpp
+++ b/services/router/router_process.cpp
@@ -282,6 +282,7 @@
         m_membership->snapshot();
     plan_capacity(*fleet, *declared);
     mark_leaving_upstreams(*fleet, *declared);
+    leave_with_vm(*fleet, *declared);
     m_membership->set_acknowledged(m_traffic.acknowledge());
     std::int64_t share = m_traffic.counts().total_share;
     m_membership->set_share(share);
@@ -333,6 +334,29 @@
                  outcome::not_run, std::chrono::seconds(1)};
 }
 
+void router_process::leave_with_vm(const drivers::published_membership& fleet,
+                                   const domain::configuration& declared)
+{
+    bool is_declared =
+        std::any_of(declared.vms.begin(), declared.vms.end(),
+                    [this](const domain::vm_declaration& vm)
+                    {
+                        return vm.name == m_settings.vm &&
+                               vm.state == domain::upstream_state::leaving;
+                    });
+    bool is_listed =
+        std::any_of(fleet.vms.begin(), fleet.vms.end(),
+                    [this](const ports::vm_entry& vm) {
+                        return vm.vm == m_settings.vm &&
+                               vm.state == ports::vm_state::leaving;
+                    });
+    if ((is_declared || is_listed) && !m_is_leaving)
+    {
+        m_is_leaving = true;
+        m_membership->set_state(domain::member_state::leaving);
+    }
+}
+
 std::string router_process::find_committer(std::int32_t shard) const
 {
     if (!m_is_serving_peers)
@@ -372,6 +396,20 @@
             addresses.push_back(peer.row.who.peer_address);
         }
     }
+    if (!addresses.empty())
+    {
+        return addresses;
+    }
+    // A router that starts while the key-value service is out has only its
+    // settings and the VM list to find peers by.
+    addresses = m_settings.seed_peers;
+    for (const ports::vm_entry& row : fleet->vms)
+    {
+        if (row.state == ports::vm_state::live)
+        {
+            addresses.push_back(row.address);
+        }
+    }
     return addresses;
 }
 
--- a/services/router/router_process.hpp
+++ b/services/router/router_process.hpp
@@ -77,6 +77,8 @@
                        const domain::configuration& declared);
     void mark_leaving_upstreams(const drivers::published_membership& fleet,
                                 const domain::configuration& declared);
+    void leave_with_vm(const drivers::published_membership& fleet,
+                       const domain::configuration& declared);
     std::string find_committer(std::int32_t shard) const;
     std::string locate(const std::string& account);
     std::vector<std::string> peer_addresses();
@@ -115,6 +117,7 @@
     // Touched by the refresh thread alone.
     domain::share_table m_shares;
     std::set<std::string> m_leaving;
+    bool m_is_leaving = false;
     std::set<std::string> m_known_moves;
     std::mutex m_apply_mutex;
     std::int64_t m_applied_version = 0;
--- a/services/router/router_settings.cpp
+++ b/services/router/router_settings.cpp
@@ -72,6 +72,10 @@
             "bill_wait_ms": {"type": "integer", "minimum": 10}
         }
     },
+    "seed_peers": {
+        "type": "array",
+        "items": {"type": "string", "pattern": "^.+:[0-9]+$"}
+    },
     "lease_s": {"type": "integer", "minimum": 1, "maximum": 300}
 })";
 
--- a/services/router/router_settings.hpp
+++ b/services/router/router_settings.hpp
@@ -27,6 +27,8 @@
     adapters::http_server_settings caller_server;
     std::string peer_host;
     int peer_port = 0;
+    /// Peer addresses to ask when the platform is out at the start.
+    std::vector<std::string> seed_peers;
     drivers::traffic_limits traffic;
     drivers::answer_store_settings answers;
     drivers::runner_patience patience;
--- a/tests/processes/fleet.py
+++ b/tests/processes/fleet.py
@@ -205,13 +205,14 @@
                              'timeout_ms': 1000}}
 
     def start_router(self, name, vm=None, data_centre='dc1', limits=None,
-                     budgets=None, lease_s=3):
+                     budgets=None, lease_s=3, **extra):
         settings = self.common_settings(name, vm, data_centre)
         settings['listen'] = {'host': '127.0.0.1', 'caller_port': 0,
                               'peer_port': 0}
         settings['limits'] = {'leave_ms': 100, **(limits or {})}
         settings['budgets'] = budgets or {}
         settings['lease_s'] = lease_s
+        settings.update(extra)
         router = self.start_daemon(name, 'turmeric_router', settings)
         self.routers.append(router)
         return router
