Router: Count platform calls, share metric names with the burn report, end when fenced

The router's own families stood twice beside those that the burn report reads. A router whose grants were closed would have refused every request for good; it stops now with exit code 1, to be started as a new incarnation.

--- a/services/router/main.cpp
+++ b/services/router/main.cpp
@@ -37,7 +37,17 @@
                  {"peer_address", addresses.value().peer}};
     fmt::print("{}\n", line.dump());
     std::fflush(stdout);
-    signals.wait();
+    constexpr std::chrono::milliseconds fence_poll{500};
+    while (!signals.wait_for(fence_poll))
+    {
+        if (router.is_fenced())
+        {
+            // Whoever supervises the VM's processes starts a new incarnation.
+            static_cast<void>(
+                turmeric::router::stop_gracefully(router, settings, signals));
+            return exit_code::failure;
+        }
+    }
     return turmeric::router::stop_gracefully(router, settings, signals);
 }
 
--- a/services/router/router_counters.cpp
+++ b/services/router/router_counters.cpp
@@ -3,31 +3,10 @@
 namespace turmeric::router
 {
 
-router_counters::router_counters(metrics::registry& registry, logger& log)
+router_counters::router_counters(metrics::registry& registry,
+                                 metrics::router_metrics& shared, logger& log)
     : m_log(log)
-    , m_requests(registry.make<metrics::counter>(
-          {"turmeric_requests_total",
-           "Requests that ended.",
-           {"route", "version", "account", "code"},
-           512,
-           {}}))
-    , m_first_token(registry.make<metrics::histogram>(
-          {"turmeric_first_token_seconds",
-           "Time from arrival to the first token.",
-           {"route", "version", "account"},
-           256,
-           {std::chrono::milliseconds(370)}}))
-    , m_token_gap(registry.make<metrics::histogram>(
-          {"turmeric_token_gap_seconds",
-           "Longest gap between two tokens of a request.",
-           {"route", "version", "account"},
-           256,
-           {std::chrono::milliseconds(40)}}))
-    , m_billed(registry.make<metrics::counter>({"turmeric_billed_tokens_total",
-                                                "Tokens billed.",
-                                                {"account", "route"},
-                                                512,
-                                                {}}))
+    , m_shared(shared)
     , m_retries(registry.make<metrics::counter>(
           {"turmeric_retries_total",
            "Attempts after the first one, by kind.",
@@ -77,20 +56,20 @@
     const std::string& route = request.route.name;
     const std::string& account = request.account.name;
     std::string code(summary.failure ? name_of(summary.failure->code) : "ok");
-    m_requests.with({route, summary.version, account, code}).add();
+    m_shared.requests.with({route, summary.version, account, code}).add();
     if (summary.timing.first_token)
     {
-        m_first_token.with({route, summary.version, account})
+        m_shared.first_token.with({route, summary.version, account})
             .record(*summary.timing.first_token);
     }
     if (summary.timing.worst_gap)
     {
-        m_token_gap.with({route, summary.version, account})
+        m_shared.token_gap.with({route, summary.version, account})
             .record(*summary.timing.worst_gap);
     }
     if (summary.billed > 0)
     {
-        m_billed.with({account, route})
+        m_shared.billed_tokens.with({account, route})
             .add(static_cast<std::uint64_t>(summary.billed));
     }
 }
--- a/services/router/router_counters.hpp
+++ b/services/router/router_counters.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "libraries/core/logger.hpp"
-#include "libraries/core/metrics/registry.hpp"
+#include "libraries/core/metrics/router_metrics.hpp"
 #include "libraries/drivers/requests/request_observer.hpp"
 
 namespace turmeric::router
@@ -11,8 +11,10 @@
 class router_counters final : public drivers::request_observer
 {
 public:
-    /// Adds its families to `registry`. Precondition: both outlive this.
-    router_counters(metrics::registry& registry, logger& log);
+    /// Adds its further families to `registry`. Precondition: all outlive
+    /// this.
+    router_counters(metrics::registry& registry,
+                    metrics::router_metrics& shared, logger& log);
 
     /// See `drivers::request_observer`. Thread safe.
     void on_end(const drivers::request_context& request,
@@ -32,10 +34,7 @@
                  const drivers::request_summary& summary);
 
     logger& m_log;
-    metrics::family<metrics::counter>& m_requests;
-    metrics::family<metrics::histogram>& m_first_token;
-    metrics::family<metrics::histogram>& m_token_gap;
-    metrics::family<metrics::counter>& m_billed;
+    metrics::router_metrics& m_shared;
     metrics::family<metrics::counter>& m_retries;
     metrics::family<metrics::counter>& m_parked;
 };
--- a/services/router/router_gauges.cpp
+++ b/services/router/router_gauges.cpp
@@ -4,6 +4,7 @@
 {
 
 router_gauges::router_gauges(metrics::registry& registry,
+                             metrics::router_metrics& shared,
                              drivers::traffic_control& traffic,
                              drivers::answer_store& answers,
                              drivers::budget_service& budgets,
@@ -12,16 +13,14 @@
     , m_answers(answers)
     , m_budgets(budgets)
     , m_committer(committer)
-    , m_queue_depth(add(registry, "turmeric_queue_depth",
-                        "Requests that wait for a place."))
+    , m_queue_depth(shared.queue_depth.with({}))
     , m_queue_bytes(add(registry, "turmeric_queue_bytes",
                         "Bytes of requests that wait for a place."))
     , m_slots(add(registry, "turmeric_upstream_slots",
                   "Requests that this router may hold at upstreams."))
     , m_in_flight(add(registry, "turmeric_requests_in_flight",
                       "Requests that have not ended."))
-    , m_slow_reader_bytes(add(registry, "turmeric_slow_reader_bytes",
-                              "Bytes written ahead of callers."))
+    , m_slow_reader_bytes(shared.slow_reader_bytes.with({}))
     , m_granted(add(registry, "turmeric_granted_tokens",
                     "Tokens granted to this router and not settled."))
     , m_held(add(registry, "turmeric_held_tokens",
--- a/services/router/router_gauges.hpp
+++ b/services/router/router_gauges.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "libraries/core/metrics/registry.hpp"
+#include "libraries/core/metrics/router_metrics.hpp"
 #include "libraries/drivers/answers/answer_store.hpp"
 #include "libraries/drivers/budget/budget_service.hpp"
 #include "libraries/drivers/traffic/traffic_control.hpp"
@@ -13,7 +13,7 @@
 {
 public:
     /// Adds its families to `registry`. Precondition: all outlive this.
-    router_gauges(metrics::registry& registry,
+    router_gauges(metrics::registry& registry, metrics::router_metrics& shared,
                   drivers::traffic_control& traffic,
                   drivers::answer_store& answers,
                   drivers::budget_service& budgets,
--- a/services/router/router_process.cpp
+++ b/services/router/router_process.cpp
@@ -66,8 +66,11 @@
     , m_incarnation(make_incarnation(settings.name))
     , m_log(m_clock, adapters::log_level_of(settings.log_level),
             format_of(settings.log_format), settings.name)
-    , m_counters(m_metrics, m_log)
-    , m_store(store_settings(settings))
+    , m_shared_metrics(m_metrics, {std::chrono::milliseconds(370)},
+                       {std::chrono::milliseconds(40)})
+    , m_counters(m_metrics, m_shared_metrics, m_log)
+    , m_etcd(store_settings(settings))
+    , m_store(m_etcd, m_shared_metrics.platform_calls)
     , m_vms({settings.vm_list_address, settings.connect_timeout,
              settings.platform_timeout})
     , m_upstreams(settings.connect_timeout, idle_upstream_connections)
@@ -90,7 +93,8 @@
     , m_runner({m_traffic, m_versions, m_ledger, m_upstreams, m_counters,
                 m_clock, settings.data_centre},
                settings.patience)
-    , m_gauges(m_metrics, m_traffic, m_answers, m_budgets, m_local_committer)
+    , m_gauges(m_metrics, m_shared_metrics, m_traffic, m_answers, m_budgets,
+               m_local_committer)
     , m_runs(settings.caller_server.most_connections)
     , m_front({m_answers, m_runner, m_runs, m_counters, m_metrics, m_clock,
                [this](const std::string& account) { return locate(account); },
@@ -145,6 +149,9 @@
             apply_configuration();
             apply_moves();
         });
+    auto since_1970 = std::chrono::duration_cast<std::chrono::seconds>(
+        self.started.time_since_epoch());
+    m_shared_metrics.start_time.with({}).set(since_1970.count());
     m_membership->start();
     m_follower->start();
     m_refresher = std::make_unique<drivers::control_thread>(
@@ -163,6 +170,11 @@
     m_front.stop_taking_requests();
 }
 
+bool router_process::is_fenced() const
+{
+    return m_budgets.counters().ledger.is_fenced;
+}
+
 std::size_t router_process::requests_in_flight() const
 {
     return m_answers.in_flight();
--- a/services/router/router_process.hpp
+++ b/services/router/router_process.hpp
@@ -13,6 +13,7 @@
 #include "libraries/drivers/configuration/configuration_follower.hpp"
 #include "libraries/drivers/membership/membership_service.hpp"
 #include "libraries/drivers/move/version_guard.hpp"
+#include "libraries/drivers/platform/counted_key_value_store.hpp"
 #include "services/router/budget_ledger.hpp"
 #include "services/router/caller_front.hpp"
 #include "services/router/router_counters.hpp"
@@ -56,6 +57,10 @@
     /// Refuses new requests from now on. Not thread safe.
     void stop_taking_requests();
 
+    /// Tells whether a controller closed this router's grants, so that it can
+    /// bill nothing and has to be started anew. Thread safe.
+    [[nodiscard]] bool is_fenced() const;
+
     /// Returns how many requests have not ended. Thread safe.
     [[nodiscard]] std::size_t requests_in_flight() const;
 
@@ -91,8 +96,10 @@
     adapters::system_random m_random;
     adapters::fmt_logger m_log;
     metrics::registry m_metrics;
+    metrics::router_metrics m_shared_metrics;
     router_counters m_counters;
-    adapters::etcd_key_value_store m_store;
+    adapters::etcd_key_value_store m_etcd;
+    drivers::counted_key_value_store m_store;
     adapters::http_vm_list m_vms;
     adapters::http_upstream_caller m_upstreams;
     adapters::peer_node m_peers;
--- a/services/router/router_settings.hpp
+++ b/services/router/router_settings.hpp
@@ -40,7 +40,7 @@
     std::chrono::milliseconds leave_time{5'000};
     std::chrono::seconds lease{10};
     std::int32_t budget_shards = 64;
-    std::chrono::seconds grant_term{3'600};
+    std::chrono::seconds grant_term{4'500};
     /// The most that two VMs' clocks may differ.
     std::chrono::seconds clock_skew{30};
     /// The least time between two writes of one budget shard.
