--- a/services/router/router_process.cpp
+++ b/services/router/router_process.cpp
@@ -298,6 +298,7 @@
     m_membership->set_acknowledged(m_traffic.acknowledge());
     std::int64_t share = m_traffic.counts().total_share;
     m_membership->set_share(share);
+    m_membership->set_load(static_cast<std::int64_t>(m_answers.in_flight()));
     // Shares may be missing for a moment while epochs change; requests wait
     // for that in the queue.
     m_has_capacity = m_has_capacity || share > 0;
