--- a/meta/build.sh
+++ b/meta/build.sh
@@ -6,6 +6,8 @@
 folder=${1:-build}
 sanitizers=${2:-}
 shift $(($# < 2 ? $# : 2))
+# Cached objects serve every checkout of the same sources.
+export CCACHE_BASEDIR=$PWD CCACHE_NOHASHDIR=1
 jobs=${TURMERIC_JOBS:-$(nproc)}
 cmake -S . -B "$folder" -G Ninja -DTURMERIC_SANITIZE="$sanitizers" \
     --log-level=WARNING >/dev/null
