Router: Split the wiring of the fleet from the process

Found on the way: a caller that asked for routers before membership was made would have ended the process; it gets an empty answer now.

--- a/services/router/router_process.cpp
+++ b/services/router/router_process.cpp
@@ -3,8 +3,6 @@
 #include "libraries/adapters/openssl/digests.hpp"
 #include "libraries/codecs/move/move_state_codec.hpp"
 #include "libraries/core/json.hpp"
-#include "libraries/domain/membership/locate.hpp"
-#include "services/router/shard_committers.hpp"
 
 #include <algorithm>
 #include <array>
@@ -54,11 +52,6 @@
     return made;
 }
 
-bool serves(const domain::upstream_declaration& upstream)
-{
-    return upstream.state == domain::upstream_state::serving;
-}
-
 } // namespace
 
 router_process::router_process(const router_settings& settings)
@@ -82,7 +75,8 @@
                         m_budget_settings.committer, m_grant_policy)
     , m_committer(
           m_peers, m_local_committer, m_clock,
-          [this](std::int32_t shard) { return find_committer(shard); },
+          [this](std::int32_t shard)
+          { return m_is_started ? m_fleet->find_committer(shard) : ""; },
           longest_forward)
     , m_budgets({m_store, m_clock, m_random, m_log, &m_committer},
                 m_budget_settings, m_incarnation)
@@ -97,13 +91,13 @@
                m_local_committer)
     , m_runs(settings.caller_server.most_connections)
     , m_front({m_answers, m_runner, m_runs, m_counters, m_metrics, m_clock,
-               [this](const std::string& account) { return locate(account); },
+               [this](const std::string& account)
+               { return m_is_started ? m_fleet->locate(account) : "{}"; },
                [this] { m_gauges.refresh(); }, [this] { return find_fault(); },
                settings.bytes_per_token})
     , m_server(settings.caller_server,
                [this](const adapters::http_request& request)
                { return m_front.handle(request); })
-    , m_shares(m_incarnation)
 {
 }
 
@@ -141,8 +135,12 @@
         self, membership, m_store, m_vms, m_peers, m_clock, m_log);
     m_follower = std::make_unique<drivers::configuration_follower>(
         m_store, m_log,
-        drivers::follower_peers{&m_peers, [this] { return peer_addresses(); }},
+        drivers::follower_peers{&m_peers,
+                                [this] { return m_fleet->peer_addresses(); }},
         drivers::follower_timing());
+    m_fleet = std::make_unique<fleet_wiring>(
+        fleet_parts{*m_membership, *m_follower, m_traffic, m_answers},
+        fleet_identity{m_incarnation, m_settings.vm, m_settings.seed_peers});
     m_follower->set_listener(
         [this]
         {
@@ -155,8 +153,8 @@
     m_membership->start();
     m_follower->start();
     m_refresher = std::make_unique<drivers::control_thread>(
-        refresh_interval, [this] { refresh(); });
-    m_is_serving_peers = true;
+        refresh_interval, [this] { m_fleet->refresh(); });
+    m_is_started = true;
     return addresses;
 }
 
@@ -201,6 +199,17 @@
     return m_log;
 }
 
+std::optional<error> router_process::find_fault() const
+{
+    if (!m_is_started)
+    {
+        return error{result_code::router_not_ready, "process",
+                     "the router is starting", outcome::not_run,
+                     std::chrono::seconds(1)};
+    }
+    return m_fleet->find_fault();
+}
+
 result<std::string>
 router_process::handle_peer(const ports::peer_message& message)
 {
@@ -230,7 +239,7 @@
          { return result<std::string>(own.describe()); }},
     }};
     // Peers may call before the parts that answer them are made.
-    if (!m_is_serving_peers)
+    if (!m_is_started)
     {
         return error{result_code::peer_unavailable, "process",
                      "the router is starting or stopping"};
@@ -286,146 +295,6 @@
                   });
 }
 
-void router_process::refresh()
-{
-    std::shared_ptr<const domain::configuration> declared =
-        m_follower->current();
-    std::shared_ptr<const drivers::published_membership> fleet =
-        m_membership->snapshot();
-    plan_capacity(*fleet, *declared);
-    mark_leaving_upstreams(*fleet, *declared);
-    leave_with_vm(*fleet, *declared);
-    m_membership->set_acknowledged(m_traffic.acknowledge());
-    std::int64_t share = m_traffic.counts().total_share;
-    m_membership->set_share(share);
-    m_membership->set_load(static_cast<std::int64_t>(m_answers.in_flight()));
-    // Shares may be missing for a moment while epochs change; requests wait
-    // for that in the queue.
-    m_has_capacity = m_has_capacity || share > 0;
-    m_membership->set_configuration(declared->version, "");
-}
-
-void router_process::plan_capacity(const drivers::published_membership& fleet,
-                                   const domain::configuration& declared)
-{
-    m_shares.update(fleet.view.record, fleet.view.acknowledged);
-    std::vector<domain::upstream_declaration> serving;
-    std::copy_if(declared.upstreams.begin(), declared.upstreams.end(),
-                 std::back_inserter(serving), &serves);
-    m_traffic.update_capacity(m_shares.plan(serving));
-}
-
-void router_process::mark_leaving_upstreams(
-    const drivers::published_membership& fleet,
-    const domain::configuration& declared)
-{
-    for (const ports::vm_entry& vm : fleet.vms)
-    {
-        if (vm.state != ports::vm_state::leaving)
-        {
-            continue;
-        }
-        for (const domain::upstream_declaration& upstream : declared.upstreams)
-        {
-            if (upstream.address == vm.address &&
-                m_leaving.insert(upstream.name).second)
-            {
-                m_traffic.mark_leaving(upstream.name);
-            }
-        }
-    }
-}
-
-std::optional<error> router_process::find_fault() const
-{
-    if (m_has_capacity)
-    {
-        return std::nullopt;
-    }
-    return error{result_code::router_not_ready, "upstreams",
-                 "the router has no share of any upstream yet",
-                 outcome::not_run, std::chrono::seconds(1)};
-}
-
-void router_process::leave_with_vm(const drivers::published_membership& fleet,
-                                   const domain::configuration& declared)
-{
-    bool is_declared =
-        std::any_of(declared.vms.begin(), declared.vms.end(),
-                    [this](const domain::vm_declaration& vm)
-                    {
-                        return vm.name == m_settings.vm &&
-                               vm.state == domain::upstream_state::leaving;
-                    });
-    bool is_listed =
-        std::any_of(fleet.vms.begin(), fleet.vms.end(),
-                    [this](const ports::vm_entry& vm) {
-                        return vm.vm == m_settings.vm &&
-                               vm.state == ports::vm_state::leaving;
-                    });
-    if ((is_declared || is_listed) && !m_is_leaving)
-    {
-        m_is_leaving = true;
-        m_membership->set_state(domain::member_state::leaving);
-    }
-}
-
-std::string router_process::find_committer(std::int32_t shard) const
-{
-    if (!m_is_serving_peers)
-    {
-        return {};
-    }
-    return committer_of_shard(m_membership->snapshot()->view, shard);
-}
-
-std::string router_process::locate(const std::string& account)
-{
-    domain::locate_request asked;
-    asked.account = account;
-    domain::locate_answer found = domain::locate(
-        m_membership->snapshot()->view, asked, domain::locate_limits());
-    json routers = json::array();
-    for (const domain::located_router& router : found.routers)
-    {
-        routers.push_back({{"address", router.address},
-                           {"data_centre", router.data_centre},
-                           {"weight", router.weight}});
-    }
-    json answer = {{"routers", routers},
-                   {"time_to_live_ms", found.time_to_live.count()}};
-    return answer.dump();
-}
-
-std::vector<std::string> router_process::peer_addresses()
-{
-    std::vector<std::string> addresses;
-    std::shared_ptr<const drivers::published_membership> fleet =
-        m_membership->snapshot();
-    for (const domain::member_status& peer : fleet->view.members)
-    {
-        if (peer.is_located && peer.row.who.incarnation != m_incarnation)
-        {
-            addresses.push_back(peer.row.who.peer_address);
-        }
-    }
-    if (!addresses.empty())
-    {
-        return addresses;
-    }
-    // A router that starts while the key-value service is out has only its
-    // settings and the VM list to find peers by.
-    addresses = m_settings.seed_peers;
-    for (const ports::vm_entry& row : fleet->vms)
-    {
-        if (row.state == ports::vm_state::live)
-        {
-            addresses.push_back(row.address);
-        }
-    }
-    return addresses;
-}
-
 std::string router_process::describe()
 {
     json answer = {{"incarnation", m_incarnation},
--- a/services/router/router_process.hpp
+++ b/services/router/router_process.hpp
@@ -16,6 +16,7 @@
 #include "libraries/drivers/platform/counted_key_value_store.hpp"
 #include "services/router/budget_ledger.hpp"
 #include "services/router/caller_front.hpp"
+#include "services/router/fleet_wiring.hpp"
 #include "services/router/router_counters.hpp"
 #include "services/router/router_gauges.hpp"
 #include "services/router/router_settings.hpp"
@@ -77,16 +78,6 @@
     result<std::string> handle_peer(const ports::peer_message& message);
     void apply_configuration();
     void apply_moves();
-    void refresh();
-    void plan_capacity(const drivers::published_membership& fleet,
-                       const domain::configuration& declared);
-    void mark_leaving_upstreams(const drivers::published_membership& fleet,
-                                const domain::configuration& declared);
-    void leave_with_vm(const drivers::published_membership& fleet,
-                       const domain::configuration& declared);
-    std::string find_committer(std::int32_t shard) const;
-    std::string locate(const std::string& account);
-    std::vector<std::string> peer_addresses();
     std::string describe();
     [[nodiscard]] std::optional<error> find_fault() const;
 
@@ -119,14 +110,11 @@
     adapters::http_server m_server;
     std::unique_ptr<drivers::configuration_follower> m_follower;
     std::unique_ptr<drivers::membership_service> m_membership;
-    std::atomic<bool> m_is_serving_peers{false};
-    std::atomic<bool> m_has_capacity{false};
-    // Touched by the refresh thread alone.
-    domain::share_table m_shares;
-    std::set<std::string> m_leaving;
-    bool m_is_leaving = false;
-    std::set<std::string> m_known_moves;
+    std::unique_ptr<fleet_wiring> m_fleet;
+    // Callers and peers may come before all parts are made.
+    std::atomic<bool> m_is_started{false};
     std::mutex m_apply_mutex;
+    std::set<std::string> m_known_moves;
     std::int64_t m_applied_version = 0;
     std::unique_ptr<drivers::control_thread> m_refresher;
 };
