Budget: Release answers in an outage on copies in peers' memory

Cause: while the platform was out each answer waited for its durable bill and ended in 3004 after 10 s, for as long as the outage lasted. Weighed: billing later without a copy (a router that dies then leaves answers unbilled), and a store of our own (the users want none). Two peers, other data centres first, keep a volatile copy of the bill; if the router dies they settle it out of its grant when the platform is back, each bill once by its key. Lost: the bills of an outage in which a router and both peers that hold its copies die.

Seen to fail first: without the replica both process tests end in 3004; with peers that drop the copies the dead router's 33 tokens stay unbilled (33 of 66 settled).

--- a/libraries/domain/budget/apply_commit.cpp
+++ b/libraries/domain/budget/apply_commit.cpp
@@ -1,3 +1,4 @@
+#include "libraries/domain/budget/bill_pages.hpp"
 #include "libraries/domain/budget/fold_grants.hpp"
 #include "libraries/domain/budget/shard_changes.hpp"
 
@@ -12,21 +13,6 @@
 
 constexpr std::int32_t slot_count = 4096;
 
-const bill_record* find_bill(const budget_shard& shard, std::uint64_t key)
-{
-    for (const bill_page& page : shard.bill_pages)
-    {
-        auto found = std::find_if(page.bills.begin(), page.bills.end(),
-                                  [key](const bill_record& candidate)
-                                  { return candidate.key == key; });
-        if (found != page.bills.end())
-        {
-            return &*found;
-        }
-    }
-    return nullptr;
-}
-
 std::size_t count_grants(const budget_shard& shard)
 {
     std::size_t count = 0;
@@ -42,17 +28,6 @@
     return grant.granted - grant.settled;
 }
 
-std::vector<bill_record>& page_of(budget_shard& shard, sys_seconds now)
-{
-    // Writers' clocks differ: a bill joins the newest page rather than one
-    // before it, so that pages stay in order.
-    if (shard.bill_pages.empty() || shard.bill_pages.back().when < now)
-    {
-        shard.bill_pages.push_back({now, {}});
-    }
-    return shard.bill_pages.back().bills;
-}
-
 bill_outcome repeat_of(const bill_record& known, const bill_line& line)
 {
     const bool is_same = known.body_digest == line.body_digest;
--- /dev/null
+++ b/libraries/domain/budget/bill_pages.cpp
@@ -0,0 +1,34 @@
+#include "libraries/domain/budget/bill_pages.hpp"
+
+#include <algorithm>
+
+namespace turmeric::domain
+{
+
+const bill_record* find_bill(const budget_shard& shard, std::uint64_t key)
+{
+    for (const bill_page& page : shard.bill_pages)
+    {
+        const auto found = std::find_if(page.bills.begin(), page.bills.end(),
+                                        [key](const bill_record& candidate)
+                                        { return candidate.key == key; });
+        if (found != page.bills.end())
+        {
+            return &*found;
+        }
+    }
+    return nullptr;
+}
+
+std::vector<bill_record>& page_of(budget_shard& shard, sys_seconds now)
+{
+    // Writers' clocks differ: a bill joins the newest page rather than one
+    // before it, so that pages stay in order.
+    if (shard.bill_pages.empty() || shard.bill_pages.back().when < now)
+    {
+        shard.bill_pages.push_back({now, {}});
+    }
+    return shard.bill_pages.back().bills;
+}
+
+} // namespace turmeric::domain
--- /dev/null
+++ b/libraries/domain/budget/settle_copies.hpp
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "libraries/domain/budget/router_batch.hpp"
+#include "libraries/domain/budget/shard_changes.hpp"
+
+#include <string_view>
+#include <vector>
+
+namespace turmeric::domain
+{
+
+/// Settles bills of a dead incarnation from the copies that a peer kept, each
+/// at most once and only out of what the incarnation was granted. A bill that
+/// is known already changes nothing, so any number of peers may do so.
+/// Precondition: the incarnation ended; a live one settles its own bills.
+/// Thread safe.
+[[nodiscard]] change settle_copies(budget_shard& shard,
+                                   std::string_view incarnation,
+                                   const std::vector<bill_line>& bills,
+                                   sys_seconds now);
+
+} // namespace turmeric::domain
--- /dev/null
+++ b/libraries/drivers/budget/bill_copy_settler.cpp
@@ -0,0 +1,58 @@
+#include "libraries/drivers/budget/bill_copy_settler.hpp"
+
+#include "libraries/domain/budget/settle_copies.hpp"
+
+#include <map>
+#include <utility>
+
+namespace turmeric::drivers
+{
+
+bill_copy_settler::bill_copy_settler(bill_copy_store& copies,
+                                     shard_editor& editor,
+                                     const ports::clock& clock, logger& log)
+    : m_copies(copies)
+    , m_editor(editor)
+    , m_clock(clock)
+    , m_log(log)
+{
+}
+
+void bill_copy_settler::run(const liveness& is_alive,
+                            ports::steady_time deadline)
+{
+    using place = std::pair<std::string, std::int32_t>;
+    std::map<place, std::vector<domain::bill_line>> due;
+    for (const bill_copy& copy : m_copies.copies())
+    {
+        if (!is_alive(copy.incarnation))
+        {
+            due[{copy.incarnation, copy.shard}].push_back(copy.bill);
+        }
+    }
+    for (const auto& [where, bills] : due)
+    {
+        const std::string& incarnation = where.first;
+        shard_edit edit =
+            [&](domain::budget_shard& shard) -> result<domain::change>
+        {
+            return domain::settle_copies(
+                shard, incarnation, bills,
+                std::chrono::time_point_cast<std::chrono::seconds>(
+                    m_clock.system_now()));
+        };
+        result<domain::change> applied =
+            m_editor.apply(where.second, edit, deadline);
+        if (!applied)
+        {
+            // The platform is still out; the copies stay.
+            return;
+        }
+        m_copies.drop(incarnation, where.second);
+        m_log.write(log_level::info, log_event::bill_committed,
+                    {{"incarnation", incarnation},
+                     {"copies", static_cast<std::int64_t>(bills.size())}});
+    }
+}
+
+} // namespace turmeric::drivers
--- /dev/null
+++ b/libraries/drivers/budget/peer_bill_replica.cpp
@@ -0,0 +1,67 @@
+#include "libraries/drivers/budget/peer_bill_replica.hpp"
+
+#include "libraries/codecs/budget/batch_codec.hpp"
+#include "libraries/domain/budget/budget_shard.hpp"
+
+#include <algorithm>
+
+namespace turmeric::drivers
+{
+
+namespace
+{
+
+constexpr int wanted_copies = 2;
+constexpr std::chrono::milliseconds longest_call{1'000};
+
+std::string account_of(const std::string& budget)
+{
+    return budget.substr(0, budget.find('/'));
+}
+
+} // namespace
+
+peer_bill_replica::peer_bill_replica(ports::peer_caller& peers,
+                                     const ports::clock& clock,
+                                     peer_source addresses,
+                                     std::int32_t shard_count)
+    : m_peers(peers)
+    , m_clock(clock)
+    , m_addresses(std::move(addresses))
+    , m_shard_count(shard_count)
+{
+}
+
+status peer_bill_replica::keep(const std::string& incarnation,
+                               const domain::bill_line& bill,
+                               ports::steady_time deadline)
+{
+    domain::router_batch batch;
+    batch.incarnation = incarnation;
+    batch.bills.push_back(bill);
+    std::int32_t shard =
+        domain::shard_of(account_of(bill.budget), m_shard_count);
+    ports::peer_message message{"bill_copy",
+                                codecs::encode_batch(shard, batch)};
+    int kept = 0;
+    for (const std::string& address : m_addresses())
+    {
+        auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+            deadline - m_clock.steady_now());
+        if (kept == wanted_copies || left.count() <= 0)
+        {
+            break;
+        }
+        kept += m_peers.call(address, message, std::min(left, longest_call))
+                    ? 1
+                    : 0;
+    }
+    if (kept == 0)
+    {
+        return error{result_code::peer_unavailable, "peers",
+                     "no peer keeps a copy of the bill"};
+    }
+    return success();
+}
+
+} // namespace turmeric::drivers
--- a/services/router/fleet_wiring.cpp
+++ b/services/router/fleet_wiring.cpp
@@ -98,6 +98,39 @@
     }
 }
 
+std::vector<std::string> fleet_wiring::copy_holders() const
+{
+    std::vector<std::string> holders;
+    std::vector<std::string> near;
+    std::shared_ptr<const drivers::published_membership> fleet =
+        m_parts.membership.snapshot();
+    for (const domain::member_status& peer : fleet->view.members)
+    {
+        const domain::member& who = peer.row.who;
+        if (peer.is_located && who.incarnation != m_self.incarnation)
+        {
+            bool is_near = who.data_centre == m_self.data_centre;
+            (is_near ? near : holders).push_back(who.peer_address);
+        }
+    }
+    holders.insert(holders.end(), near.begin(), near.end());
+    return holders;
+}
+
+bool fleet_wiring::is_alive(const std::string& incarnation) const
+{
+    std::shared_ptr<const drivers::published_membership> fleet =
+        m_parts.membership.snapshot();
+    return std::any_of(
+        fleet->view.members.begin(), fleet->view.members.end(),
+        [&incarnation](const domain::member_status& peer)
+        {
+            bool is_heard = peer.is_located ||
+                            peer.row.state == domain::member_state::leaving;
+            return is_heard && peer.row.who.incarnation == incarnation;
+        });
+}
+
 std::string fleet_wiring::find_committer(std::int32_t shard) const
 {
     return committer_of_shard(m_parts.membership.snapshot()->view, shard);
--- a/services/router/fleet_wiring.hpp
+++ b/services/router/fleet_wiring.hpp
@@ -28,6 +28,7 @@
 {
     std::string incarnation;
     std::string vm;
+    std::string data_centre;
     /// Peer addresses to ask when no member is known.
     std::vector<std::string> seed_peers;
 };
@@ -54,6 +55,14 @@
     /// Returns peer addresses to ask for the configuration. Thread safe.
     [[nodiscard]] std::vector<std::string> peer_addresses();
 
+    /// Returns peers that may keep copies of bills, those of other data
+    /// centres first. Thread safe.
+    [[nodiscard]] std::vector<std::string> copy_holders() const;
+
+    /// Tells whether an incarnation is up, as far as this router heard.
+    /// Thread safe.
+    [[nodiscard]] bool is_alive(const std::string& incarnation) const;
+
     /// Returns the peer that commits a budget shard; empty for this router.
     /// Thread safe.
     [[nodiscard]] std::string find_committer(std::int32_t shard) const;
--- a/services/router/router_process.cpp
+++ b/services/router/router_process.cpp
@@ -15,6 +15,7 @@
 {
 
 constexpr std::chrono::milliseconds refresh_interval{200};
+constexpr std::chrono::milliseconds copy_interval{2'000};
 constexpr std::size_t idle_upstream_connections = 64;
 // A committer that is silent for longer is passed over.
 constexpr std::chrono::milliseconds longest_forward{1'500};
@@ -78,7 +79,17 @@
           [this](std::int32_t shard)
           { return m_is_started ? m_fleet->find_committer(shard) : ""; },
           longest_forward)
-    , m_budgets({m_store, m_clock, m_random, m_log, &m_committer},
+    , m_replica(
+          m_peers, m_clock,
+          [this] {
+              return m_is_started ? m_fleet->copy_holders()
+                                  : std::vector<std::string>();
+          },
+          settings.budget_shards)
+    , m_copies({}, m_clock)
+    , m_editor(m_store, m_clock, m_random)
+    , m_copy_settler(m_copies, m_editor, m_clock, m_log)
+    , m_budgets({m_store, m_clock, m_random, m_log, &m_committer, &m_replica},
                 m_budget_settings, m_incarnation)
     , m_ledger(m_budgets, m_clock, {settings.hold_wait, settings.bill_wait})
     , m_versions({}, m_incarnation, m_clock, m_log)
@@ -140,7 +151,8 @@
         drivers::follower_timing());
     m_fleet = std::make_unique<fleet_wiring>(
         fleet_parts{*m_membership, *m_follower, m_traffic, m_answers},
-        fleet_identity{m_incarnation, m_settings.vm, m_settings.seed_peers});
+        fleet_identity{m_incarnation, m_settings.vm, m_settings.data_centre,
+                       m_settings.seed_peers});
     m_follower->set_listener(
         [this]
         {
@@ -154,6 +166,8 @@
     m_follower->start();
     m_refresher = std::make_unique<drivers::control_thread>(
         refresh_interval, [this] { m_fleet->refresh(); });
+    m_copy_thread = std::make_unique<drivers::control_thread>(
+        copy_interval, [this] { settle_copies(); });
     m_is_started = true;
     return addresses;
 }
@@ -188,6 +202,8 @@
         m_log.write(log_level::warning, log_event::commit_failed,
                     {{"reason", drained.failure().detail}});
     }
+    m_editor.stop();
+    m_copy_thread.reset();
     m_refresher.reset();
     m_follower->stop();
     m_membership->stop();
@@ -199,6 +215,14 @@
     return m_log;
 }
 
+void router_process::settle_copies()
+{
+    constexpr std::chrono::seconds patience{5};
+    m_copy_settler.run([this](const std::string& incarnation)
+                       { return m_fleet->is_alive(incarnation); },
+                       m_clock.steady_now() + patience);
+}
+
 std::optional<error> router_process::find_fault() const
 {
     if (!m_is_started)
@@ -220,7 +244,7 @@
         std::string_view kind;
         handler handle;
     };
-    static const std::array<handler_row, 5> table = {{
+    static const std::array<handler_row, 6> table = {{
         {"heartbeat", [](router_process& own, const ports::peer_message& asked)
          { return own.m_membership->handle(asked); }},
         {"configuration",
@@ -228,6 +252,8 @@
          { return own.m_follower->serve(asked.body); }},
         {"evidence", [](router_process& own, const ports::peer_message& asked)
          { return own.m_versions.answer(asked); }},
+        {"bill_copy", [](router_process& own, const ports::peer_message& asked)
+         { return own.m_copies.take(asked.body); }},
         {"commit",
          [](router_process& own, const ports::peer_message& asked)
          {
--- a/services/router/router_process.hpp
+++ b/services/router/router_process.hpp
@@ -8,7 +8,9 @@
 #include "libraries/adapters/system/system_clock.hpp"
 #include "libraries/adapters/system/system_random.hpp"
 #include "libraries/adapters/vm_list/http_vm_list.hpp"
+#include "libraries/drivers/budget/bill_copy_settler.hpp"
 #include "libraries/drivers/budget/budget_service.hpp"
+#include "libraries/drivers/budget/peer_bill_replica.hpp"
 #include "libraries/drivers/budget/peer_committer.hpp"
 #include "libraries/drivers/configuration/configuration_follower.hpp"
 #include "libraries/drivers/membership/membership_service.hpp"
@@ -80,6 +82,7 @@
     void apply_moves();
     std::string describe();
     [[nodiscard]] std::optional<error> find_fault() const;
+    void settle_copies();
 
     const router_settings m_settings;
     const std::string m_incarnation;
@@ -98,6 +101,10 @@
     domain::rate_share_policy m_grant_policy;
     drivers::store_committer m_local_committer;
     drivers::peer_committer m_committer;
+    drivers::peer_bill_replica m_replica;
+    drivers::bill_copy_store m_copies;
+    drivers::shard_editor m_editor;
+    drivers::bill_copy_settler m_copy_settler;
     drivers::budget_service m_budgets;
     budget_ledger m_ledger;
     drivers::version_guard m_versions;
@@ -117,6 +124,7 @@
     std::set<std::string> m_known_moves;
     std::int64_t m_applied_version = 0;
     std::unique_ptr<drivers::control_thread> m_refresher;
+    std::unique_ptr<drivers::control_thread> m_copy_thread;
 };
 
 } // namespace turmeric::router
--- a/tests/processes/budget_faults_test.py
+++ b/tests/processes/budget_faults_test.py
@@ -130,6 +130,37 @@
                               for answer in answers))
 
 
+class LongOutageTest(support.FleetTest):
+    """The platform stays out, so that bills live in peers' memory."""
+
+    routers = 3
+    router_settings = {'limits': {'leave_ms': 0}}
+
+    def spend_in_outage(self, number):
+        for router in self.router:
+            fleets.wait_until('each router has a grant', lambda: self.chat(
+                router, tokens=5).is_whole)
+        self.settled = self.balance()['settled']
+        self.fleet.key_value.set_faults(outage=True)
+        answers = [self.chat(tokens=5, request_id=f'out-{index}')
+                   for index in range(number)]
+        for answer in answers:
+            self.assert_whole(answer, 5)
+        return sum(answer.bill['tokens_billed'] for answer in answers)
+
+    def test_answers_are_whole_and_billed_when_it_is_back(self):
+        billed = self.spend_in_outage(3)
+        self.fleet.key_value.set_faults(outage=False)
+        self.wait_settled(self.settled + billed)
+
+    def test_peers_settle_for_a_router_that_died_meanwhile(self):
+        billed = self.spend_in_outage(3)
+        self.router[0].kill()
+        self.fleet.key_value.set_faults(outage=False)
+        self.wait_settled(self.settled + billed)
+        self.assert_not_overspent()
+
+
 class ExhaustionTest(support.FleetTest):
     """A budget that runs dry under many callers at two routers."""
 
