Router: Refuse callers at once when leaving without slots

A router that was leaving and had given up its shares kept late callers in its queue. It says router_stopping and not_run now, with Retry-After.

The settler of copies is written without captured bindings, which the linter's compiler does not take.

--- a/libraries/drivers/budget/bill_copy_settler.cpp
+++ b/libraries/drivers/budget/bill_copy_settler.cpp
@@ -30,9 +30,11 @@
             due[{copy.incarnation, copy.shard}].push_back(copy.bill);
         }
     }
-    for (const auto& [where, bills] : due)
+    for (const auto& entry : due)
     {
-        const std::string& incarnation = where.first;
+        const std::string& incarnation = entry.first.first;
+        const std::int32_t shard_index = entry.first.second;
+        const std::vector<domain::bill_line>& bills = entry.second;
         shard_edit edit =
             [&](domain::budget_shard& shard) -> result<domain::change>
         {
@@ -42,13 +44,13 @@
                     m_clock.system_now()));
         };
         result<domain::change> applied =
-            m_editor.apply(where.second, edit, deadline);
+            m_editor.apply(shard_index, edit, deadline);
         if (!applied)
         {
             // The platform is still out; the copies stay.
             return;
         }
-        m_copies.drop(incarnation, where.second);
+        m_copies.drop(incarnation, shard_index);
         m_log.write(log_level::info, log_event::bill_committed,
                     {{"incarnation", incarnation},
                      {"copies", static_cast<std::int64_t>(bills.size())}});
--- a/services/router/fleet_wiring.cpp
+++ b/services/router/fleet_wiring.cpp
@@ -42,6 +42,7 @@
         static_cast<std::int64_t>(m_parts.answers.in_flight()));
     // Shares may be missing for a moment while epochs change; requests wait
     // for that in the queue.
+    m_has_share = share > 0;
     m_has_capacity = m_has_capacity || share > 0;
     m_parts.membership.set_configuration(declared->version, "");
 }
@@ -93,8 +94,7 @@
         { return vm.vm == m_self.vm && vm.state == ports::vm_state::leaving; });
     if ((is_declared || is_listed) && !m_is_leaving)
     {
-        m_is_leaving = true;
-        m_parts.membership.set_state(domain::member_state::leaving);
+        start_leaving();
     }
 }
 
@@ -136,8 +136,20 @@
     return committer_of_shard(m_parts.membership.snapshot()->view, shard);
 }
 
+void fleet_wiring::start_leaving()
+{
+    m_is_leaving = true;
+    m_parts.membership.set_state(domain::member_state::leaving);
+}
+
 std::optional<error> fleet_wiring::find_fault() const
 {
+    if (m_is_leaving && !m_has_share)
+    {
+        return error{result_code::router_stopping, "router",
+                     "the router is leaving and has given up its slots",
+                     outcome::not_run, std::chrono::seconds(1)};
+    }
     if (m_has_capacity)
     {
         return std::nullopt;
--- a/services/router/fleet_wiring.hpp
+++ b/services/router/fleet_wiring.hpp
@@ -45,7 +45,10 @@
     /// Does one round; to be called a few times a second. Not thread safe.
     void refresh();
 
-    /// Says why this router cannot serve yet, if so. Thread safe.
+    /// Tells the fleet that this router is leaving; for good. Thread safe.
+    void start_leaving();
+
+    /// Says why this router cannot serve, if so. Thread safe.
     [[nodiscard]] std::optional<error> find_fault() const;
 
     /// Returns the body of a locate answer for a client account, which may
@@ -78,10 +81,11 @@
     fleet_parts m_parts;
     const fleet_identity m_self;
     std::atomic<bool> m_has_capacity{false};
+    std::atomic<bool> m_has_share{false};
+    std::atomic<bool> m_is_leaving{false};
     // Touched by `refresh` alone.
     domain::share_table m_shares;
     std::set<std::string> m_leaving;
-    bool m_is_leaving = false;
 };
 
 } // namespace turmeric::router
--- a/services/router/router_process.cpp
+++ b/services/router/router_process.cpp
@@ -174,7 +174,7 @@
 
 void router_process::start_leaving()
 {
-    m_membership->set_state(domain::member_state::leaving);
+    m_fleet->start_leaving();
 }
 
 void router_process::stop_taking_requests()
