--- a/services/router/fleet_wiring.cpp
+++ b/services/router/fleet_wiring.cpp
@@ -19,7 +19,7 @@
 
 } // namespace
 
-fleet_wiring::fleet_wiring(fleet_parts parts, fleet_identity self)
+fleet_wiring::fleet_wiring(const fleet_parts& parts, fleet_identity self)
     : m_parts(parts)
     , m_self(std::move(self))
     , m_shares(m_self.incarnation)
--- a/services/router/fleet_wiring.hpp
+++ b/services/router/fleet_wiring.hpp
@@ -40,7 +40,7 @@
 {
 public:
     /// See `fleet_parts`.
-    fleet_wiring(fleet_parts parts, fleet_identity self);
+    fleet_wiring(const fleet_parts& parts, fleet_identity self);
 
     /// Does one round; to be called a few times a second. Not thread safe.
     void refresh();
