--- a/libraries/adapters/fmt/fmt_logger.cpp
+++ b/libraries/adapters/fmt/fmt_logger.cpp
@@ -112,4 +112,9 @@
     return log_level::info;
 }
 
+log_format log_format_of(const std::string& name)
+{
+    return name == "json" ? log_format::json : log_format::text;
+}
+
 } // namespace turmeric::adapters
--- a/libraries/adapters/fmt/fmt_logger.hpp
+++ b/libraries/adapters/fmt/fmt_logger.hpp
@@ -40,4 +40,7 @@
 /// Returns the level of that name; "info" for an unknown one. Thread safe.
 [[nodiscard]] log_level log_level_of(const std::string& name);
 
+/// Returns the format of that name; text for an unknown one. Thread safe.
+[[nodiscard]] log_format log_format_of(const std::string& name);
+
 } // namespace turmeric::adapters
--- a/services/controller/controller_process.cpp
+++ b/services/controller/controller_process.cpp
@@ -11,7 +11,6 @@
 namespace
 {
 
-constexpr std::size_t incarnation_bytes = 6;
 constexpr std::size_t key_bytes = 24;
 constexpr std::chrono::milliseconds resolve_pause{200};
 constexpr std::chrono::milliseconds reclaim_period{10'000};
@@ -20,25 +19,6 @@
 constexpr const char* budgets_duty = "budgets";
 constexpr const char* moves_duty = "moves";
 
-std::string make_incarnation(const std::string& name)
-{
-    return name + "-" + adapters::random_hex(incarnation_bytes);
-}
-
-adapters::log_format format_of(const std::string& name)
-{
-    return name == "json" ? adapters::log_format::json
-                          : adapters::log_format::text;
-}
-
-adapters::etcd_settings store_settings(const controller_settings& settings)
-{
-    adapters::etcd_settings made;
-    made.endpoints = settings.key_value_addresses;
-    made.call_timeout = settings.platform_timeout;
-    return made;
-}
-
 fresh_key make_key()
 {
     fresh_key made;
@@ -72,10 +52,10 @@
 
 controller_process::controller_process(const controller_settings& settings)
     : m_settings(settings)
-    , m_incarnation(make_incarnation(settings.name))
+    , m_incarnation(adapters::make_incarnation(settings.name))
     , m_log(m_clock, adapters::log_level_of(settings.log_level),
-            format_of(settings.log_format), settings.name)
-    , m_store(store_settings(settings))
+            adapters::log_format_of(settings.log_format), settings.name)
+    , m_store(adapters::store_settings_of(settings))
     , m_vms({settings.vm_list_address, settings.platform_timeout,
              settings.platform_timeout})
     , m_peers(m_clock, refuse_peer)
--- a/services/controller/controller_settings.hpp
+++ b/services/controller/controller_settings.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "libraries/adapters/httplib/http_server.hpp"
+#include "libraries/adapters/settings/daemon_settings.hpp"
 #include "libraries/core/json.hpp"
 
 #include <chrono>
@@ -11,19 +12,9 @@
 {
 
 /// A controller's settings, as checked against their schema.
-struct controller_settings
+struct controller_settings : adapters::daemon_settings
 {
-    std::string name;
-    std::string vm;
-    std::string data_centre;
-    std::string log_level;
-    std::string log_format;
-    std::vector<std::string> key_value_addresses;
-    std::string vm_list_address;
-    std::chrono::milliseconds platform_timeout{1'000};
     adapters::http_server_settings operator_server;
-    std::string peer_host;
-    int peer_port = 0;
     std::vector<std::string> operator_key_digests;
     std::int32_t budget_shards = 64;
     /// The longest time of a request; frozen grants are kept for it.
--- a/services/router/router_process.cpp
+++ b/services/router/router_process.cpp
@@ -19,26 +19,6 @@
 constexpr std::size_t idle_upstream_connections = 64;
 // A committer that is silent for longer is passed over.
 constexpr std::chrono::milliseconds longest_forward{1'500};
-constexpr std::size_t incarnation_bytes = 6;
-
-std::string make_incarnation(const std::string& name)
-{
-    return name + "-" + adapters::random_hex(incarnation_bytes);
-}
-
-adapters::log_format format_of(const std::string& name)
-{
-    return name == "json" ? adapters::log_format::json
-                          : adapters::log_format::text;
-}
-
-adapters::etcd_settings store_settings(const router_settings& settings)
-{
-    adapters::etcd_settings made;
-    made.endpoints = settings.key_value_addresses;
-    made.call_timeout = settings.platform_timeout;
-    return made;
-}
 
 drivers::budget_settings budget_settings_of(const router_settings& settings)
 {
@@ -57,13 +37,13 @@
 
 router_process::router_process(const router_settings& settings)
     : m_settings(settings)
-    , m_incarnation(make_incarnation(settings.name))
+    , m_incarnation(adapters::make_incarnation(settings.name))
     , m_log(m_clock, adapters::log_level_of(settings.log_level),
-            format_of(settings.log_format), settings.name)
+            adapters::log_format_of(settings.log_format), settings.name)
     , m_shared_metrics(m_metrics, {std::chrono::milliseconds(370)},
                        {std::chrono::milliseconds(40)})
     , m_counters(m_metrics, m_shared_metrics, m_log)
-    , m_etcd(store_settings(settings))
+    , m_etcd(adapters::store_settings_of(settings))
     , m_store(m_etcd, m_shared_metrics.platform_calls)
     , m_vms({settings.vm_list_address, settings.connect_timeout,
              settings.platform_timeout})
--- a/services/router/router_settings.cpp
+++ b/services/router/router_settings.cpp
@@ -1,35 +1,14 @@
 #include "services/router/router_settings.hpp"
 
-#include "libraries/adapters/settings/daemon_options.hpp"
-
 namespace turmeric::router
 {
 
 namespace
 {
 
+constexpr const char* server_port = "caller_port";
+
 constexpr const char* own_properties = R"({
-    "listen": {
-        "type": "object",
-        "additionalProperties": false,
-        "required": ["host", "caller_port", "peer_port"],
-        "properties": {
-            "host": {"type": "string", "minLength": 1},
-            "caller_port": {
-                "type": "integer", "minimum": 0, "maximum": 65535
-            },
-            "peer_port": {"type": "integer", "minimum": 0, "maximum": 65535},
-            "tls": {
-                "type": "object",
-                "additionalProperties": false,
-                "required": ["certificate", "private_key"],
-                "properties": {
-                    "certificate": {"type": "string"},
-                    "private_key": {"type": "string"}
-                }
-            }
-        }
-    },
     "limits": {
         "type": "object",
         "additionalProperties": false,
@@ -85,21 +64,6 @@
     return std::chrono::milliseconds(part.value(name, otherwise.count()));
 }
 
-void read_listen(const json& listen, router_settings& read)
-{
-    read.caller_server.host = listen.at("host").get<std::string>();
-    read.caller_server.port = listen.at("caller_port").get<int>();
-    read.peer_host = read.caller_server.host;
-    read.peer_port = listen.at("peer_port").get<int>();
-    if (listen.contains("tls"))
-    {
-        const json& tls = listen.at("tls");
-        read.caller_server.tls =
-            adapters::tls_files{tls.at("certificate").get<std::string>(),
-                                tls.at("private_key").get<std::string>()};
-    }
-}
-
 void read_server_limits(const json& limits,
                         adapters::http_server_settings& server)
 {
@@ -162,30 +126,15 @@
 
 json router_settings_schema()
 {
-    json properties = adapters::common_settings_properties();
-    properties.update(json::parse(own_properties));
-    return {{"type", "object"},
-            {"additionalProperties", false},
-            {"required", {"name", "vm", "data_centre", "platform", "listen"}},
-            {"properties", properties}};
+    return adapters::make_daemon_schema(json::parse(own_properties),
+                                        server_port, {});
 }
 
 router_settings read_router_settings(const json& settings)
 {
     router_settings read;
-    read.name = settings.at("name").get<std::string>();
-    read.vm = settings.at("vm").get<std::string>();
-    read.data_centre = settings.at("data_centre").get<std::string>();
-    json log = settings.value("log", json::object());
-    read.log_level = log.value("level", "info");
-    read.log_format = log.value("format", "text");
-    const json& platform = settings.at("platform");
-    read.key_value_addresses =
-        platform.at("key_value").get<std::vector<std::string>>();
-    read.vm_list_address = platform.at("vm_list").get<std::string>();
-    read.platform_timeout =
-        read_time(platform, "timeout_ms", read.platform_timeout);
-    read_listen(settings.at("listen"), read);
+    adapters::read_daemon_settings(settings, server_port, read,
+                                   read.caller_server);
     read_limits(settings.value("limits", json::object()), read);
     read_budgets(settings.value("budgets", json::object()), read);
     read.lease =
--- a/services/router/router_settings.hpp
+++ b/services/router/router_settings.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "libraries/adapters/httplib/http_server.hpp"
+#include "libraries/adapters/settings/daemon_settings.hpp"
 #include "libraries/core/json.hpp"
 #include "libraries/drivers/answers/answer_store.hpp"
 #include "libraries/drivers/requests/request_runner.hpp"
@@ -14,19 +15,9 @@
 {
 
 /// A router's settings, as checked against their schema.
-struct router_settings
+struct router_settings : adapters::daemon_settings
 {
-    std::string name;
-    std::string vm;
-    std::string data_centre;
-    std::string log_level;
-    std::string log_format;
-    std::vector<std::string> key_value_addresses;
-    std::string vm_list_address;
-    std::chrono::milliseconds platform_timeout{1'000};
     adapters::http_server_settings caller_server;
-    std::string peer_host;
-    int peer_port = 0;
     /// Peer addresses to ask when the platform is out at the start.
     std::vector<std::string> seed_peers;
     drivers::traffic_limits traffic;
