--- a/bench/slow_readers/measure.py
+++ b/bench/slow_readers/measure.py
@@ -3,6 +3,7 @@
 import argparse
 import json
 import pathlib
+import socket
 import subprocess
 import sys
 import time
@@ -30,6 +31,24 @@
     return json.loads(done.communicate()[0])
 
 
+def thread_cost_kib(router, count):
+    """What a connection's own thread holds, from callers that only asked for
+    the router's health and stay connected."""
+    idle_kib = resident_kib(router)
+    host, port = router.address.split(':')
+    callers = []
+    for _ in range(count):
+        caller = socket.create_connection((host, int(port)))
+        caller.sendall(b'GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n')
+        callers.append(caller)
+    for caller in callers:
+        caller.recv(4096)
+    cost = (resident_kib(router) - idle_kib) / count
+    for caller in callers:
+        caller.close()
+    return cost
+
+
 def measure(readers):
     fleet = fleets.Fleet()
     try:
@@ -47,6 +66,9 @@
                                 'budget': support.BUDGET, 'id': 'set-up',
                                 'tokens': str(10 ** 12)})
         fleet.wait_ready(router)
+        thread_kib = thread_cost_kib(router, readers)
+        # Idle threads end after a while and give their stacks back.
+        time.sleep(15)
         others(router, '1')
         alone = others(router, '2')
         idle_kib = resident_kib(router)
@@ -61,7 +83,7 @@
         slow.kill()
         slow.wait()
         first = 'time_to_first_token'
-        return {'readers': readers,
+        return {'readers': readers, 'kib_per_thread': thread_kib,
                 'kib_per_reader': (slow_kib - idle_kib) / readers,
                 'threads_per_reader': (slow_threads - idle_threads) / readers,
                 'p95_alone_ms': alone[first]['p95_ms'],
@@ -79,10 +101,12 @@
     options = parser.parse_args()
     found = measure(options.readers)
     print(json.dumps(found, indent=1))
-    rows = ('\n| slow readers | KiB per reader, its threads included | threads'
-            ' per reader | others, first token p95 alone / beside, ms | ratio |'
-            ' others whole |\n| --- | --- | --- | --- | --- | --- |\n'
+    rows = ('\n| slow readers | KiB per reader, its threads included | KiB of a'
+            ' thread alone | threads per reader | others, first token p95'
+            ' alone / beside, ms | ratio |'
+            ' others whole |\n| --- | --- | --- | --- | --- | --- | --- |\n'
             f"| {found['readers']} | {found['kib_per_reader']:.1f} | "
+            f"{found['kib_per_thread']:.1f} | "
             f"{found['threads_per_reader']:.2f} | "
             f"{found['p95_alone_ms']:.1f} / {found['p95_beside_ms']:.1f} | "
             f"{found['ratio']:.2f} | {found['others_whole']} of 400 |")
