--- /dev/null
+++ b/libraries/adapters/asio/asio_timer_queue.cpp
@@ -0,0 +1,51 @@
+#include "libraries/adapters/asio/asio_timer_queue.hpp"
+
+#include <utility>
+
+namespace turmeric::adapters
+{
+
+namespace
+{
+
+class asio_timer final : public ports::timer
+{
+public:
+    asio_timer(asio::io_context& loop, ports::steady_time at,
+               std::function<void()> action)
+        : m_timer(loop, at)
+        , m_is_alive(std::make_shared<bool>(true))
+    {
+        // An expired timer's handler can be queued already when the timer is
+        // destroyed, so the cancelling alone would not hold it back.
+        const std::weak_ptr<bool> alive = m_is_alive;
+        m_timer.async_wait(
+            [alive,
+             action = std::move(action)](const boost::system::error_code& fault)
+            {
+                if (!fault && !alive.expired())
+                {
+                    action();
+                }
+            });
+    }
+
+private:
+    asio::steady_timer m_timer;
+    std::shared_ptr<bool> m_is_alive;
+};
+
+} // namespace
+
+asio_timer_queue::asio_timer_queue(asio::io_context& loop)
+    : m_loop(loop)
+{
+}
+
+std::unique_ptr<ports::timer>
+asio_timer_queue::schedule(ports::steady_time at, std::function<void()> action)
+{
+    return std::make_unique<asio_timer>(m_loop, at, std::move(action));
+}
+
+} // namespace turmeric::adapters
--- /dev/null
+++ b/libraries/adapters/asio/caller_connection.cpp
@@ -0,0 +1,413 @@
+#include "libraries/adapters/asio/caller_connection.hpp"
+
+#include "libraries/adapters/asio/connection_channel.hpp"
+#include "libraries/adapters/asio/socket_options.hpp"
+
+#include <algorithm>
+#include <cassert>
+#include <iterator>
+#include <utility>
+
+namespace turmeric::adapters
+{
+
+namespace
+{
+
+namespace http = boost::beast::http;
+
+/// Bytes of later requests that are kept while one is answered.
+constexpr std::size_t most_ahead = 64 << 10;
+/// How long the rest of a refused request is read, so that the caller gets
+/// the answer before the connection ends.
+constexpr std::chrono::milliseconds linger_timeout{500};
+
+constexpr int bad_request = 400;
+constexpr int request_timeout = 408;
+constexpr int content_too_large = 413;
+constexpr int fields_too_large = 431;
+
+} // namespace
+
+caller_connection::caller_connection(caller_server& server, tcp::socket socket)
+    : m_server(server)
+    , m_socket(std::move(socket))
+    , m_timer(server.m_loop)
+{
+}
+
+void caller_connection::start()
+{
+    begin_message();
+    read_more();
+}
+
+void caller_connection::begin_message()
+{
+    m_parser.emplace();
+    m_parser->header_limit(
+        static_cast<std::uint32_t>(m_server.m_limits.header_bytes));
+    m_parser->body_limit(m_server.m_limits.body_bytes);
+    m_has_continued = false;
+    set_timer(m_server.m_limits.idle_timeout);
+}
+
+void caller_connection::read_more()
+{
+    if (m_is_reading || m_is_closed)
+    {
+        return;
+    }
+    m_is_reading = true;
+    const std::shared_ptr<caller_connection> self = shared_from_this();
+    m_socket.async_read_some(
+        asio::buffer(m_block),
+        [self](const boost::system::error_code& fault, std::size_t bytes)
+        { self->on_read(fault, bytes); });
+}
+
+void caller_connection::on_read(const boost::system::error_code& fault,
+                                std::size_t bytes)
+{
+    m_is_reading = false;
+    if (m_is_closed)
+    {
+        return;
+    }
+    if (fault)
+    {
+        close(false);
+        return;
+    }
+    if (m_is_refused)
+    {
+        read_more();
+        return;
+    }
+    keep_read(bytes);
+    if (m_is_answering)
+    {
+        // The next request is kept; further reads notice the caller's close.
+        if (m_buffer.size() < most_ahead)
+        {
+            read_more();
+        }
+        return;
+    }
+    parse();
+}
+
+void caller_connection::keep_read(std::size_t bytes)
+{
+    const auto room = m_buffer.prepare(bytes);
+    std::copy_n(m_block.begin(), bytes, static_cast<char*>(room.data()));
+    m_buffer.commit(bytes);
+}
+
+void caller_connection::parse()
+{
+    if (m_buffer.size() > 0 && !m_parser->got_some())
+    {
+        m_arrived = m_server.m_clock.steady_now();
+        set_timer(m_server.m_limits.header_timeout);
+    }
+    while (m_buffer.size() > 0 && !m_parser->is_done())
+    {
+        boost::system::error_code fault;
+        const std::size_t used = m_parser->put(m_buffer.data(), fault);
+        m_buffer.consume(used);
+        if (fault == http::error::need_more)
+        {
+            break;
+        }
+        if (fault)
+        {
+            on_unreadable(fault);
+            return;
+        }
+        if (m_parser->is_header_done() && !is_framing_sound())
+        {
+            refuse(bad_request, "Bad Request");
+            return;
+        }
+    }
+    if (m_parser->is_done())
+    {
+        on_request();
+        return;
+    }
+    if (m_parser->is_header_done())
+    {
+        answer_continue();
+    }
+    read_more();
+}
+
+bool caller_connection::is_framing_sound() const
+{
+    // A coding that is read here in another way than by the upstream would
+    // let one request hide within another.
+    const auto& message = m_parser->get();
+    const auto codings =
+        message.base().equal_range(http::field::transfer_encoding);
+    const std::size_t count =
+        static_cast<std::size_t>(std::distance(codings.first, codings.second));
+    if (count == 0)
+    {
+        return true;
+    }
+    return count == 1 &&
+           boost::beast::iequals(codings.first->value(), "chunked") &&
+           message.find(http::field::content_length) == message.end();
+}
+
+void caller_connection::answer_continue()
+{
+    const auto& message = m_parser->get();
+    if (m_has_continued ||
+        !boost::beast::iequals(message[http::field::expect], "100-continue"))
+    {
+        return;
+    }
+    m_has_continued = true;
+    write("HTTP/1.1 100 Continue\r\n\r\n", nullptr);
+}
+
+void caller_connection::on_unreadable(const boost::system::error_code& fault)
+{
+    if (fault == http::error::header_limit)
+    {
+        refuse(fields_too_large, "Request Header Fields Too Large");
+        return;
+    }
+    if (fault == http::error::body_limit)
+    {
+        refuse(content_too_large, "Content Too Large");
+        return;
+    }
+    refuse(bad_request, "Bad Request");
+}
+
+void caller_connection::refuse(int status, std::string_view reason)
+{
+    m_is_answering = true;
+    m_is_refused = true;
+    m_is_keeping = false;
+    const ports::response_head head{status, std::string(reason), {}};
+    write(write_head(head, body_framing::length, 0, false, {}), nullptr);
+    m_is_answer_ended = true;
+    // The rest of the request is read and dropped for a while, or the
+    // connection would end in a reset that can overtake the answer.
+    set_timer(linger_timeout);
+    read_more();
+}
+
+void caller_connection::on_request()
+{
+    m_timer.cancel();
+    m_is_answering = true;
+    m_is_answer_ended = false;
+    m_is_keeping = m_parser->keep_alive() && m_server.m_is_keeping;
+    ports::arrived_request request;
+    request.head = head_of(m_parser->get());
+    request.body = std::move(m_parser->get().body());
+    request.arrived = m_arrived;
+    constexpr unsigned int version_1_0 = 10;
+    m_is_chunkable = m_parser->get().version() > version_1_0;
+    m_parser.reset();
+    const std::shared_ptr<caller_connection> self = shared_from_this();
+    std::shared_ptr<connection_channel> channel =
+        std::make_shared<connection_channel>(self);
+    std::shared_ptr<ports::exchange_in_flight> started =
+        m_server.m_acceptor.accept(std::move(request), std::move(channel));
+    if (m_is_answering && !m_is_answer_ended && !m_is_closed)
+    {
+        m_exchange = std::move(started);
+    }
+    // Also while it is answered: this is how the caller's close is noticed.
+    read_more();
+}
+
+void caller_connection::send_answer(const ports::response_head& head,
+                                    std::string body)
+{
+    m_is_keeping = m_is_keeping && m_server.m_is_keeping;
+    m_exchange.reset();
+    m_is_answer_ended = true;
+    std::string bytes =
+        write_head(head, body_framing::length, body.size(), m_is_keeping,
+                   m_server.m_limits.idle_timeout);
+    bytes += body;
+    write(std::move(bytes), nullptr);
+}
+
+void caller_connection::start_answer(const ports::response_head& head)
+{
+    m_is_keeping = m_is_keeping && m_is_chunkable && m_server.m_is_keeping;
+    const body_framing framing =
+        m_is_chunkable ? body_framing::chunks : body_framing::until_close;
+    write(write_head(head, framing, 0, m_is_keeping,
+                     m_server.m_limits.idle_timeout),
+          nullptr);
+}
+
+void caller_connection::send_part(std::string part,
+                                  std::function<void()> written)
+{
+    write(m_is_chunkable ? write_chunk(part) : std::move(part),
+          std::move(written));
+}
+
+void caller_connection::finish_answer()
+{
+    m_exchange.reset();
+    // A part may still be on its way; its writer is not asked for more.
+    m_on_written = nullptr;
+    m_is_answer_ended = true;
+    if (m_is_chunkable)
+    {
+        write(std::string(last_chunk), nullptr);
+        return;
+    }
+    if (m_writing.empty())
+    {
+        end_answer();
+    }
+}
+
+void caller_connection::break_off()
+{
+    m_exchange.reset();
+    // Without its last chunk a chunked body never looks complete; any other
+    // body needs the reset.
+    close(!m_is_chunkable);
+}
+
+void caller_connection::write(std::string bytes, std::function<void()> written)
+{
+    if (m_is_closed)
+    {
+        return;
+    }
+    m_unwritten += bytes;
+    if (written)
+    {
+        assert(m_on_written == nullptr);
+        m_on_written = std::move(written);
+    }
+    if (!m_writing.empty())
+    {
+        return;
+    }
+    m_writing = std::exchange(m_unwritten, std::string());
+    const std::shared_ptr<caller_connection> self = shared_from_this();
+    asio::async_write(m_socket, asio::buffer(m_writing),
+                      [self](const boost::system::error_code& fault,
+                             std::size_t) { self->on_written(fault); });
+}
+
+void caller_connection::on_written(const boost::system::error_code& fault)
+{
+    m_writing.clear();
+    if (m_is_closed)
+    {
+        return;
+    }
+    if (fault)
+    {
+        close(false);
+        return;
+    }
+    if (!m_unwritten.empty())
+    {
+        write(std::string(), nullptr);
+        return;
+    }
+    if (m_on_written)
+    {
+        const std::function<void()> written =
+            std::exchange(m_on_written, nullptr);
+        written();
+        return;
+    }
+    if (m_is_answer_ended)
+    {
+        end_answer();
+    }
+}
+
+void caller_connection::end_answer()
+{
+    m_is_answer_ended = false;
+    if (!m_is_keeping)
+    {
+        boost::system::error_code ignored;
+        m_socket.shutdown(tcp::socket::shutdown_send, ignored);
+        set_timer(linger_timeout);
+        return;
+    }
+    m_is_answering = false;
+    begin_message();
+    if (m_buffer.size() > 0)
+    {
+        parse();
+        return;
+    }
+    read_more();
+}
+
+void caller_connection::set_timer(std::chrono::milliseconds timeout)
+{
+    m_timer.expires_after(timeout);
+    const std::weak_ptr<caller_connection> weak = weak_from_this();
+    m_timer.async_wait(
+        [weak](const boost::system::error_code& fault)
+        {
+            const std::shared_ptr<caller_connection> self = weak.lock();
+            if (!fault && self != nullptr)
+            {
+                self->on_timer();
+            }
+        });
+}
+
+void caller_connection::on_timer()
+{
+    const bool is_mid_request =
+        !m_is_answering && m_parser && m_parser->got_some();
+    if (is_mid_request)
+    {
+        refuse(request_timeout, "Request Timeout");
+        return;
+    }
+    close(false);
+}
+
+void caller_connection::close(bool is_reset)
+{
+    if (m_is_closed)
+    {
+        return;
+    }
+    m_is_closed = true;
+    const std::shared_ptr<caller_connection> self = shared_from_this();
+    m_timer.cancel();
+    m_on_written = nullptr;
+    if (is_reset)
+    {
+        reset_connection(m_socket);
+    }
+    else
+    {
+        boost::system::error_code ignored;
+        m_socket.close(ignored);
+    }
+    m_server.m_connections.erase(self);
+    if (const std::shared_ptr<ports::exchange_in_flight> left =
+            std::exchange(m_exchange, nullptr))
+    {
+        left->on_caller_left();
+    }
+}
+
+} // namespace turmeric::adapters
--- /dev/null
+++ b/libraries/adapters/asio/caller_server.cpp
@@ -0,0 +1,103 @@
+#include "libraries/adapters/asio/caller_server.hpp"
+
+#include "libraries/adapters/asio/caller_connection.hpp"
+#include "libraries/adapters/asio/socket_options.hpp"
+
+#include <utility>
+
+namespace turmeric::adapters
+{
+
+namespace
+{
+
+/// The pause when no connection can be accepted, as for want of descriptors.
+constexpr std::chrono::milliseconds accept_pause{20};
+constexpr std::chrono::milliseconds unacknowledged_timeout{5'000};
+
+} // namespace
+
+caller_server::caller_server(asio::io_context& loop, const ports::clock& clock,
+                             ports::request_acceptor& acceptor,
+                             caller_server_settings settings)
+    : m_loop(loop)
+    , m_clock(clock)
+    , m_acceptor(acceptor)
+    , m_settings(std::move(settings))
+    , m_listener(loop)
+    , m_pause(loop)
+{
+}
+
+caller_server::~caller_server() = default;
+
+status caller_server::start()
+{
+    result<tcp::acceptor> listener = listen_on(m_loop, m_settings.address);
+    if (!listener)
+    {
+        return listener.failure();
+    }
+    m_listener = std::move(listener.value());
+    accept_next();
+    return success();
+}
+
+void caller_server::set_limits(const domain::caller_limits& limits)
+{
+    m_limits = limits;
+}
+
+void caller_server::stop_keeping()
+{
+    m_is_keeping = false;
+}
+
+std::size_t caller_server::connections() const
+{
+    return m_connections.size();
+}
+
+void caller_server::accept_next()
+{
+    m_listener.async_accept(
+        [this](const boost::system::error_code& fault, tcp::socket socket)
+        { on_accepted(fault, std::move(socket)); });
+}
+
+void caller_server::on_accepted(const boost::system::error_code& fault,
+                                tcp::socket socket)
+{
+    if (fault == asio::error::operation_aborted)
+    {
+        return;
+    }
+    if (fault)
+    {
+        m_pause.expires_after(accept_pause);
+        m_pause.async_wait(
+            [this](const boost::system::error_code& cancelled)
+            {
+                if (!cancelled)
+                {
+                    accept_next();
+                }
+            });
+        return;
+    }
+    if (m_connections.size() >= m_settings.most_connections)
+    {
+        // Nothing was read, so the caller may go elsewhere at once.
+        reset_connection(socket);
+        accept_next();
+        return;
+    }
+    prepare_connection(socket, unacknowledged_timeout);
+    const std::shared_ptr<caller_connection> connection =
+        std::make_shared<caller_connection>(*this, std::move(socket));
+    m_connections.insert(connection);
+    connection->start();
+    accept_next();
+}
+
+} // namespace turmeric::adapters
--- /dev/null
+++ b/libraries/adapters/asio/connection_channel.hpp
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "libraries/adapters/asio/caller_connection.hpp"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace turmeric::adapters
+{
+
+/// The way back to a caller over its connection, for one request; without
+/// effect once the connection has closed. Used on the loop's thread only.
+class connection_channel final : public ports::caller_channel
+{
+public:
+    /// No precondition.
+    explicit connection_channel(std::weak_ptr<caller_connection> connection);
+
+    void send_answer(const ports::response_head& head,
+                     std::string body) override;
+    void start_answer(const ports::response_head& head) override;
+    void send_part(std::string part, std::function<void()> written) override;
+    void finish_answer() override;
+    void break_off() override;
+
+private:
+    std::weak_ptr<caller_connection> m_connection;
+};
+
+} // namespace turmeric::adapters
--- /dev/null
+++ b/libraries/adapters/asio/http_text.cpp
@@ -0,0 +1,82 @@
+#include "libraries/adapters/asio/http_text.hpp"
+
+#include <fmt/format.h>
+
+namespace turmeric::adapters
+{
+
+namespace
+{
+
+namespace http = boost::beast::http;
+
+template <class Message>
+ports::header_fields fields_of(const Message& message)
+{
+    ports::header_fields fields;
+    for (const auto& field : message.base())
+    {
+        fields.push_back(
+            {std::string(field.name_string()), std::string(field.value())});
+    }
+    return fields;
+}
+
+} // namespace
+
+ports::request_head head_of(const http::request<http::string_body>& message)
+{
+    return {std::string(message.method_string()), std::string(message.target()),
+            fields_of(message)};
+}
+
+ports::response_head head_of(const http::response<http::string_body>& message)
+{
+    return {static_cast<int>(message.result_int()),
+            std::string(message.reason()), fields_of(message)};
+}
+
+std::string write_head(const ports::response_head& head, body_framing framing,
+                       std::size_t length, bool is_kept_open,
+                       std::chrono::milliseconds idle_timeout)
+{
+    fmt::memory_buffer out;
+    fmt::format_to(std::back_inserter(out), "HTTP/1.1 {} {}\r\n", head.status,
+                   head.reason);
+    for (const ports::header_field& field : head.fields)
+    {
+        fmt::format_to(std::back_inserter(out), "{}: {}\r\n", field.name,
+                       field.value);
+    }
+    if (framing == body_framing::length)
+    {
+        fmt::format_to(std::back_inserter(out), "Content-Length: {}\r\n",
+                       length);
+    }
+    if (framing == body_framing::chunks)
+    {
+        fmt::format_to(std::back_inserter(out),
+                       "Transfer-Encoding: chunked\r\n");
+    }
+    if (!is_kept_open)
+    {
+        fmt::format_to(std::back_inserter(out), "Connection: close\r\n");
+    }
+    else
+    {
+        const std::int64_t seconds =
+            std::chrono::duration_cast<std::chrono::seconds>(idle_timeout)
+                .count();
+        fmt::format_to(std::back_inserter(out), "Keep-Alive: timeout={}\r\n",
+                       seconds);
+    }
+    fmt::format_to(std::back_inserter(out), "\r\n");
+    return fmt::to_string(out);
+}
+
+std::string write_chunk(const std::string& part)
+{
+    return fmt::format("{:x}\r\n{}\r\n", part.size(), part);
+}
+
+} // namespace turmeric::adapters
--- /dev/null
+++ b/libraries/adapters/asio/http_text.hpp
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "libraries/ports/http_message.hpp"
+
+#include <utility>
+
+#include <boost/beast/http.hpp>
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace turmeric::adapters
+{
+
+/// Returns the head of a parsed request. Thread safe.
+[[nodiscard]] ports::request_head
+head_of(const boost::beast::http::request<boost::beast::http::string_body>&
+            message);
+
+/// Returns the head of a parsed answer. Thread safe.
+[[nodiscard]] ports::response_head
+head_of(const boost::beast::http::response<boost::beast::http::string_body>&
+            message);
+
+/// How the body of an answer is delimited.
+enum class body_framing : std::uint8_t
+{
+    length,
+    chunks,
+    until_close,
+};
+
+/// Writes the head of an answer. `length` counts with `body_framing::length`
+/// only. Thread safe.
+[[nodiscard]] std::string write_head(const ports::response_head& head,
+                                     body_framing framing, std::size_t length,
+                                     bool is_kept_open,
+                                     std::chrono::milliseconds idle_timeout);
+
+/// Writes one chunk of a chunked body. Precondition: `part` is not empty.
+/// Thread safe.
+[[nodiscard]] std::string write_chunk(const std::string& part);
+
+/// The end of a chunked body.
+inline constexpr std::string_view last_chunk = "0\r\n\r\n";
+
+} // namespace turmeric::adapters
--- /dev/null
+++ b/libraries/adapters/asio/socket_options.cpp
@@ -0,0 +1,87 @@
+#include "libraries/adapters/asio/socket_options.hpp"
+
+#include <charconv>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace turmeric::adapters
+{
+
+void prepare_connection(tcp::socket& socket,
+                        std::chrono::milliseconds unacknowledged)
+{
+    boost::system::error_code ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+    const unsigned int timeout =
+        static_cast<unsigned int>(unacknowledged.count());
+    // Without the option the connection ends later, by the callers' timers.
+    static_cast<void>(::setsockopt(socket.native_handle(), IPPROTO_TCP,
+                                   TCP_USER_TIMEOUT, &timeout,
+                                   sizeof(timeout)));
+}
+
+void reset_connection(tcp::socket& socket)
+{
+    boost::system::error_code ignored;
+    socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    socket.close(ignored);
+}
+
+std::optional<tcp::endpoint> read_endpoint(const std::string& address)
+{
+    const std::size_t colon = address.rfind(':');
+    if (colon == std::string::npos)
+    {
+        return std::nullopt;
+    }
+    boost::system::error_code fault;
+    const asio::ip::address_v4 host =
+        asio::ip::make_address_v4(address.substr(0, colon), fault);
+    if (fault)
+    {
+        return std::nullopt;
+    }
+    std::uint16_t port = 0;
+    const char* end = address.data() + address.size();
+    const auto [rest, number_fault] =
+        std::from_chars(address.data() + colon + 1, end, port);
+    if (number_fault != std::errc() || rest != end || port == 0)
+    {
+        return std::nullopt;
+    }
+    return tcp::endpoint(host, port);
+}
+
+result<tcp::acceptor> listen_on(asio::io_context& loop,
+                                const std::string& address)
+{
+    const std::optional<tcp::endpoint> endpoint = read_endpoint(address);
+    if (!endpoint)
+    {
+        return error{result_code::settings_invalid, address,
+                     "not an IPv4 address and port"};
+    }
+    boost::system::error_code fault;
+    tcp::acceptor acceptor(loop);
+    acceptor.open(endpoint->protocol(), fault);
+    if (!fault)
+    {
+        acceptor.set_option(asio::socket_base::reuse_address(true), fault);
+    }
+    if (!fault)
+    {
+        acceptor.bind(*endpoint, fault);
+    }
+    constexpr int backlog = 1'024;
+    if (!fault)
+    {
+        acceptor.listen(backlog, fault);
+    }
+    if (fault)
+    {
+        return error{result_code::settings_invalid, address, fault.message()};
+    }
+    return acceptor;
+}
+
+} // namespace turmeric::adapters
--- /dev/null
+++ b/libraries/adapters/asio/upstream_connection.hpp
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "libraries/adapters/asio/asio.hpp"
+#include "libraries/adapters/asio/http_text.hpp"
+#include "libraries/adapters/asio/upstream_pool.hpp"
+
+#include <array>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace turmeric::adapters
+{
+
+/// One connection to an upstream, and the call that it carries at present.
+/// Used on its loop's thread only.
+class upstream_connection final
+    : public ports::upstream_call,
+      public std::enable_shared_from_this<upstream_connection>
+{
+public:
+    /// Precondition: `pool` outlives the connection.
+    upstream_connection(upstream_pool& pool, std::string address);
+
+    /// Starts a call. Precondition: none is under way.
+    void begin(ports::outgoing_call call,
+               std::shared_ptr<ports::call_listener> listener);
+
+    void read_more() override;
+    void cancel() override;
+
+    /// Tells whether an idle connection may carry a call. Thread safe.
+    [[nodiscard]] bool is_usable(ports::steady_time now,
+                                 std::chrono::milliseconds longest_idle) const;
+
+    /// Returns the upstream's address. Thread safe.
+    [[nodiscard]] const std::string& address() const;
+
+private:
+    using answer_parser =
+        boost::beast::http::response_parser<boost::beast::http::string_body>;
+
+    void connect();
+    void on_connected(const boost::system::error_code& fault);
+    void send();
+    void on_sent(const boost::system::error_code& fault, std::size_t bytes);
+    void read();
+    void on_read(const boost::system::error_code& fault, std::size_t bytes);
+    void on_read_end(const boost::system::error_code& fault);
+    void keep_read(std::size_t bytes);
+    void parse();
+    void pass_head();
+    /// Passes on what was parsed of the body; false when nothing was.
+    bool pass_part();
+    void finish();
+    void start_next_answer();
+    void become_idle(std::chrono::milliseconds longest_idle);
+    [[nodiscard]] bool is_foreign() const;
+    [[nodiscard]] std::chrono::milliseconds allowed_idle() const;
+    void fail(ports::transport_failure failure);
+    void close();
+
+    upstream_pool& m_pool;
+    std::string m_address;
+    tcp::socket m_socket;
+    asio::steady_timer m_connect_timer;
+    /// Where reads land; apart from the buffer, which moves while one is
+    /// pending.
+    std::array<char, 16 << 10> m_block{};
+    boost::beast::flat_buffer m_buffer;
+    std::optional<answer_parser> m_parser;
+    ports::outgoing_call m_call;
+    std::shared_ptr<ports::call_listener> m_listener;
+    ports::steady_time m_idle_since{};
+    std::chrono::milliseconds m_longest_idle{0};
+    std::int32_t m_foreign_answers = 0;
+    bool m_is_connected = false;
+    bool m_is_reading = false;
+    bool m_is_sent = false;
+    bool m_is_head_passed = false;
+    bool m_is_skipping = false;
+    bool m_is_waiting_for_reader = false;
+    bool m_is_closed = false;
+    /// Whether the upstream closed after what is in the buffer.
+    bool m_is_at_end = false;
+};
+
+} // namespace turmeric::adapters
--- /dev/null
+++ b/libraries/adapters/asio/upstream_pool.cpp
@@ -0,0 +1,96 @@
+#include "libraries/adapters/asio/upstream_pool.hpp"
+
+#include "libraries/adapters/asio/upstream_connection.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace turmeric::adapters
+{
+
+upstream_pool::upstream_pool(asio::io_context& loop, const ports::clock& clock)
+    : m_loop(loop)
+    , m_clock(clock)
+{
+}
+
+upstream_pool::~upstream_pool() = default;
+
+std::shared_ptr<ports::upstream_call>
+upstream_pool::start(ports::outgoing_call call,
+                     std::shared_ptr<ports::call_listener> listener)
+{
+    std::shared_ptr<upstream_connection> connection =
+        take_idle(call.address, call.longest_idle);
+    if (connection == nullptr)
+    {
+        connection = std::make_shared<upstream_connection>(*this, call.address);
+        ++m_opened;
+    }
+    connection->begin(std::move(call), std::move(listener));
+    return connection;
+}
+
+std::shared_ptr<upstream_connection>
+upstream_pool::take_idle(const std::string& address,
+                         std::chrono::milliseconds longest_idle)
+{
+    const auto found = m_idle.find(address);
+    if (found == m_idle.end())
+    {
+        return nullptr;
+    }
+    idle_connections& idle = found->second;
+    const ports::steady_time now = m_clock.steady_now();
+    // The connection that was idle the shortest is the likeliest to be sound.
+    if (!idle.empty() && idle.back()->is_usable(now, longest_idle))
+    {
+        std::shared_ptr<upstream_connection> taken = std::move(idle.back());
+        idle.pop_back();
+        return taken;
+    }
+    return nullptr;
+}
+
+void upstream_pool::keep(std::shared_ptr<upstream_connection> connection)
+{
+    m_idle[connection->address()].push_back(std::move(connection));
+}
+
+void upstream_pool::drop(const upstream_connection& connection)
+{
+    const auto found = m_idle.find(connection.address());
+    if (found == m_idle.end())
+    {
+        return;
+    }
+    std::erase_if(found->second,
+                  [&](const std::shared_ptr<upstream_connection>& idle)
+                  { return idle.get() == &connection; });
+    if (found->second.empty())
+    {
+        m_idle.erase(found);
+    }
+}
+
+void upstream_pool::forget(const std::string& address)
+{
+    const auto found = m_idle.find(address);
+    if (found == m_idle.end())
+    {
+        return;
+    }
+    const idle_connections idle = std::move(found->second);
+    m_idle.erase(found);
+    for (const std::shared_ptr<upstream_connection>& connection : idle)
+    {
+        connection->cancel();
+    }
+}
+
+std::uint64_t upstream_pool::opened() const
+{
+    return m_opened;
+}
+
+} // namespace turmeric::adapters
--- a/libraries/adapters/fmt/fmt_logger.hpp
+++ b/libraries/adapters/fmt/fmt_logger.hpp
@@ -1,22 +1,15 @@
 #pragma once
 
+#include "libraries/adapters/fmt/log_line.hpp"
 #include "libraries/core/logger.hpp"
 #include "libraries/ports/clock.hpp"
 
-#include <cstdint>
 #include <mutex>
 #include <string>
 
 namespace turmeric::adapters
 {
 
-/// How a log line is written.
-enum class log_format : std::uint8_t
-{
-    text,
-    json,
-};
-
 /// Writes one line an event to standard error. Thread safe.
 class fmt_logger final : public logger
 {
@@ -37,10 +30,4 @@
     std::mutex m_mutex;
 };
 
-/// Returns the level of that name; "info" for an unknown one. Thread safe.
-[[nodiscard]] log_level log_level_of(const std::string& name);
-
-/// Returns the format of that name; text for an unknown one. Thread safe.
-[[nodiscard]] log_format log_format_of(const std::string& name);
-
 } // namespace turmeric::adapters
--- /dev/null
+++ b/libraries/adapters/fmt/log_line.hpp
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "libraries/core/logger.hpp"
+#include "libraries/ports/clock.hpp"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace turmeric::adapters
+{
+
+/// How a log line is written.
+enum class log_format : std::uint8_t
+{
+    text,
+    json,
+};
+
+/// Returns one log line without its end. Thread safe.
+[[nodiscard]] std::string format_log_line(log_format format,
+                                          ports::system_time time,
+                                          log_level level, log_event event,
+                                          const std::string& process,
+                                          const std::vector<log_field>& fields);
+
+/// Returns the level of that name; "info" for an unknown one. Thread safe.
+[[nodiscard]] log_level log_level_of(const std::string& name);
+
+/// Returns the format of that name; text for an unknown one. Thread safe.
+[[nodiscard]] log_format log_format_of(const std::string& name);
+
+} // namespace turmeric::adapters
--- a/libraries/adapters/settings/daemon_options.cpp
+++ b/libraries/adapters/settings/daemon_options.cpp
@@ -2,6 +2,7 @@
 
 #include "libraries/adapters/settings/settings_file.hpp"
 
+#include <cstdlib>
 #include <cxxopts.hpp>
 #include <fmt/format.h>
 
@@ -19,6 +20,22 @@
     return exit_code::usage;
 }
 
+/// Returns the path of the settings file; empty when none is named.
+std::string settings_file_of(const cxxopts::ParseResult& parsed)
+{
+    if (parsed.count("settings") != 0)
+    {
+        return parsed["settings"].as<std::string>();
+    }
+    if (parsed.count("settings-from") == 0)
+    {
+        return std::string();
+    }
+    const char* file =
+        std::getenv(parsed["settings-from"].as<std::string>().c_str());
+    return file == nullptr ? std::string() : std::string(file);
+}
+
 } // namespace
 
 std::variant<json, exit_code> read_daemon_options(int argc, char** argv,
@@ -29,7 +46,9 @@
     cxxopts::Options options(program, purpose);
     options.add_options()("settings", "Settings file (JSON)",
                           cxxopts::value<std::string>(), "FILE")(
-        "check-settings", "Check the settings file and exit")(
+        "settings-from", "Environment variable that names the settings file",
+        cxxopts::value<std::string>(),
+        "NAME")("check-settings", "Check the settings file and exit")(
         "help", "Print this help")("version", "Print the version");
     try
     {
@@ -44,13 +63,13 @@
             fmt::print("{} {}\n", program, TURMERIC_VERSION);
             return exit_code::success;
         }
-        if (parsed.count("settings") == 0)
+        const std::string file = settings_file_of(parsed);
+        if (file.empty())
         {
             return print_failure(program, {result_code::bad_argument,
                                            "--settings", "a file is needed"});
         }
-        result<json> settings =
-            read_settings(parsed["settings"].as<std::string>(), schema);
+        result<json> settings = read_settings(file, schema);
         if (!settings)
         {
             return print_failure(program, settings.failure());
--- a/libraries/adapters/settings/daemon_options.hpp
+++ b/libraries/adapters/settings/daemon_options.hpp
@@ -22,7 +22,8 @@
     cut_off = 3,
 };
 
-/// Reads a daemon's command line: `--settings FILE`, `--check-settings`,
+/// Reads a daemon's command line: `--settings FILE` or `--settings-from
+/// NAME` (an environment variable that holds the path), `--check-settings`,
 /// `--help`, `--version`. Returns the checked settings, or the code to exit
 /// with after it has printed what was asked for or what is wrong.
 /// Precondition: `schema` is a JSON schema. Not thread safe.
--- /dev/null
+++ b/libraries/codecs/fleet/grant_record_codec.cpp
@@ -0,0 +1,51 @@
+#include "libraries/codecs/fleet/grant_record_codec.hpp"
+
+#include "libraries/codecs/common/json_reader.hpp"
+
+namespace turmeric::codecs
+{
+
+std::string write_grant_record(const domain::grant_record& record)
+{
+    json whole = {{"granted_in_all", record.granted_in_all},
+                  {"granted_to", json::object()}};
+    for (const auto& [incarnation, granted] : record.granted_to)
+    {
+        whole["granted_to"][incarnation] = granted;
+    }
+    return whole.dump();
+}
+
+result<domain::grant_record> read_grant_record(std::string_view text)
+{
+    const result<json> parsed =
+        parse_json(text, result_code::corrupt_value, "grant record");
+    if (!parsed)
+    {
+        return parsed.failure();
+    }
+    const json& whole = parsed.value();
+    const auto total = whole.find("granted_in_all");
+    const auto rows = whole.find("granted_to");
+    if (!whole.is_object() || total == whole.end() ||
+        !total->is_number_integer() || rows == whole.end() ||
+        !rows->is_object())
+    {
+        return error{result_code::corrupt_value, "granted_in_all",
+                     "the grant record lacks a field"};
+    }
+    domain::grant_record record;
+    record.granted_in_all = total->get<std::int64_t>();
+    for (const auto& [incarnation, granted] : rows->items())
+    {
+        if (!granted.is_number_integer())
+        {
+            return error{result_code::corrupt_value, "granted_to",
+                         "a grant is not a whole number"};
+        }
+        record.granted_to.emplace(incarnation, granted.get<std::int64_t>());
+    }
+    return record;
+}
+
+} // namespace turmeric::codecs
--- a/libraries/core/log_event.hpp
+++ b/libraries/core/log_event.hpp
@@ -18,6 +18,8 @@
     settings_rejected = 105,
     thread_failed = 106,
     stop_cut_streams = 107,
+    settings_reloaded = 108,
+    log_lines_dropped = 109,
 
     // 200: requests.
     request_finished = 201,
@@ -26,6 +28,8 @@
     stream_resumed = 204,
     stream_parked = 205,
     caller_gone = 206,
+    request_placed = 207,
+    answer_broken_off = 208,
 
     // 300: budgets and billing.
     grant_changed = 301,
@@ -36,6 +40,7 @@
     grant_closed = 306,
     incarnation_fenced = 307,
     claim_resolved = 308,
+    tokens_lent = 309,
 
     // 400: upstreams and moves.
     upstream_ejected = 401,
@@ -54,6 +59,8 @@
     lease_acquired = 503,
     lease_lost = 504,
     watch_replaced = 505,
+    upstreams_changed = 506,
+    document_unreadable = 507,
 
     // 600: configuration and operators.
     configuration_in_force = 601,
--- /dev/null
+++ b/libraries/domain/membership/entry_list.cpp
@@ -0,0 +1,46 @@
+#include "libraries/domain/membership/entry_list.hpp"
+
+#include <algorithm>
+
+namespace turmeric::domain
+{
+
+std::vector<std::string>
+list_entries(const std::vector<entry_candidate>& candidates,
+             const std::string& data_centre)
+{
+    const bool is_any_peer_heard =
+        std::any_of(candidates.begin(), candidates.end(),
+                    [](const entry_candidate& one)
+                    { return !one.is_self && one.is_heard; });
+    std::vector<const entry_candidate*> usable;
+    for (const entry_candidate& one : candidates)
+    {
+        const bool is_alive = one.is_self || one.is_heard || !is_any_peer_heard;
+        if (is_alive && !one.is_leaving)
+        {
+            usable.push_back(&one);
+        }
+    }
+    // The nearest first, for callers that read the list in order.
+    std::stable_sort(
+        usable.begin(), usable.end(),
+        [&](const entry_candidate* one, const entry_candidate* other)
+        {
+            return one->data_centre == data_centre &&
+                   other->data_centre != data_centre;
+        });
+    std::vector<std::string> addresses;
+    for (const entry_candidate* one : usable)
+    {
+        // A restarted router can be registered twice for a while.
+        if (std::find(addresses.begin(), addresses.end(), one->address) ==
+            addresses.end())
+        {
+            addresses.push_back(one->address);
+        }
+    }
+    return addresses;
+}
+
+} // namespace turmeric::domain
--- /dev/null
+++ b/libraries/domain/prepaid/grant_record.hpp
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+
+namespace turmeric::domain
+{
+
+/// What the store keeps of one account: all that was ever granted counts as
+/// spent, so the sum stays within the prepaid total whatever becomes of the
+/// routers.
+struct grant_record
+{
+    /// Tokens granted to all routers in all, less those given back.
+    std::int64_t granted_in_all = 0;
+    /// What each router incarnation has of it, so that one whose reply was
+    /// lost can tell whether its change was made.
+    std::map<std::string, std::int64_t> granted_to;
+};
+
+/// Returns the record with `tokens` more for `incarnation`, or fewer when
+/// negative. `own_granted` is what the incarnation knows that it has.
+/// Entries of incarnations that are not in `members` are dropped; what they
+/// had stays in the sum. Thread safe.
+[[nodiscard]] grant_record change_grant(grant_record record,
+                                        const std::string& incarnation,
+                                        std::int64_t own_granted,
+                                        std::int64_t tokens,
+                                        const std::set<std::string>& members);
+
+/// What decides how much a router asks for.
+struct grant_demand
+{
+    std::int64_t prepaid_tokens = 0;
+    std::int64_t granted_in_all = 0;
+    /// Routers that draw on the account.
+    std::int64_t routers = 1;
+    /// What this router can hold now.
+    std::int64_t free = 0;
+    /// Tokens a second that this router consumes of late.
+    double tokens_per_second = 0;
+    /// What waiting requests lack beyond `free`.
+    std::int64_t lacking = 0;
+};
+
+/// Returns the tokens to ask for: enough to bridge an outage of the store at
+/// the present rate while much is left, and a shrinking part of the rest
+/// near the end, so that little is stranded at routers that do not need it.
+/// 0 when nothing is needed or nothing is left. Thread safe.
+[[nodiscard]] std::int64_t size_grant(const grant_demand& demand);
+
+} // namespace turmeric::domain
--- /dev/null
+++ b/libraries/domain/prepaid/prepaid_ledger.cpp
@@ -0,0 +1,47 @@
+#include "libraries/domain/prepaid/prepaid_ledger.hpp"
+
+#include <cassert>
+
+namespace turmeric::domain
+{
+
+void prepaid_ledger::set_granted(const std::string& account,
+                                 std::int64_t granted)
+{
+    m_balances[account].granted = granted;
+}
+
+bool prepaid_ledger::hold(const std::string& account, std::int64_t tokens)
+{
+    assert(tokens >= 0);
+    prepaid_balance& balance = m_balances[account];
+    if (balance.free() < tokens)
+    {
+        return false;
+    }
+    balance.held += tokens;
+    return true;
+}
+
+void prepaid_ledger::settle(const std::string& account, std::int64_t held,
+                            std::int64_t used)
+{
+    assert(used >= 0 && used <= held);
+    prepaid_balance& balance = m_balances[account];
+    assert(balance.held >= held);
+    balance.held -= held;
+    balance.used += used;
+}
+
+prepaid_balance prepaid_ledger::balance(const std::string& account) const
+{
+    const auto found = m_balances.find(account);
+    return found == m_balances.end() ? prepaid_balance{} : found->second;
+}
+
+const std::map<std::string, prepaid_balance>& prepaid_ledger::balances() const
+{
+    return m_balances;
+}
+
+} // namespace turmeric::domain
--- /dev/null
+++ b/libraries/domain/retry/retry_window.hpp
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "libraries/ports/clock.hpp"
+
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+
+namespace turmeric::domain
+{
+
+/// How many repeated sends all routers together may make.
+struct retry_window_limits
+{
+    /// Repeats for each request, within any window.
+    double ratio = 0.1;
+    /// Repeats beyond that, within any window, of all routers together.
+    double slack = 10;
+    std::chrono::milliseconds window{10'000};
+};
+
+/// One router's part of the fleet's bound on repeated sends, by service:
+/// within any window its repeats stay below the ratio of its own requests
+/// plus its part of the slack, so that the sum over all routers stays within
+/// the bound whatever each of them sees. Not thread safe.
+class retry_window
+{
+public:
+    /// No precondition.
+    explicit retry_window(const retry_window_limits& limits);
+
+    /// Sets how many routers share the slack. Precondition: at least 1.
+    void set_routers(std::int64_t routers);
+
+    /// Counts a request for a service.
+    void note_request(const std::string& service, ports::steady_time now);
+
+    /// Takes one repeat, or returns false when none is left.
+    bool take(const std::string& service, ports::steady_time now);
+
+private:
+    struct interval
+    {
+        std::int64_t number = 0;
+        std::int64_t requests = 0;
+        std::int64_t repeats = 0;
+    };
+
+    interval& current(const std::string& service, ports::steady_time now);
+
+    retry_window_limits m_limits;
+    std::int64_t m_routers = 1;
+    std::map<std::string, std::deque<interval>> m_services;
+};
+
+} // namespace turmeric::domain
--- /dev/null
+++ b/libraries/drivers/exchange/exchange_answer.cpp
@@ -0,0 +1,181 @@
+#include "libraries/drivers/exchange/exchange.hpp"
+#include "libraries/drivers/exchange/upstream_attempt.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace turmeric::drivers
+{
+
+std::chrono::milliseconds exchange::since_arrival(ports::steady_time now) const
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+        now - m_subject.request.arrived);
+}
+
+void exchange::note_first_byte()
+{
+    if (m_first_byte)
+    {
+        return;
+    }
+    const ports::steady_time now = m_desk.m_parts.clock.steady_now();
+    m_first_byte = since_arrival(now);
+    m_desk.m_parts.metrics.first_byte.with({m_subject.route->name})
+        .record(*m_first_byte);
+}
+
+void exchange::on_whole_answer(const ports::response_head& head,
+                               std::string body)
+{
+    note_first_byte();
+    m_subject.channel->send_answer(m_desk.m_parts.dialect.pass_on(head),
+                                   std::move(body));
+    constexpr int first_failure = 300;
+    end(head.status < first_failure ? "ok" : "upstream_status");
+}
+
+void exchange::on_body_part(const ports::response_head& head, std::string part)
+{
+    if (!m_is_answer_started)
+    {
+        note_first_byte();
+        m_is_answer_started = true;
+        m_phase = exchange_phase::relaying;
+        m_subject.channel->start_answer(m_desk.m_parts.dialect.pass_on(head));
+    }
+    const std::weak_ptr<exchange> weak = weak_from_this();
+    m_subject.channel->send_part(std::move(part),
+                                 [weak]
+                                 {
+                                     if (const std::shared_ptr<exchange> self =
+                                             weak.lock())
+                                     {
+                                         self->on_part_written();
+                                     }
+                                 });
+}
+
+void exchange::on_part_written()
+{
+    if (m_attempt != nullptr && m_phase != exchange_phase::ended)
+    {
+        m_attempt->read_more();
+    }
+}
+
+void exchange::on_stream_end()
+{
+    if (!m_is_answer_started)
+    {
+        // A stream without a single event is no answer that was asked for.
+        fail(result_code::upstream_failed, "the upstream's stream was empty");
+        return;
+    }
+    m_subject.channel->finish_answer();
+    end("ok");
+}
+
+void exchange::refuse(error failure)
+{
+    std::string body;
+    const ports::response_head head =
+        m_desk.m_parts.dialect.write_failure(failure, body);
+    const bool is_not_run = failure.effect == outcome::not_run;
+    m_desk.m_parts.log.write(
+        is_not_run ? log_level::info : log_level::warning,
+        log_event::request_refused,
+        {{"request_id", m_subject.read.id},
+         {"code", static_cast<std::int64_t>(failure.code)},
+         {"reason", failure.detail},
+         {"phase", std::string(name_of(m_phase))},
+         {"waiting", static_cast<std::int64_t>(m_desk.m_line.size())},
+         {"sends", static_cast<std::int64_t>(m_sends)}});
+    m_subject.channel->send_answer(head, std::move(body));
+    end(std::string(name_of(failure.code)));
+}
+
+void exchange::break_off(const std::string& reason)
+{
+    m_desk.m_parts.log.write(log_level::warning, log_event::answer_broken_off,
+                             {{"request_id", m_subject.read.id},
+                              {"reason", reason},
+                              {"sends", static_cast<std::int64_t>(m_sends)},
+                              {"events", m_events.events()}});
+    m_subject.channel->break_off();
+    end("broken_off");
+}
+
+void exchange::on_caller_left()
+{
+    m_is_caller_gone = true;
+    end("caller_gone");
+}
+
+std::int64_t exchange::consumed_tokens() const
+{
+    if (!m_may_have_run || !m_subject.read.prompt)
+    {
+        return 0;
+    }
+    const domain::upstream_service* service =
+        m_subject.routes->find_service(m_service);
+    const std::int64_t tokens_per_event =
+        service != nullptr && service->engine
+            ? service->engine->tokens_per_event
+            : 1;
+    const domain::prompt_shape& prompt = *m_subject.read.prompt;
+    const std::int64_t output = std::min(prompt.most_output_tokens,
+                                         m_events.events() * tokens_per_event);
+    return std::min(m_held, prompt.input_tokens + output);
+}
+
+void exchange::end(const std::string& outcome)
+{
+    if (m_phase == exchange_phase::ended)
+    {
+        return;
+    }
+    const exchange_phase last_phase = m_phase;
+    m_phase = exchange_phase::ended;
+    m_timer.reset();
+    m_desk.m_line.remove(m_subject.number);
+    const std::shared_ptr<exchange> self = shared_from_this();
+    const std::string upstream =
+        m_attempt == nullptr ? std::string() : m_attempt->chosen().upstream.id;
+    if (m_attempt != nullptr)
+    {
+        m_attempt->cancel();
+        m_attempt.reset();
+    }
+    if (m_held > 0)
+    {
+        m_desk.m_ledger.settle(m_subject.account->name, m_held,
+                               consumed_tokens());
+        m_desk.retry_holds(m_subject.account->name);
+    }
+    const ports::steady_time now = m_desk.m_parts.clock.steady_now();
+    traffic_metrics& metrics = m_desk.m_parts.metrics;
+    metrics.answers.with({m_subject.route->name, outcome}).add();
+    metrics.whole_answer.with({m_subject.route->name})
+        .record(since_arrival(now));
+    m_desk.m_parts.log.write(
+        log_level::info, log_event::request_finished,
+        {{"request_id", m_subject.read.id},
+         {"route", m_subject.route->name},
+         {"account", m_subject.account == nullptr ? std::string()
+                                                  : m_subject.account->name},
+         {"outcome", outcome},
+         {"last_phase", std::string(name_of(last_phase))},
+         {"upstream", upstream},
+         {"sends", static_cast<std::int64_t>(m_sends)},
+         {"events", m_events.events()},
+         {"first_byte_ms",
+          static_cast<std::int64_t>(m_first_byte ? m_first_byte->count() : -1)},
+         {"total_ms", static_cast<std::int64_t>(since_arrival(now).count())},
+         {"tokens", consumed_tokens()}});
+    m_held = 0;
+    m_desk.forget(m_subject.number);
+}
+
+} // namespace turmeric::drivers
--- /dev/null
+++ b/libraries/drivers/exchange/fleet_view.hpp
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "libraries/domain/placement/upstream_board.hpp"
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace turmeric::drivers
+{
+
+/// What the fleet as a whole has of one account's prepaid tokens.
+struct account_view
+{
+    /// What the store has granted to this router, with what peers lent.
+    std::int64_t own_granted = 0;
+    /// What the store has granted to all routers.
+    std::int64_t granted_in_all = 0;
+    /// What all routers that were ever heard of have used or hold.
+    std::int64_t peers_spent = 0;
+    /// What peers can still hold.
+    std::int64_t peers_free = 0;
+};
+
+/// What the control thread tells the traffic thread of the other routers.
+struct fleet_view
+{
+    /// Routers that serve, this one included; at least 1.
+    std::int64_t routers = 1;
+    std::map<std::string, domain::upstream_load> peer_load;
+    std::map<std::string, account_view> accounts;
+};
+
+/// What one account needs of the store.
+struct account_need
+{
+    std::int64_t used = 0;
+    std::int64_t held = 0;
+    std::int64_t free = 0;
+    /// What waiting requests lack beyond `free`.
+    std::int64_t lacking = 0;
+};
+
+/// What the traffic thread tells the control thread.
+struct traffic_digest
+{
+    std::map<std::string, domain::upstream_load> load;
+    std::map<std::string, account_need> accounts;
+    /// Requests that are being answered.
+    std::int64_t in_flight = 0;
+};
+
+} // namespace turmeric::drivers
--- /dev/null
+++ b/libraries/drivers/exchange/traffic_metrics.hpp
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "libraries/core/metrics/counter.hpp"
+#include "libraries/core/metrics/histogram.hpp"
+#include "libraries/core/metrics/registry.hpp"
+
+namespace turmeric::drivers
+{
+
+/// The counters and histograms of an entry VM's traffic, listed in
+/// docs/metrics.md. Thread safe.
+class traffic_metrics
+{
+public:
+    /// Precondition: `registry` outlives this and has no such names yet.
+    explicit traffic_metrics(metrics::registry& registry);
+
+    /// Answers by result code name; `ok` for those of an upstream.
+    metrics::family<metrics::counter>& answers;
+    /// Sends to upstreams by what came of them.
+    metrics::family<metrics::counter>& sends;
+    /// From the arrival of a request to the first byte of its answer.
+    metrics::family<metrics::histogram>& first_byte;
+    /// From the arrival of a request to the end of its answer.
+    metrics::family<metrics::histogram>& whole_answer;
+};
+
+} // namespace turmeric::drivers
--- /dev/null
+++ b/libraries/drivers/exchange/upstream_attempt.hpp
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "libraries/domain/placement/upstream_board.hpp"
+#include "libraries/drivers/exchange/exchange.hpp"
+#include "libraries/ports/upstream_transport.hpp"
+
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace turmeric::drivers
+{
+
+/// One sending of a request to one upstream: reads the answer and tells the
+/// exchange what it means. Used on the traffic thread only.
+class upstream_attempt final
+    : public ports::call_listener,
+      public std::enable_shared_from_this<upstream_attempt>
+{
+public:
+    /// Precondition: `desk` outlives the attempt.
+    upstream_attempt(traffic_desk& desk, std::weak_ptr<exchange> owner,
+                     domain::placement chosen, ports::steady_time sent_at);
+
+    /// Starts the call. Called once.
+    void begin(ports::outgoing_call call);
+
+    /// Closes the connection to the upstream and tells nobody.
+    void cancel();
+
+    /// Asks for the next part of a streamed answer.
+    void read_more();
+
+    /// Returns where the request was sent.
+    [[nodiscard]] const domain::placement& chosen() const;
+
+    /// Tells whether the answer's head has come.
+    [[nodiscard]] bool has_head() const;
+
+    void on_head(const ports::response_head& head) override;
+    void on_part(std::string part) override;
+    void on_end() override;
+    void on_failure(ports::transport_failure failure) override;
+
+private:
+    /// How the body is handled; chosen by the head.
+    struct body_mode
+    {
+        void (upstream_attempt::*on_part)(exchange&, std::string);
+        void (upstream_attempt::*on_end)(exchange&);
+    };
+
+    static const body_mode refused_mode;
+    static const body_mode failed_mode;
+    static const body_mode kept_mode;
+    static const body_mode relayed_mode;
+    static const body_mode events_mode;
+
+    void ignore_part(exchange& owner, std::string part);
+    void keep_part(exchange& owner, std::string part);
+    void keep_or_relay_part(exchange& owner, std::string part);
+    void relay_part(exchange& owner, std::string part);
+    void relay_events(exchange& owner, std::string part);
+    void end_refused(exchange& owner);
+    void end_failed(exchange& owner);
+    void end_kept(exchange& owner);
+    void end_relayed(exchange& owner);
+    void end_events(exchange& owner);
+
+    /// Tells the board that the request is no longer at the upstream.
+    void leave_board();
+    /// Tells the board how the upstream served.
+    void note_outcome(bool is_good, std::string_view result);
+    [[nodiscard]] std::shared_ptr<exchange> current_owner();
+
+    traffic_desk& m_desk;
+    std::weak_ptr<exchange> m_owner;
+    domain::placement m_chosen;
+    ports::steady_time m_sent_at;
+    std::shared_ptr<ports::upstream_call> m_call;
+    std::optional<ports::response_head> m_head;
+    const body_mode* m_mode = nullptr;
+    std::string m_kept;
+    bool m_is_started = false;
+    bool m_is_on_board = true;
+    bool m_is_over = false;
+};
+
+} // namespace turmeric::drivers
--- /dev/null
+++ b/libraries/drivers/fleet/document_forms.hpp
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "libraries/core/result.hpp"
+#include "libraries/domain/callers/route_table.hpp"
+#include "libraries/domain/placement/upstream_entry.hpp"
+
+#include <string>
+#include <string_view>
+
+namespace turmeric::drivers
+{
+
+/// Where an installation's store keeps what others write, and how it reads.
+struct document_forms
+{
+    std::string configuration_key;
+    std::string upstream_prefix;
+    result<domain::route_declarations> (*read_configuration)(
+        std::string_view text);
+    result<domain::upstream_entry> (*read_upstream)(std::string_view key,
+                                                    std::string_view text);
+};
+
+} // namespace turmeric::drivers
--- /dev/null
+++ b/libraries/drivers/fleet/fleet_control.cpp
@@ -0,0 +1,273 @@
+#include "libraries/drivers/fleet/fleet_control.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace turmeric::drivers
+{
+
+namespace
+{
+
+/// How often a router tells its peers; each tells all others, so the pause
+/// grows with their number.
+constexpr std::chrono::milliseconds least_tick{200};
+constexpr std::chrono::milliseconds tick_for_each_router{10};
+constexpr std::chrono::milliseconds watch_wait{1'000};
+/// An upstream whose entry lapsed with the store is back within two seconds
+/// of its return if it lives.
+constexpr std::chrono::milliseconds upstream_grace{2'100};
+
+} // namespace
+
+fleet_control::fleet_control(control_parts parts, const document_forms& forms,
+                             fleet_member self)
+    : m_parts(std::move(parts))
+    , m_forms(forms)
+    , m_self(std::move(self))
+    , m_configuration(
+          m_parts.store, m_parts.timers, m_parts.clock, m_parts.log,
+          {m_forms.configuration_key, watch_wait, std::chrono::milliseconds(0)})
+    , m_upstreams(m_parts.store, m_parts.timers, m_parts.clock, m_parts.log,
+                  {m_forms.upstream_prefix, watch_wait, upstream_grace})
+    , m_registry(m_parts.store, m_parts.timers, m_parts.clock, m_parts.log,
+                 m_self)
+    , m_tokens(m_parts.store, m_parts.clock, m_parts.log, m_self.incarnation)
+    , m_peers(m_self)
+{
+}
+
+fleet_control::~fleet_control() = default;
+
+void fleet_control::start()
+{
+    m_configuration.start([this](const followed_items& items)
+                          { on_configuration(items); });
+    m_upstreams.start([this](const followed_items& items)
+                      { on_upstreams(items); });
+    m_registry.start([this](const std::vector<fleet_member>& members)
+                     { on_members(members); });
+    m_tokens.on_change([this] { tell_traffic(); });
+    m_peers.set_members({m_self}, m_parts.clock.steady_now());
+    m_tokens.set_members({m_self.incarnation});
+    m_parts.peers.receive([this](std::string_view bytes)
+                          { on_datagram(bytes); });
+    tick();
+}
+
+void fleet_control::tick()
+{
+    m_parts.traffic.ask([this](traffic_digest seen) { on_digest(seen); });
+    const std::chrono::milliseconds pause =
+        std::max(least_tick, tick_for_each_router *
+                                 m_peers.routers(m_parts.clock.steady_now()));
+    m_timer = m_parts.timers.schedule(m_parts.clock.steady_now() + pause,
+                                      [this] { tick(); });
+}
+
+void fleet_control::on_digest(const traffic_digest& seen)
+{
+    m_digest = seen;
+    codecs::peer_digest digest;
+    digest.incarnation = m_self.incarnation;
+    digest.sequence = ++m_sequence;
+    digest.configuration_version =
+        m_routes == nullptr ? 0 : m_routes->version();
+    digest.is_leaving = m_is_leaving;
+    digest.load = seen.load;
+    for (const auto& [name, need] : seen.accounts)
+    {
+        digest.accounts[name] = {need.used, need.held, need.free};
+    }
+    const std::string bytes = codecs::write_digest(digest);
+    for (const std::string& address : m_peers.peer_addresses())
+    {
+        m_parts.peers.send(address, bytes);
+    }
+    if (!m_is_leaving)
+    {
+        m_tokens.review(seen.accounts);
+    }
+    ask_peers_for_configuration();
+    tell_traffic();
+}
+
+void fleet_control::review_tokens()
+{
+    m_parts.traffic.ask(
+        [this](const traffic_digest& seen)
+        {
+            if (!m_is_leaving)
+            {
+                m_tokens.review(seen.accounts);
+            }
+        });
+}
+
+void fleet_control::on_datagram(std::string_view bytes)
+{
+    result<codecs::peer_digest> digest = codecs::read_digest(bytes);
+    if (digest)
+    {
+        m_peers.take(std::move(digest.value()), m_parts.clock.steady_now());
+    }
+}
+
+void fleet_control::on_configuration(const followed_items& items)
+{
+    const auto found = items.find(m_forms.configuration_key);
+    if (found != items.end())
+    {
+        take_configuration(found->second.value, "store");
+    }
+}
+
+void fleet_control::take_configuration(const std::string& text,
+                                       const char* source)
+{
+    if (text == m_configuration_text)
+    {
+        return;
+    }
+    result<domain::route_declarations> read = m_forms.read_configuration(text);
+    if (!read)
+    {
+        m_parts.log.write(log_level::error, log_event::configuration_rejected,
+                          {{"field", read.failure().field},
+                           {"reason", read.failure().detail},
+                           {"source", std::string(source)}});
+        return;
+    }
+    if (m_routes != nullptr && read.value().version <= m_routes->version())
+    {
+        return;
+    }
+    m_configuration_text = text;
+    m_routes =
+        std::make_shared<const domain::route_table>(std::move(read.value()));
+    std::map<std::string, std::int64_t> prepaid;
+    for (const domain::caller_account& account : m_routes->accounts())
+    {
+        if (account.prepaid_tokens)
+        {
+            prepaid[account.name] = *account.prepaid_tokens;
+        }
+    }
+    m_tokens.set_prepaid(std::move(prepaid));
+    m_parts.log.write(
+        log_level::info, log_event::configuration_in_force,
+        {{"version", m_routes->version()}, {"source", std::string(source)}});
+    m_parts.traffic.set_routes(m_routes);
+    review_tokens();
+}
+
+void fleet_control::ask_peers_for_configuration()
+{
+    if (m_is_asking_peer || !m_configuration.silent_since())
+    {
+        return;
+    }
+    const std::int64_t version = m_routes == nullptr ? 0 : m_routes->version();
+    const std::optional<std::string> peer =
+        m_peers.find_newer(version, m_parts.clock.steady_now());
+    if (!peer)
+    {
+        return;
+    }
+    m_is_asking_peer = true;
+    m_parts.ask_peer(*peer,
+                     [this](const std::string& text)
+                     {
+                         m_is_asking_peer = false;
+                         if (!text.empty())
+                         {
+                             take_configuration(text, "peer");
+                         }
+                     });
+}
+
+void fleet_control::on_upstreams(const followed_items& items)
+{
+    std::vector<domain::upstream_entry> entries;
+    std::int64_t ready = 0;
+    for (const auto& [key, item] : items)
+    {
+        result<domain::upstream_entry> entry =
+            m_forms.read_upstream(key, item.value);
+        if (!entry)
+        {
+            m_parts.log.write(log_level::warning,
+                              log_event::document_unreadable,
+                              {{"key", key},
+                               {"field", entry.failure().field},
+                               {"revision", item.modified}});
+            continue;
+        }
+        ready += entry.value().state == domain::upstream_state::ready ? 1 : 0;
+        entries.push_back(std::move(entry.value()));
+    }
+    m_parts.log.write(log_level::info, log_event::upstreams_changed,
+                      {{"known", static_cast<std::int64_t>(entries.size())},
+                       {"ready", ready}});
+    m_parts.traffic.set_upstreams(std::move(entries));
+}
+
+void fleet_control::on_members(const std::vector<fleet_member>& members)
+{
+    std::set<std::string> incarnations;
+    for (const fleet_member& member : members)
+    {
+        incarnations.insert(member.incarnation);
+    }
+    m_peers.set_members(members, m_parts.clock.steady_now());
+    m_parts.log.write(
+        log_level::info, log_event::member_joined,
+        {{"members", static_cast<std::int64_t>(incarnations.size())}});
+    m_tokens.set_members(std::move(incarnations));
+}
+
+void fleet_control::tell_traffic()
+{
+    fleet_view view = m_peers.view(m_parts.clock.steady_now());
+    for (const auto& [name, grants] : m_tokens.known())
+    {
+        account_view& account = view.accounts[name];
+        account.own_granted = grants.own_granted;
+        account.granted_in_all = grants.granted_in_all;
+    }
+    m_parts.traffic.set_fleet(std::move(view));
+}
+
+void fleet_control::leave()
+{
+    m_is_leaving = true;
+    m_registry.leave();
+    tick();
+}
+
+void fleet_control::give_back(std::function<void()> done)
+{
+    m_parts.traffic.ask(
+        [this, done = std::move(done)](const traffic_digest& seen)
+        { m_tokens.give_back(seen.accounts, done); });
+}
+
+bool fleet_control::is_ready() const
+{
+    return !m_is_leaving && m_routes != nullptr && m_upstreams.has_read();
+}
+
+std::vector<std::string>
+fleet_control::list_entries(const std::string& data_centre) const
+{
+    return domain::list_entries(
+        m_peers.candidates(m_is_leaving, m_parts.clock.steady_now()),
+        data_centre);
+}
+
+const std::string& fleet_control::configuration_text() const
+{
+    return m_configuration_text;
+}
+
+} // namespace turmeric::drivers
--- /dev/null
+++ b/libraries/drivers/fleet/member_registry.cpp
@@ -0,0 +1,226 @@
+#include "libraries/drivers/fleet/member_registry.hpp"
+
+#include "libraries/core/json.hpp"
+
+#include <utility>
+
+namespace turmeric::drivers
+{
+
+namespace
+{
+
+constexpr const char* key_prefix = "turmericfront/members/";
+constexpr std::chrono::milliseconds lease_time{5'000};
+constexpr std::chrono::milliseconds renewal_interval{1'500};
+constexpr std::chrono::milliseconds retry_interval{500};
+
+std::string write_member(const fleet_member& member)
+{
+    return json{{"vm", member.vm},
+                {"data_centre", member.data_centre},
+                {"peer_address", member.peer_address},
+                {"caller_address", member.caller_address}}
+        .dump();
+}
+
+std::optional<fleet_member> read_member(const std::string& incarnation,
+                                        const std::string& text)
+{
+    const json parsed = json::parse(text, nullptr, false);
+    fleet_member member;
+    member.incarnation = incarnation;
+    const std::pair<const char*, std::string*> fields[] = {
+        {"vm", &member.vm},
+        {"data_centre", &member.data_centre},
+        {"peer_address", &member.peer_address},
+        {"caller_address", &member.caller_address}};
+    for (const auto& [name, value] : fields)
+    {
+        if (!parsed.is_object() || !parsed.contains(name) ||
+            !parsed[name].is_string())
+        {
+            return std::nullopt;
+        }
+        *value = parsed[name].get<std::string>();
+    }
+    return member;
+}
+
+} // namespace
+
+struct member_registry::state : std::enable_shared_from_this<state>
+{
+    state(ports::asynchronous_store& the_store, ports::timer_queue& the_timers,
+          const ports::clock& the_clock, logger& the_log, fleet_member the_self)
+        : store(the_store)
+        , timers(the_timers)
+        , clock(the_clock)
+        , log(the_log)
+        , self_member(std::move(the_self))
+    {
+    }
+
+    void create_lease();
+    void write_key();
+    void renew();
+    void wait(std::chrono::milliseconds delay, void (state::*next)());
+
+    ports::asynchronous_store& store;
+    ports::timer_queue& timers;
+    const ports::clock& clock;
+    logger& log;
+    fleet_member self_member;
+    ports::lease_id lease = 0;
+    std::unique_ptr<ports::timer> timer;
+    bool is_stopped = false;
+};
+
+void member_registry::state::wait(std::chrono::milliseconds delay,
+                                  void (state::*next)())
+{
+    const std::weak_ptr<state> weak = weak_from_this();
+    timer = timers.schedule(clock.steady_now() + delay,
+                            [weak, next]
+                            {
+                                const std::shared_ptr<state> self = weak.lock();
+                                if (self != nullptr && !self->is_stopped)
+                                {
+                                    (*self.*next)();
+                                }
+                            });
+}
+
+void member_registry::state::create_lease()
+{
+    const std::shared_ptr<state> self = shared_from_this();
+    store.create_lease(lease_time,
+                       [self](result<ports::granted_lease> got)
+                       {
+                           if (self->is_stopped)
+                           {
+                               return;
+                           }
+                           if (!got)
+                           {
+                               self->wait(retry_interval, &state::create_lease);
+                               return;
+                           }
+                           self->lease = got.value().lease;
+                           self->write_key();
+                       });
+}
+
+void member_registry::state::write_key()
+{
+    ports::store_change change;
+    change.writes.push_back({key_prefix + self_member.incarnation,
+                             write_member(self_member), lease});
+    const std::shared_ptr<state> self = shared_from_this();
+    store.commit(change,
+                 [self](result<ports::change_outcome> got)
+                 {
+                     if (self->is_stopped)
+                     {
+                         return;
+                     }
+                     if (!got && got.failure().code == result_code::lease_lost)
+                     {
+                         self->create_lease();
+                         return;
+                     }
+                     if (!got)
+                     {
+                         // Writing the same once more does no harm.
+                         self->wait(retry_interval, &state::write_key);
+                         return;
+                     }
+                     self->log.write(log_level::info, log_event::lease_acquired,
+                                     {{"lease", self->lease}});
+                     self->wait(renewal_interval, &state::renew);
+                 });
+}
+
+void member_registry::state::renew()
+{
+    const std::shared_ptr<state> self = shared_from_this();
+    store.renew_lease(
+        lease,
+        [self](result<std::monostate> got)
+        {
+            if (self->is_stopped)
+            {
+                return;
+            }
+            if (!got && got.failure().code == result_code::lease_lost)
+            {
+                self->log.write(log_level::warning, log_event::lease_lost,
+                                {{"lease", self->lease}});
+                self->create_lease();
+                return;
+            }
+            self->wait(got ? renewal_interval : retry_interval, &state::renew);
+        });
+}
+
+member_registry::member_registry(ports::asynchronous_store& store,
+                                 ports::timer_queue& timers,
+                                 const ports::clock& clock, logger& log,
+                                 fleet_member self)
+    : m_state(
+          std::make_shared<state>(store, timers, clock, log, std::move(self)))
+    , m_follower(store, timers, clock, log,
+                 {key_prefix, std::chrono::milliseconds(2'000),
+                  std::chrono::milliseconds(3'000)})
+{
+}
+
+member_registry::~member_registry()
+{
+    m_state->is_stopped = true;
+    m_state->timer.reset();
+}
+
+void member_registry::start(
+    std::function<void(const std::vector<fleet_member>&)> changed)
+{
+    m_state->create_lease();
+    const std::shared_ptr<state> self = m_state;
+    m_follower.start(
+        [self, changed = std::move(changed)](const followed_items& items)
+        {
+            std::vector<fleet_member> members{self->self_member};
+            for (const auto& [key, item] : items)
+            {
+                const std::string incarnation =
+                    key.substr(std::string(key_prefix).size());
+                std::optional<fleet_member> member =
+                    read_member(incarnation, item.value);
+                if (!member)
+                {
+                    self->log.write(log_level::warning,
+                                    log_event::document_unreadable,
+                                    {{"key", key}});
+                    continue;
+                }
+                if (incarnation != self->self_member.incarnation)
+                {
+                    members.push_back(std::move(*member));
+                }
+            }
+            changed(members);
+        });
+}
+
+void member_registry::leave()
+{
+    m_state->is_stopped = true;
+    m_state->timer.reset();
+    if (m_state->lease != 0)
+    {
+        m_state->store.end_lease(m_state->lease, [](result<std::monostate> got)
+                                 { static_cast<void>(got); });
+    }
+}
+
+} // namespace turmeric::drivers
--- /dev/null
+++ b/libraries/drivers/fleet/member_registry.hpp
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "libraries/core/logger.hpp"
+#include "libraries/drivers/fleet/fleet_member.hpp"
+#include "libraries/drivers/fleet/prefix_follower.hpp"
+#include "libraries/ports/asynchronous_store.hpp"
+#include "libraries/ports/clock.hpp"
+#include "libraries/ports/timer_queue.hpp"
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+namespace turmeric::drivers
+{
+
+/// Registers this router under a lease and follows who else is registered.
+/// Used on the thread of the store only.
+class member_registry
+{
+public:
+    /// Precondition: all but `self` outlive the registry.
+    member_registry(ports::asynchronous_store& store,
+                    ports::timer_queue& timers, const ports::clock& clock,
+                    logger& log, fleet_member self);
+    ~member_registry();
+    member_registry(const member_registry&) = delete;
+    member_registry& operator=(const member_registry&) = delete;
+
+    /// Starts to register and to follow; `changed` is called with all
+    /// members, this router included. Called once.
+    void start(std::function<void(const std::vector<fleet_member>&)> changed);
+
+    /// Ends the lease, so that the others see this router leave.
+    void leave();
+
+private:
+    struct state;
+
+    std::shared_ptr<state> m_state;
+    prefix_follower m_follower;
+};
+
+} // namespace turmeric::drivers
--- /dev/null
+++ b/libraries/drivers/fleet/peer_table.cpp
@@ -0,0 +1,162 @@
+#include "libraries/drivers/fleet/peer_table.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace turmeric::drivers
+{
+
+namespace
+{
+
+/// A router that was silent for so long is not named to callers.
+constexpr std::chrono::milliseconds heard_within{1'300};
+/// What a router has placed counts for so long after its last digest.
+constexpr std::chrono::milliseconds load_kept{1'500};
+
+} // namespace
+
+peer_table::peer_table(fleet_member self)
+    : m_self(std::move(self))
+{
+}
+
+void peer_table::set_members(const std::vector<fleet_member>& members,
+                             ports::steady_time now)
+{
+    std::map<std::string, fleet_member> next;
+    for (const fleet_member& member : members)
+    {
+        next.emplace(member.incarnation, member);
+        m_registered_at.try_emplace(member.incarnation, now);
+    }
+    m_members = std::move(next);
+    std::erase_if(m_registered_at, [&](const auto& entry)
+                  { return m_members.count(entry.first) == 0; });
+}
+
+void peer_table::take(codecs::peer_digest digest, ports::steady_time now)
+{
+    if (digest.incarnation == m_self.incarnation)
+    {
+        return;
+    }
+    peer& known = m_peers[digest.incarnation];
+    if (known.heard_at && digest.sequence <= known.digest.sequence)
+    {
+        return;
+    }
+    known.digest = std::move(digest);
+    known.heard_at = now;
+}
+
+std::vector<std::string> peer_table::peer_addresses() const
+{
+    std::vector<std::string> addresses;
+    for (const auto& [incarnation, member] : m_members)
+    {
+        if (incarnation != m_self.incarnation)
+        {
+            addresses.push_back(member.peer_address);
+        }
+    }
+    return addresses;
+}
+
+bool peer_table::is_heard(const std::string& incarnation,
+                          ports::steady_time now) const
+{
+    const auto found = m_peers.find(incarnation);
+    if (found != m_peers.end() && found->second.heard_at)
+    {
+        return now - *found->second.heard_at <= heard_within;
+    }
+    const auto registered = m_registered_at.find(incarnation);
+    return registered != m_registered_at.end() &&
+           now - registered->second <= heard_within;
+}
+
+std::int64_t peer_table::routers(ports::steady_time now) const
+{
+    std::int64_t count = 1;
+    for (const auto& [incarnation, member] : m_members)
+    {
+        if (incarnation != m_self.incarnation && is_heard(incarnation, now))
+        {
+            ++count;
+        }
+    }
+    // Who is registered but silent may be cut off and serve all the same.
+    return std::max<std::int64_t>(count,
+                                  static_cast<std::int64_t>(m_members.size()));
+}
+
+fleet_view peer_table::view(ports::steady_time now) const
+{
+    fleet_view seen;
+    seen.routers = routers(now);
+    for (const auto& [incarnation, known] : m_peers)
+    {
+        const bool is_recent =
+            known.heard_at && now - *known.heard_at <= load_kept;
+        for (const auto& [id, load] : known.digest.load)
+        {
+            if (is_recent)
+            {
+                domain::upstream_load& sum = seen.peer_load[id];
+                sum.requests += load.requests;
+                sum.unread_tokens += load.unread_tokens;
+            }
+        }
+        for (const auto& [name, account] : known.digest.accounts)
+        {
+            account_view& sum = seen.accounts[name];
+            // What a dead router held was mostly not consumed.
+            sum.peers_spent += account.used + (is_recent ? account.held : 0);
+            sum.peers_free += is_recent ? account.free : 0;
+        }
+    }
+    return seen;
+}
+
+std::vector<domain::entry_candidate>
+peer_table::candidates(bool is_self_leaving, ports::steady_time now) const
+{
+    std::vector<domain::entry_candidate> all;
+    all.push_back({m_self.caller_address, m_self.data_centre, true,
+                   is_self_leaving, true});
+    for (const auto& [incarnation, member] : m_members)
+    {
+        if (incarnation == m_self.incarnation)
+        {
+            continue;
+        }
+        const auto peer = m_peers.find(incarnation);
+        const bool is_leaving =
+            peer != m_peers.end() && peer->second.digest.is_leaving;
+        all.push_back({member.caller_address, member.data_centre, false,
+                       is_leaving, is_heard(incarnation, now)});
+    }
+    return all;
+}
+
+std::optional<std::string> peer_table::find_newer(std::int64_t version,
+                                                  ports::steady_time now) const
+{
+    std::optional<std::string> best;
+    std::int64_t best_version = version;
+    for (const auto& [incarnation, known] : m_peers)
+    {
+        const auto member = m_members.find(incarnation);
+        if (member == m_members.end() || !is_heard(incarnation, now) ||
+            known.digest.configuration_version <= best_version)
+        {
+            continue;
+        }
+        best_version = known.digest.configuration_version;
+        best = member->second.peer_address;
+    }
+    return best;
+}
+
+} // namespace turmeric::drivers
--- /dev/null
+++ b/libraries/drivers/fleet/peer_table.hpp
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "libraries/codecs/fleet/digest_codec.hpp"
+#include "libraries/domain/membership/entry_list.hpp"
+#include "libraries/drivers/exchange/fleet_view.hpp"
+#include "libraries/drivers/fleet/fleet_member.hpp"
+#include "libraries/ports/clock.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace turmeric::drivers
+{
+
+/// What this router knows of the others, from the registry and from their
+/// digests. Not thread safe.
+class peer_table
+{
+public:
+    /// No precondition.
+    explicit peer_table(fleet_member self);
+
+    /// Sets who is registered, this router included.
+    void set_members(const std::vector<fleet_member>& members,
+                     ports::steady_time now);
+
+    /// Takes a digest; one that is not newer than the last is dropped.
+    void take(codecs::peer_digest digest, ports::steady_time now);
+
+    /// Returns the peers' addresses for digests.
+    [[nodiscard]] std::vector<std::string> peer_addresses() const;
+
+    /// Returns how many routers serve, this one included; at least 1.
+    [[nodiscard]] std::int64_t routers(ports::steady_time now) const;
+
+    /// Returns what peers have placed, spent and can still hold.
+    [[nodiscard]] fleet_view view(ports::steady_time now) const;
+
+    /// Returns the routers as the directory lists them.
+    [[nodiscard]] std::vector<domain::entry_candidate>
+    candidates(bool is_self_leaving, ports::steady_time now) const;
+
+    /// Returns the peer that has the newest configuration above `version`.
+    [[nodiscard]] std::optional<std::string>
+    find_newer(std::int64_t version, ports::steady_time now) const;
+
+private:
+    struct peer
+    {
+        codecs::peer_digest digest;
+        std::optional<ports::steady_time> heard_at;
+    };
+
+    [[nodiscard]] bool is_heard(const std::string& incarnation,
+                                ports::steady_time now) const;
+
+    fleet_member m_self;
+    std::map<std::string, fleet_member> m_members;
+    std::map<std::string, ports::steady_time> m_registered_at;
+    /// Of all that were ever heard of, since what the dead have spent counts.
+    std::map<std::string, peer> m_peers;
+};
+
+} // namespace turmeric::drivers
--- /dev/null
+++ b/libraries/drivers/fleet/token_keeper.cpp
@@ -0,0 +1,327 @@
+#include "libraries/drivers/fleet/token_keeper.hpp"
+
+#include "libraries/codecs/fleet/grant_record_codec.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace turmeric::drivers
+{
+
+namespace
+{
+
+constexpr std::string_view key_prefix = "turmericfront/tokens/";
+/// Accounts in one change; the store takes 32 entries.
+constexpr std::size_t most_accounts_in_change = 15;
+/// With more accounts, grants are asked for when a request comes.
+constexpr std::size_t most_accounts_ahead = 64;
+constexpr double rate_smoothing = 0.15;
+/// How long to wait after a failed call.
+constexpr std::chrono::milliseconds failure_pause{300};
+
+} // namespace
+
+struct token_keeper::state : std::enable_shared_from_this<state>
+{
+    struct account
+    {
+        ports::revision revision = 0;
+        domain::grant_record record;
+        std::int64_t own_granted = 0;
+        std::int64_t last_used = 0;
+        std::optional<ports::steady_time> last_review;
+        double tokens_per_second = 0;
+    };
+
+    struct planned_change
+    {
+        std::string name;
+        std::int64_t tokens = 0;
+    };
+
+    state(ports::asynchronous_store& the_store, const ports::clock& the_clock,
+          logger& the_log, std::string the_incarnation)
+        : store(the_store)
+        , clock(the_clock)
+        , log(the_log)
+        , incarnation(std::move(the_incarnation))
+    {
+    }
+
+    void read_all(std::function<void()> then);
+    void take_record(const ports::key_value& entry);
+    void note_use(account& known, const account_need& need);
+    [[nodiscard]] std::vector<planned_change>
+    plan(const std::map<std::string, account_need>& needs);
+    void commit(std::vector<planned_change> changes,
+                std::function<void()> then);
+    void on_committed(const std::vector<planned_change>& changes,
+                      result<ports::change_outcome> got);
+    void tell();
+
+    ports::asynchronous_store& store;
+    const ports::clock& clock;
+    logger& log;
+    std::string incarnation;
+    std::function<void()> changed;
+    std::map<std::string, std::int64_t> prepaid;
+    std::set<std::string> members;
+    std::map<std::string, account> accounts;
+    /// Set while the store's records must be read before a change.
+    bool is_stale = true;
+    bool is_busy = false;
+    std::optional<ports::steady_time> paused_until;
+};
+
+void token_keeper::state::take_record(const ports::key_value& entry)
+{
+    result<domain::grant_record> read = codecs::read_grant_record(entry.value);
+    const std::string name = entry.key.substr(key_prefix.size());
+    if (!read)
+    {
+        log.write(log_level::error, log_event::document_unreadable,
+                  {{"key", entry.key}, {"reason", read.failure().detail}});
+        return;
+    }
+    account& known = accounts[name];
+    known.revision = entry.modified;
+    known.record = std::move(read.value());
+    const auto own = known.record.granted_to.find(incarnation);
+    if (own != known.record.granted_to.end())
+    {
+        known.own_granted = own->second;
+    }
+}
+
+void token_keeper::state::read_all(std::function<void()> then)
+{
+    is_busy = true;
+    const std::shared_ptr<state> self = shared_from_this();
+    store.list(std::string(key_prefix),
+               [self, then = std::move(then)](result<ports::key_range> got)
+               {
+                   self->is_busy = false;
+                   if (!got)
+                   {
+                       self->paused_until =
+                           self->clock.steady_now() + failure_pause;
+                       then();
+                       return;
+                   }
+                   for (const ports::key_value& entry : got.value().entries)
+                   {
+                       self->take_record(entry);
+                   }
+                   self->is_stale = false;
+                   self->tell();
+                   then();
+               });
+}
+
+void token_keeper::state::note_use(account& known, const account_need& need)
+{
+    const ports::steady_time now = clock.steady_now();
+    if (known.last_review && now > *known.last_review)
+    {
+        const double seconds =
+            std::chrono::duration<double>(now - *known.last_review).count();
+        const double rate =
+            static_cast<double>(need.used - known.last_used) / seconds;
+        known.tokens_per_second +=
+            rate_smoothing * (rate - known.tokens_per_second);
+    }
+    known.last_review = now;
+    known.last_used = need.used;
+}
+
+std::vector<token_keeper::state::planned_change>
+token_keeper::state::plan(const std::map<std::string, account_need>& needs)
+{
+    std::vector<planned_change> changes;
+    const bool is_ahead = prepaid.size() <= most_accounts_ahead;
+    for (const auto& [name, total] : prepaid)
+    {
+        const auto found = needs.find(name);
+        const account_need need =
+            found == needs.end() ? account_need{} : found->second;
+        account& known = accounts[name];
+        note_use(known, need);
+        if (!is_ahead && found == needs.end())
+        {
+            continue;
+        }
+        domain::grant_demand demand;
+        demand.prepaid_tokens = total;
+        demand.granted_in_all = known.record.granted_in_all;
+        demand.routers = static_cast<std::int64_t>(members.size());
+        demand.free = known.own_granted - need.used - need.held;
+        demand.tokens_per_second = known.tokens_per_second;
+        demand.lacking = need.lacking;
+        const std::int64_t tokens = domain::size_grant(demand);
+        if (tokens > 0 && changes.size() < most_accounts_in_change)
+        {
+            changes.push_back({name, tokens});
+        }
+    }
+    return changes;
+}
+
+void token_keeper::state::commit(std::vector<planned_change> changes,
+                                 std::function<void()> then)
+{
+    ports::store_change change;
+    for (const planned_change& planned : changes)
+    {
+        const account& known = accounts[planned.name];
+        const std::string key = std::string(key_prefix) + planned.name;
+        const domain::grant_record next =
+            domain::change_grant(known.record, incarnation, known.own_granted,
+                                 planned.tokens, members);
+        change.conditions.push_back({key, known.revision});
+        change.writes.push_back({key, codecs::write_grant_record(next), 0});
+    }
+    is_busy = true;
+    const std::shared_ptr<state> self = shared_from_this();
+    store.commit(change,
+                 [self, changes = std::move(changes),
+                  then = std::move(then)](result<ports::change_outcome> got)
+                 {
+                     self->is_busy = false;
+                     self->on_committed(changes, std::move(got));
+                     then();
+                 });
+}
+
+void token_keeper::state::on_committed(
+    const std::vector<planned_change>& changes,
+    result<ports::change_outcome> got)
+{
+    if (!got)
+    {
+        log.write(log_level::warning, log_event::commit_failed,
+                  {{"code", static_cast<std::int64_t>(got.failure().code)},
+                   {"reason", got.failure().detail}});
+        is_stale = true;
+        paused_until = clock.steady_now() + failure_pause;
+        return;
+    }
+    if (const ports::change_refused* refused =
+            std::get_if<ports::change_refused>(&got.value()))
+    {
+        for (const ports::key_value& entry : refused->current)
+        {
+            take_record(entry);
+        }
+        // A key that is not among them was removed; only a read tells.
+        is_stale = refused->current.size() < changes.size();
+        tell();
+        return;
+    }
+    const ports::revision made = std::get<ports::change_made>(got.value()).at;
+    for (const planned_change& planned : changes)
+    {
+        account& known = accounts[planned.name];
+        known.record =
+            domain::change_grant(std::move(known.record), incarnation,
+                                 known.own_granted, planned.tokens, members);
+        known.own_granted += planned.tokens;
+        known.revision = made;
+        log.write(log_level::info, log_event::grant_changed,
+                  {{"account", planned.name},
+                   {"tokens", planned.tokens},
+                   {"granted", known.own_granted},
+                   {"granted_in_all", known.record.granted_in_all},
+                   {"revision", made}});
+    }
+    tell();
+}
+
+void token_keeper::state::tell()
+{
+    if (changed)
+    {
+        changed();
+    }
+}
+
+token_keeper::token_keeper(ports::asynchronous_store& store,
+                           const ports::clock& clock, logger& log,
+                           std::string incarnation)
+    : m_state(
+          std::make_shared<state>(store, clock, log, std::move(incarnation)))
+{
+}
+
+token_keeper::~token_keeper()
+{
+    m_state->changed = nullptr;
+}
+
+void token_keeper::on_change(std::function<void()> changed)
+{
+    m_state->changed = std::move(changed);
+}
+
+void token_keeper::set_prepaid(std::map<std::string, std::int64_t> prepaid)
+{
+    m_state->prepaid = std::move(prepaid);
+}
+
+void token_keeper::set_members(std::set<std::string> members)
+{
+    m_state->members = std::move(members);
+}
+
+void token_keeper::review(const std::map<std::string, account_need>& needs)
+{
+    state& self = *m_state;
+    const ports::steady_time now = self.clock.steady_now();
+    if (self.is_busy || self.prepaid.empty() ||
+        (self.paused_until && now < *self.paused_until))
+    {
+        return;
+    }
+    if (self.is_stale)
+    {
+        self.read_all([] {});
+        return;
+    }
+    std::vector<state::planned_change> changes = self.plan(needs);
+    if (!changes.empty())
+    {
+        self.commit(std::move(changes), [] {});
+    }
+}
+
+void token_keeper::give_back(const std::map<std::string, account_need>& needs,
+                             std::function<void()> done)
+{
+    state& self = *m_state;
+    std::vector<state::planned_change> changes;
+    for (const auto& [name, need] : needs)
+    {
+        if (need.free > 0 && changes.size() < most_accounts_in_change)
+        {
+            changes.push_back({name, -need.free});
+        }
+    }
+    if (self.is_busy || self.is_stale || changes.empty())
+    {
+        done();
+        return;
+    }
+    self.commit(std::move(changes), std::move(done));
+}
+
+std::map<std::string, known_grants> token_keeper::known() const
+{
+    std::map<std::string, known_grants> all;
+    for (const auto& [name, account] : m_state->accounts)
+    {
+        all[name] = {account.own_granted, account.record.granted_in_all};
+    }
+    return all;
+}
+
+} // namespace turmeric::drivers
--- /dev/null
+++ b/libraries/drivers/fleet/token_keeper.hpp
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "libraries/core/logger.hpp"
+#include "libraries/domain/prepaid/grant_record.hpp"
+#include "libraries/drivers/exchange/fleet_view.hpp"
+#include "libraries/ports/asynchronous_store.hpp"
+#include "libraries/ports/clock.hpp"
+#include "libraries/ports/timer_queue.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace turmeric::drivers
+{
+
+/// What is known of one account's grants.
+struct known_grants
+{
+    std::int64_t own_granted = 0;
+    std::int64_t granted_in_all = 0;
+};
+
+/// Gets prepaid tokens from the store for one router. All that the store has
+/// granted counts as spent there, so no loss of routers can overspend an
+/// account. A change whose reply was lost is read again before the next one.
+/// Used on the thread of the store only.
+class token_keeper
+{
+public:
+    /// Precondition: all but `incarnation` outlive the keeper.
+    token_keeper(ports::asynchronous_store& store, const ports::clock& clock,
+                 logger& log, std::string incarnation);
+    ~token_keeper();
+    token_keeper(const token_keeper&) = delete;
+    token_keeper& operator=(const token_keeper&) = delete;
+
+    /// Calls `changed` after each change of a grant.
+    void on_change(std::function<void()> changed);
+
+    /// Sets the prepaid totals in force, by account.
+    void set_prepaid(std::map<std::string, std::int64_t> prepaid);
+
+    /// Sets which router incarnations there are, this one included.
+    void set_members(std::set<std::string> members);
+
+    /// Looks at what the accounts need and asks the store where more is
+    /// wanted. No call is made while one is under way.
+    void review(const std::map<std::string, account_need>& needs);
+
+    /// Gives back what nobody holds, as the router stops; `done` is called
+    /// once, also when it failed. Precondition: nothing of it is held later.
+    void give_back(const std::map<std::string, account_need>& needs,
+                   std::function<void()> done);
+
+    /// Returns what is known of the grants, by account.
+    [[nodiscard]] std::map<std::string, known_grants> known() const;
+
+private:
+    struct state;
+
+    std::shared_ptr<state> m_state;
+};
+
+} // namespace turmeric::drivers
--- /dev/null
+++ b/libraries/ports/http_message.hpp
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <algorithm>
+#include <cctype>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace turmeric::ports
+{
+
+/// One header field of a message, as it was received or will be sent.
+struct header_field
+{
+    std::string name;
+    std::string value;
+};
+
+using header_fields = std::vector<header_field>;
+
+/// The head of a request.
+struct request_head
+{
+    std::string method;
+    /// Path and query, as the caller sent them.
+    std::string target;
+    header_fields fields;
+};
+
+/// The head of an answer.
+struct response_head
+{
+    int status = 0;
+    std::string reason;
+    header_fields fields;
+};
+
+/// Tells whether two header names are the same, whatever their case. Thread
+/// safe.
+[[nodiscard]] inline bool is_same_name(std::string_view one,
+                                       std::string_view other)
+{
+    return std::equal(one.begin(), one.end(), other.begin(), other.end(),
+                      [](unsigned char left, unsigned char right)
+                      { return std::tolower(left) == std::tolower(right); });
+}
+
+/// Returns the first field of that name, or null. Thread safe.
+[[nodiscard]] inline const std::string* find_field(const header_fields& fields,
+                                                   std::string_view name)
+{
+    for (const header_field& field : fields)
+    {
+        if (is_same_name(field.name, name))
+        {
+            return &field.value;
+        }
+    }
+    return nullptr;
+}
+
+} // namespace turmeric::ports
--- /dev/null
+++ b/services/entry/entry_process.cpp
@@ -0,0 +1,254 @@
+#include "services/entry/entry_process.hpp"
+
+#include "libraries/drivers/exchange/buffered_call.hpp"
+#include "platform/documents.hpp"
+#include "platform/wire_names.hpp"
+
+#include <array>
+#include <csignal>
+#include <fmt/format.h>
+#include <unistd.h>
+#include <utility>
+
+namespace turmeric::entry
+{
+
+namespace asio = adapters::asio;
+
+namespace
+{
+
+constexpr std::chrono::milliseconds log_interval{100};
+constexpr std::chrono::milliseconds stop_poll_interval{50};
+/// What is left of the stop time for giving back tokens and the last lines.
+constexpr std::chrono::milliseconds stop_reserve{400};
+constexpr std::chrono::milliseconds give_back_timeout{300};
+constexpr std::chrono::milliseconds peer_timeout{1'000};
+constexpr std::size_t most_configuration_bytes = 8 << 20;
+constexpr std::size_t most_internal_connections = 200;
+constexpr int status_ok = 200;
+
+std::string new_incarnation(const std::string& vm, ports::random_source& random)
+{
+    return fmt::format("{}-{:016x}", vm, random.next());
+}
+
+drivers::document_forms platform_documents()
+{
+    return {std::string(platform::wire::configuration_key),
+            std::string(platform::wire::upstream_prefix),
+            &platform::read_configuration, &platform::read_upstream};
+}
+
+} // namespace
+
+entry_process::entry_process(entry_settings settings)
+    : m_settings(std::move(settings))
+    , m_log(m_clock, m_settings.least_level, m_settings.format, m_settings.vm,
+            STDOUT_FILENO)
+    , m_metrics(m_registry)
+    , m_store(m_control_pool, m_control_timers, m_clock,
+              m_settings.store_address)
+    , m_desk({m_clock, m_traffic_timers, m_traffic_pool, m_random, m_dialect,
+              m_log, m_metrics},
+             m_settings.traffic)
+    , m_control({m_store, m_control_timers, m_clock, m_peers, m_link, m_log,
+                 [this](const std::string& address,
+                        std::function<void(std::string)> done)
+                 { ask_peer(address, std::move(done)); }},
+                platform_documents(),
+                {new_incarnation(m_settings.vm, m_random), m_settings.vm,
+                 m_settings.data_centre, m_settings.peer_address,
+                 m_settings.caller_address})
+    , m_callers(m_traffic_loop, m_clock, m_desk,
+                {m_settings.caller_address, m_settings.most_connections})
+    , m_directory_calls({[this] { return m_control.is_ready(); },
+                         [this](const std::string& data_centre)
+                         { return m_control.list_entries(data_centre); }})
+    , m_internal_calls(m_registry,
+                       [this] { return m_control.configuration_text(); })
+    , m_readiness(m_control_loop, m_clock, m_directory_calls,
+                  {m_settings.readiness_address, most_internal_connections})
+    , m_directory(m_control_loop, m_clock, m_directory_calls,
+                  {m_settings.directory_address, most_internal_connections})
+    , m_internal(m_control_loop, m_clock, m_internal_calls,
+                 {m_settings.peer_address, most_internal_connections})
+    , m_signals(m_control_loop, SIGTERM, SIGINT, SIGHUP)
+{
+    m_link.connect(m_desk, m_callers);
+    m_desk.on_need(
+        [this]
+        { asio::post(m_control_loop, [this] { m_control.review_tokens(); }); });
+}
+
+entry_process::~entry_process()
+{
+    m_traffic_loop.stop();
+    if (m_traffic_thread.joinable())
+    {
+        m_traffic_thread.join();
+    }
+}
+
+logger& entry_process::log()
+{
+    return m_log;
+}
+
+status entry_process::open()
+{
+    if (status opened = m_peers.open(m_settings.peer_address); !opened)
+    {
+        return opened;
+    }
+    const std::array servers = {&m_callers, &m_readiness, &m_directory,
+                                &m_internal};
+    for (adapters::caller_server* server : servers)
+    {
+        if (status started = server->start(); !started)
+        {
+            return started;
+        }
+    }
+    return success();
+}
+
+void entry_process::run()
+{
+    m_log.write(log_level::info, log_event::process_started,
+                {{"version", std::string(TURMERIC_VERSION)},
+                 {"caller_address", m_settings.caller_address},
+                 {"peer_address", m_settings.peer_address},
+                 {"store", m_settings.store_address}});
+    await_signal();
+    m_control.start();
+    flush_log();
+    m_traffic_thread = std::thread([this] { m_traffic_loop.run(); });
+    m_control_loop.run();
+    m_log.flush_at_end();
+}
+
+void entry_process::ask_peer(const std::string& address,
+                             std::function<void(std::string)> done)
+{
+    ports::outgoing_call call;
+    call.address = address;
+    call.bytes = fmt::format("GET {} HTTP/1.1\r\nHost: {}\r\n\r\n",
+                             configuration_path, address);
+    drivers::call_buffered(
+        m_control_pool, m_control_timers, m_clock, std::move(call),
+        peer_timeout, most_configuration_bytes,
+        [done = std::move(done)](drivers::buffered_answer got)
+        {
+            const bool is_whole = !got.failure && got.status == status_ok;
+            done(is_whole ? std::move(got.body) : std::string());
+        });
+}
+
+void entry_process::await_signal()
+{
+    m_signals.async_wait(
+        [this](const boost::system::error_code& fault, int number)
+        {
+            if (!fault)
+            {
+                on_signal(number);
+            }
+        });
+}
+
+void entry_process::on_signal(int number)
+{
+    if (number == SIGHUP)
+    {
+        m_log.write(log_level::info, log_event::settings_reloaded, {});
+        await_signal();
+        return;
+    }
+    begin_stop();
+}
+
+void entry_process::begin_stop()
+{
+    m_log.write(log_level::info, log_event::process_stopping, {});
+    m_stop_began = m_clock.steady_now();
+    m_control.leave();
+    asio::post(m_traffic_loop,
+               [this]
+               {
+                   m_desk.stop();
+                   m_callers.stop_keeping();
+               });
+    poll_stop();
+}
+
+void entry_process::poll_stop()
+{
+    m_link.ask(
+        [this](const drivers::traffic_digest& seen)
+        {
+            const auto stopping = m_clock.steady_now() - m_stop_began;
+            const bool is_refusing =
+                stopping > m_settings.traffic.stop_accepting_after;
+            const bool is_over = stopping > m_settings.stop_time - stop_reserve;
+            if (is_over || (is_refusing && seen.in_flight == 0))
+            {
+                if (seen.in_flight > 0)
+                {
+                    m_log.write(log_level::warning, log_event::stop_cut_streams,
+                                {{"in_flight", seen.in_flight}});
+                }
+                finish_stop();
+                return;
+            }
+            m_stop_timer.expires_after(stop_poll_interval);
+            m_stop_timer.async_wait(
+                [this](const boost::system::error_code& fault)
+                {
+                    if (!fault)
+                    {
+                        poll_stop();
+                    }
+                });
+        });
+}
+
+void entry_process::finish_stop()
+{
+    const auto end = [this]
+    {
+        m_log.write(log_level::info, log_event::process_stopped, {});
+        m_control_loop.stop();
+    };
+    m_stop_timer.expires_after(give_back_timeout);
+    m_stop_timer.async_wait(
+        [end](const boost::system::error_code& fault)
+        {
+            if (!fault)
+            {
+                end();
+            }
+        });
+    m_control.give_back(
+        [this, end]
+        {
+            m_stop_timer.cancel();
+            end();
+        });
+}
+
+void entry_process::flush_log()
+{
+    m_log.flush();
+    m_log_timer.expires_after(log_interval);
+    m_log_timer.async_wait(
+        [this](const boost::system::error_code& fault)
+        {
+            if (!fault)
+            {
+                flush_log();
+            }
+        });
+}
+
+} // namespace turmeric::entry
--- /dev/null
+++ b/services/entry/entry_process.hpp
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "libraries/adapters/asio/asio.hpp"
+#include "libraries/adapters/asio/asio_datagram_link.hpp"
+#include "libraries/adapters/asio/asio_timer_queue.hpp"
+#include "libraries/adapters/asio/caller_server.hpp"
+#include "libraries/adapters/asio/upstream_pool.hpp"
+#include "libraries/adapters/fmt/buffered_logger.hpp"
+#include "libraries/adapters/system/system_clock.hpp"
+#include "libraries/adapters/system/system_random.hpp"
+#include "libraries/core/metrics/registry.hpp"
+#include "libraries/core/result.hpp"
+#include "libraries/drivers/exchange/traffic_desk.hpp"
+#include "libraries/drivers/exchange/traffic_metrics.hpp"
+#include "libraries/drivers/fleet/fleet_control.hpp"
+#include "platform/directory_calls.hpp"
+#include "platform/platform_dialect.hpp"
+#include "platform/platform_store.hpp"
+#include "services/entry/entry_settings.hpp"
+#include "services/entry/internal_calls.hpp"
+#include "services/entry/thread_link.hpp"
+
+#include <memory>
+#include <thread>
+
+namespace turmeric::entry
+{
+
+/// The process of an entry VM: one thread carries callers' traffic, the one
+/// that calls `run` keeps the control state. Not thread safe.
+class entry_process
+{
+public:
+    /// No precondition.
+    explicit entry_process(entry_settings settings);
+    ~entry_process();
+    entry_process(const entry_process&) = delete;
+    entry_process& operator=(const entry_process&) = delete;
+
+    /// Opens all addresses. Errors: `settings_invalid` naming the address.
+    /// Called once, before `run`.
+    status open();
+
+    /// Serves until a signal asks to stop and all answers are out.
+    void run();
+
+    /// Returns the log. Thread safe.
+    [[nodiscard]] logger& log();
+
+private:
+    void await_signal();
+    void on_signal(int number);
+    void begin_stop();
+    void poll_stop();
+    void finish_stop();
+    void flush_log();
+    void ask_peer(const std::string& address,
+                  std::function<void(std::string)> done);
+
+    entry_settings m_settings;
+    adapters::system_clock m_clock;
+    adapters::system_random m_random;
+    adapters::buffered_logger m_log;
+    metrics::registry m_registry;
+    drivers::traffic_metrics m_metrics;
+    platform::platform_dialect m_dialect;
+
+    adapters::asio::io_context m_control_loop{1};
+    adapters::asio::io_context m_traffic_loop{1};
+    adapters::asio_timer_queue m_control_timers{m_control_loop};
+    adapters::asio_timer_queue m_traffic_timers{m_traffic_loop};
+    adapters::upstream_pool m_control_pool{m_control_loop, m_clock};
+    adapters::upstream_pool m_traffic_pool{m_traffic_loop, m_clock};
+    platform::platform_store m_store;
+    adapters::asio_datagram_link m_peers{m_control_loop};
+    thread_link m_link{m_control_loop, m_traffic_loop};
+    drivers::traffic_desk m_desk;
+    drivers::fleet_control m_control;
+    adapters::caller_server m_callers;
+    platform::directory_calls m_directory_calls;
+    internal_calls m_internal_calls;
+    adapters::caller_server m_readiness;
+    adapters::caller_server m_directory;
+    adapters::caller_server m_internal;
+    adapters::asio::signal_set m_signals;
+    adapters::asio::steady_timer m_log_timer{m_control_loop};
+    adapters::asio::steady_timer m_stop_timer{m_control_loop};
+    ports::steady_time m_stop_began{};
+    std::thread m_traffic_thread;
+};
+
+} // namespace turmeric::entry
--- /dev/null
+++ b/services/entry/entry_settings.cpp
@@ -0,0 +1,93 @@
+#include "services/entry/entry_settings.hpp"
+
+namespace turmeric::entry
+{
+
+namespace
+{
+
+/// Descriptors for files and for the connections of the process itself.
+constexpr std::size_t reserved_descriptors = 300;
+
+std::chrono::milliseconds read_time(const json& part, const char* name,
+                                    std::chrono::milliseconds otherwise)
+{
+    return std::chrono::milliseconds(part.value(name, otherwise.count()));
+}
+
+} // namespace
+
+json entry_settings_schema()
+{
+    return json::parse(R"({
+        "type": "object",
+        "required": ["vm", "data_centre", "listen", "store"],
+        "properties": {
+            "vm": {"type": "string", "minLength": 1},
+            "data_centre": {"type": "string", "minLength": 1},
+            "listen": {
+                "type": "object",
+                "required": ["callers", "readiness", "directory", "peers"],
+                "properties": {
+                    "callers": {"type": "string", "pattern": "^.+:[0-9]+$"},
+                    "readiness": {"type": "string", "pattern": "^.+:[0-9]+$"},
+                    "directory": {"type": "string", "pattern": "^.+:[0-9]+$"},
+                    "peers": {"type": "string", "pattern": "^.+:[0-9]+$"}
+                }
+            },
+            "store": {"type": "string", "pattern": "^.+:[0-9]+$"},
+            "stop_ms": {"type": "integer", "minimum": 0},
+            "descriptors": {"type": "integer", "minimum": 400},
+            "retries": {
+                "type": "object",
+                "properties": {
+                    "ratio": {"type": "number", "minimum": 0},
+                    "slack": {"type": "number", "minimum": 0},
+                    "window_s": {"type": "number", "exclusiveMinimum": 0}
+                }
+            },
+            "log": {
+                "type": "object",
+                "additionalProperties": false,
+                "properties": {
+                    "level": {"enum": ["debug", "info", "warning", "error"]},
+                    "format": {"enum": ["text", "json"]}
+                }
+            }
+        }
+    })");
+}
+
+entry_settings read_entry_settings(const json& settings)
+{
+    entry_settings read;
+    read.vm = settings["vm"].get<std::string>();
+    read.data_centre = settings["data_centre"].get<std::string>();
+    const json& listen = settings["listen"];
+    read.caller_address = listen["callers"].get<std::string>();
+    read.readiness_address = listen["readiness"].get<std::string>();
+    read.directory_address = listen["directory"].get<std::string>();
+    read.peer_address = listen["peers"].get<std::string>();
+    read.store_address = settings["store"].get<std::string>();
+    read.stop_time = read_time(settings, "stop_ms", read.stop_time);
+    constexpr std::size_t usual_descriptors = 2'000;
+    const std::size_t descriptors =
+        settings.value("descriptors", usual_descriptors);
+    read.most_connections = (descriptors - reserved_descriptors) / 2;
+    const json log = settings.value("log", json::object());
+    read.least_level =
+        adapters::log_level_of(log.value("level", std::string("info")));
+    read.format =
+        adapters::log_format_of(log.value("format", std::string("text")));
+    read.traffic.data_centre = read.data_centre;
+    const json retries = settings.value("retries", json::object());
+    domain::retry_window_limits& limits = read.traffic.retries;
+    limits.ratio = retries.value("ratio", limits.ratio);
+    limits.slack = retries.value("slack", limits.slack);
+    constexpr double usual_window = 10.0;
+    limits.window = std::chrono::duration_cast<std::chrono::milliseconds>(
+        std::chrono::duration<double>(retries.value("window_s", usual_window)));
+    return read;
+}
+
+} // namespace turmeric::entry
--- /dev/null
+++ b/services/entry/entry_settings.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "libraries/adapters/fmt/log_line.hpp"
+#include "libraries/core/json.hpp"
+#include "libraries/core/logger.hpp"
+#include "libraries/drivers/exchange/traffic_settings.hpp"
+
+#include <chrono>
+#include <cstddef>
+#include <string>
+
+namespace turmeric::entry
+{
+
+/// The settings of an entry VM's process, listed in docs/settings.md.
+struct entry_settings
+{
+    std::string vm;
+    std::string data_centre;
+    /// Where callers connect, as `10.0.0.1:8080`.
+    std::string caller_address;
+    std::string readiness_address;
+    std::string directory_address;
+    /// Where peers and the metrics collector connect.
+    std::string peer_address;
+    std::string store_address;
+    /// How long a stop may take.
+    std::chrono::milliseconds stop_time{8'000};
+    std::size_t most_connections = 1'000;
+    log_level least_level = log_level::info;
+    adapters::log_format format = adapters::log_format::text;
+    drivers::traffic_settings traffic;
+};
+
+/// Returns the JSON schema of the settings. Thread safe.
+[[nodiscard]] json entry_settings_schema();
+
+/// Reads settings that were checked against the schema. Thread safe.
+[[nodiscard]] entry_settings read_entry_settings(const json& settings);
+
+} // namespace turmeric::entry
