--- a/libraries/adapters/asio/upstream_connection.cpp
+++ b/libraries/adapters/asio/upstream_connection.cpp
@@ -216,6 +216,11 @@
     }
     if (m_is_at_end && !m_parser->is_done())
     {
+        if (!m_parser->got_some())
+        {
+            fail(ports::transport_failure::broken);
+            return;
+        }
         boost::system::error_code fault;
         m_parser->put_eof(fault);
         if (fault || !m_parser->is_done())
--- a/libraries/domain/prepaid/grant_record.cpp
+++ b/libraries/domain/prepaid/grant_record.cpp
@@ -10,12 +10,10 @@
 
 /// How long a router can go on without the store.
 constexpr double bridged_seconds = 12.0;
-/// The part of the rest that all routers together may get beyond need.
-constexpr std::int64_t rest_divisor = 2;
-/// A first grant before the rate is known, as a part of the rest.
-constexpr std::int64_t first_divisor = 4;
+/// The part of its fair share that a router gets whatever its rate.
+constexpr std::int64_t first_divisor = 3;
 /// Below this part of the wanted stock a router asks for more.
-constexpr double low_mark = 0.6;
+constexpr double low_mark = 0.85;
 
 } // namespace
 
@@ -38,11 +36,13 @@
     const std::int64_t rest = std::max<std::int64_t>(
         0, demand.prepaid_tokens - demand.granted_in_all);
     const std::int64_t routers = std::max<std::int64_t>(1, demand.routers);
-    const std::int64_t first = rest / (first_divisor * routers);
+    const std::int64_t fair =
+        (rest + demand.peers_free + std::max<std::int64_t>(0, demand.free)) /
+        routers;
     const std::int64_t bridging =
         static_cast<std::int64_t>(demand.tokens_per_second * bridged_seconds);
     const std::int64_t wanted =
-        std::min(std::max(first, bridging), rest / (rest_divisor * routers));
+        std::min(std::max(fair / first_divisor, bridging), fair);
     std::int64_t grant = 0;
     if (static_cast<double>(demand.free) <
         low_mark * static_cast<double>(wanted))
--- a/libraries/domain/prepaid/grant_record.hpp
+++ b/libraries/domain/prepaid/grant_record.hpp
@@ -39,6 +39,8 @@
     std::int64_t routers = 1;
     /// What this router can hold now.
     std::int64_t free = 0;
+    /// What the other routers can hold.
+    std::int64_t peers_free = 0;
     /// Tokens a second that this router consumes of late.
     double tokens_per_second = 0;
     /// What waiting requests lack beyond `free`.
@@ -46,9 +48,10 @@
 };
 
 /// Returns the tokens to ask for: enough to bridge an outage of the store at
-/// the present rate while much is left, and a shrinking part of the rest
-/// near the end, so that little is stranded at routers that do not need it.
-/// 0 when nothing is needed or nothing is left. Thread safe.
+/// the present rate, but no more than a fair part of all that nobody has
+/// consumed or holds, so that near the end little is stranded at routers
+/// that do not need it. 0 when nothing is needed or nothing is left. Thread
+/// safe.
 [[nodiscard]] std::int64_t size_grant(const grant_demand& demand);
 
 } // namespace turmeric::domain
--- a/libraries/drivers/exchange/fleet_view.hpp
+++ b/libraries/drivers/exchange/fleet_view.hpp
@@ -12,7 +12,7 @@
 /// What the fleet as a whole has of one account's prepaid tokens.
 struct account_view
 {
-    /// What the store has granted to this router, with what peers lent.
+    /// What the store has granted to this router and what it borrowed.
     std::int64_t own_granted = 0;
     /// What the store has granted to all routers.
     std::int64_t granted_in_all = 0;
@@ -37,8 +37,12 @@
     std::int64_t used = 0;
     std::int64_t held = 0;
     std::int64_t free = 0;
+    /// What the control thread last told of as granted.
+    std::int64_t granted = 0;
     /// What waiting requests lack beyond `free`.
     std::int64_t lacking = 0;
+    /// What peers can still hold; filled in by the control thread.
+    std::int64_t peers_free = 0;
 };
 
 /// What the traffic thread tells the control thread.
--- a/libraries/drivers/fleet/fleet_control.cpp
+++ b/libraries/drivers/fleet/fleet_control.cpp
@@ -13,7 +13,7 @@
 /// grows with their number.
 constexpr std::chrono::milliseconds least_tick{200};
 constexpr std::chrono::milliseconds tick_for_each_router{10};
-constexpr std::chrono::milliseconds watch_wait{1'000};
+constexpr std::chrono::milliseconds watch_wait{2'200};
 /// An upstream whose entry lapsed with the store is back within two seconds
 /// of its return if it lives.
 constexpr std::chrono::milliseconds upstream_grace{2'100};
@@ -34,6 +34,11 @@
                  m_self)
     , m_tokens(m_parts.store, m_parts.clock, m_parts.log, m_self.incarnation)
     , m_peers(m_self)
+    , m_loans(m_parts.peers, m_peers, m_parts.clock, m_parts.log,
+              m_self.incarnation,
+              [this](const std::string& account, std::int64_t wanted,
+                     std::function<void(std::int64_t)> done)
+              { m_parts.traffic.release(account, wanted, std::move(done)); })
 {
 }
 
@@ -67,7 +72,6 @@
 
 void fleet_control::on_digest(const traffic_digest& seen)
 {
-    m_digest = seen;
     codecs::peer_digest digest;
     digest.incarnation = m_self.incarnation;
     digest.sequence = ++m_sequence;
@@ -84,24 +88,64 @@
     {
         m_parts.peers.send(address, bytes);
     }
-    if (!m_is_leaving)
-    {
-        m_tokens.review(seen.accounts);
-    }
+    review(seen);
     ask_peers_for_configuration();
     tell_traffic();
 }
 
 void fleet_control::review_tokens()
 {
-    m_parts.traffic.ask(
-        [this](const traffic_digest& seen)
+    m_parts.traffic.ask([this](const traffic_digest& seen) { review(seen); });
+}
+
+std::map<std::string, known_grants> fleet_control::known_grants_now() const
+{
+    std::map<std::string, known_grants> known = m_tokens.known();
+    for (const auto& [name, tokens] : m_loans.borrowed())
+    {
+        known[name].own_granted += tokens;
+    }
+    return known;
+}
+
+std::map<std::string, account_need>
+fleet_control::current_needs(const traffic_digest& seen) const
+{
+    std::map<std::string, account_need> needs = seen.accounts;
+    const std::map<std::string, known_grants> known = known_grants_now();
+    const fleet_view view = m_peers.view(m_parts.clock.steady_now());
+    for (auto& [name, need] : needs)
+    {
+        const auto granted = known.find(name);
+        const auto peers = view.accounts.find(name);
+        if (granted != known.end())
         {
-            if (!m_is_leaving)
-            {
-                m_tokens.review(seen.accounts);
-            }
-        });
+            // A grant that the traffic thread has not heard of yet.
+            need.free += granted->second.own_granted - need.granted;
+            need.granted = granted->second.own_granted;
+        }
+        need.peers_free =
+            peers == view.accounts.end() ? 0 : peers->second.peers_free;
+    }
+    return needs;
+}
+
+void fleet_control::review(const traffic_digest& seen)
+{
+    if (m_is_leaving)
+    {
+        return;
+    }
+    const std::map<std::string, account_need> needs = current_needs(seen);
+    m_tokens.review(needs);
+    for (const auto& [account, need] : needs)
+    {
+        const std::int64_t lacking = need.lacking;
+        if (lacking > 0 && !m_tokens.can_grant(account, lacking))
+        {
+            m_loans.borrow(account, lacking);
+        }
+    }
 }
 
 void fleet_control::on_datagram(std::string_view bytes)
@@ -110,6 +154,13 @@
     if (digest)
     {
         m_peers.take(std::move(digest.value()), m_parts.clock.steady_now());
+        return;
+    }
+    const result<codecs::token_message> message =
+        codecs::read_token_message(bytes);
+    if (message && m_loans.take(message.value()))
+    {
+        tell_traffic();
     }
 }
 
@@ -229,7 +280,7 @@
 void fleet_control::tell_traffic()
 {
     fleet_view view = m_peers.view(m_parts.clock.steady_now());
-    for (const auto& [name, grants] : m_tokens.known())
+    for (const auto& [name, grants] : known_grants_now())
     {
         account_view& account = view.accounts[name];
         account.own_granted = grants.own_granted;
--- a/libraries/drivers/fleet/fleet_control.hpp
+++ b/libraries/drivers/fleet/fleet_control.hpp
@@ -8,6 +8,7 @@
 #include "libraries/drivers/fleet/member_registry.hpp"
 #include "libraries/drivers/fleet/peer_table.hpp"
 #include "libraries/drivers/fleet/prefix_follower.hpp"
+#include "libraries/drivers/fleet/token_exchange.hpp"
 #include "libraries/drivers/fleet/token_keeper.hpp"
 #include "libraries/ports/asynchronous_store.hpp"
 #include "libraries/ports/clock.hpp"
@@ -45,6 +46,11 @@
 
     /// Calls `done` on the control thread with what traffic has to tell.
     virtual void ask(std::function<void(traffic_digest)> done) = 0;
+
+    /// Takes tokens that nobody holds, up to `wanted`, for a peer; calls
+    /// `done` on the control thread with how many.
+    virtual void release(const std::string& account, std::int64_t wanted,
+                         std::function<void(std::int64_t)> done) = 0;
 };
 
 /// What the control thread works with. All outlive it.
@@ -110,6 +116,13 @@
     void take_configuration(const std::string& text, const char* source);
     void ask_peers_for_configuration();
     void tell_traffic();
+    /// Asks the store, or peers, for the tokens that accounts need.
+    void review(const traffic_digest& seen);
+    /// Returns what accounts need, with what this thread knows by now.
+    [[nodiscard]] std::map<std::string, account_need>
+    current_needs(const traffic_digest& seen) const;
+    /// Returns what was granted and borrowed, by account.
+    [[nodiscard]] std::map<std::string, known_grants> known_grants_now() const;
 
     control_parts m_parts;
     document_forms m_forms;
@@ -119,10 +132,10 @@
     member_registry m_registry;
     token_keeper m_tokens;
     peer_table m_peers;
+    token_exchange m_loans;
     std::shared_ptr<const domain::route_table> m_routes;
     std::string m_configuration_text;
     std::unique_ptr<ports::timer> m_timer;
-    traffic_digest m_digest;
     std::int64_t m_sequence = 0;
     bool m_is_asking_peer = false;
     bool m_is_leaving = false;
--- a/libraries/drivers/fleet/peer_table.cpp
+++ b/libraries/drivers/fleet/peer_table.cpp
@@ -140,6 +140,38 @@
     return all;
 }
 
+std::optional<std::string> peer_table::find_lender(const std::string& account,
+                                                   ports::steady_time now) const
+{
+    std::optional<std::string> best;
+    std::int64_t most_free = 0;
+    for (const auto& [incarnation, known] : m_peers)
+    {
+        const auto member = m_members.find(incarnation);
+        const auto free = known.digest.accounts.find(account);
+        if (member == m_members.end() || !is_heard(incarnation, now) ||
+            free == known.digest.accounts.end() ||
+            free->second.free <= most_free)
+        {
+            continue;
+        }
+        most_free = free->second.free;
+        best = member->second.peer_address;
+    }
+    return best;
+}
+
+std::optional<std::string>
+peer_table::address_of(const std::string& incarnation) const
+{
+    const auto found = m_members.find(incarnation);
+    if (found == m_members.end())
+    {
+        return std::nullopt;
+    }
+    return found->second.peer_address;
+}
+
 std::optional<std::string> peer_table::find_newer(std::int64_t version,
                                                   ports::steady_time now) const
 {
--- a/libraries/drivers/fleet/peer_table.hpp
+++ b/libraries/drivers/fleet/peer_table.hpp
@@ -43,6 +43,15 @@
     [[nodiscard]] std::vector<domain::entry_candidate>
     candidates(bool is_self_leaving, ports::steady_time now) const;
 
+    /// Returns the address of the peer that can spare the most of an
+    /// account's tokens, if one can.
+    [[nodiscard]] std::optional<std::string>
+    find_lender(const std::string& account, ports::steady_time now) const;
+
+    /// Returns a peer's address for datagrams, if it is registered.
+    [[nodiscard]] std::optional<std::string>
+    address_of(const std::string& incarnation) const;
+
     /// Returns the peer that has the newest configuration above `version`.
     [[nodiscard]] std::optional<std::string>
     find_newer(std::int64_t version, ports::steady_time now) const;
--- a/libraries/drivers/fleet/token_keeper.cpp
+++ b/libraries/drivers/fleet/token_keeper.cpp
@@ -155,7 +155,8 @@
         demand.prepaid_tokens = total;
         demand.granted_in_all = known.record.granted_in_all;
         demand.routers = static_cast<std::int64_t>(members.size());
-        demand.free = known.own_granted - need.used - need.held;
+        demand.free = need.free;
+        demand.peers_free = need.peers_free;
         demand.tokens_per_second = known.tokens_per_second;
         demand.lacking = need.lacking;
         const std::int64_t tokens = domain::size_grant(demand);
@@ -314,6 +315,20 @@
     self.commit(std::move(changes), std::move(done));
 }
 
+bool token_keeper::can_grant(const std::string& account,
+                             std::int64_t tokens) const
+{
+    const state& self = *m_state;
+    const auto total = self.prepaid.find(account);
+    const auto known = self.accounts.find(account);
+    if (self.is_stale || total == self.prepaid.end() ||
+        known == self.accounts.end())
+    {
+        return false;
+    }
+    return total->second - known->second.record.granted_in_all >= tokens;
+}
+
 std::map<std::string, known_grants> token_keeper::known() const
 {
     std::map<std::string, known_grants> all;
--- a/libraries/drivers/fleet/token_keeper.hpp
+++ b/libraries/drivers/fleet/token_keeper.hpp
@@ -58,6 +58,11 @@
     void give_back(const std::map<std::string, account_need>& needs,
                    std::function<void()> done);
 
+    /// Tells whether the store has so many tokens left of an account and
+    /// answers.
+    [[nodiscard]] bool can_grant(const std::string& account,
+                                 std::int64_t tokens) const;
+
     /// Returns what is known of the grants, by account.
     [[nodiscard]] std::map<std::string, known_grants> known() const;
 
--- a/services/entry/thread_link.cpp
+++ b/services/entry/thread_link.cpp
@@ -48,6 +48,19 @@
     post();
 }
 
+void thread_link::release(const std::string& account, std::int64_t wanted,
+                          std::function<void(std::int64_t)> done)
+{
+    asio::post(m_traffic,
+               [this, account, wanted, done = std::move(done)]() mutable
+               {
+                   const std::int64_t released =
+                       m_desk->release(account, wanted);
+                   asio::post(m_control, [released, done = std::move(done)]
+                              { done(released); });
+               });
+}
+
 void thread_link::post()
 {
     if (m_is_posted)
