--- a/libraries/domain/prepaid/grant_record.cpp
+++ b/libraries/domain/prepaid/grant_record.cpp
@@ -9,11 +9,16 @@
 {
 
 /// How long a router can go on without the store.
-constexpr double bridged_seconds = 12.0;
+constexpr double bridged_seconds = 10.0;
+constexpr double bridged_seconds_leaving = 3.0;
 /// The part of its fair share that a router gets whatever its rate.
-constexpr std::int64_t first_divisor = 3;
+constexpr std::int64_t least_divisor = 8;
+/// The part of its fair share that a router gets at most.
+constexpr std::int64_t most_divisor = 2;
 /// Below this part of the wanted stock a router asks for more.
-constexpr double low_mark = 0.85;
+constexpr double low_mark = 0.8;
+/// Above this multiple of the wanted stock a router gives some back.
+constexpr double high_mark = 1.6;
 
 } // namespace
 
@@ -35,22 +40,30 @@
 {
     const std::int64_t rest = std::max<std::int64_t>(
         0, demand.prepaid_tokens - demand.granted_in_all);
+    const std::int64_t free = std::max<std::int64_t>(0, demand.free);
     const std::int64_t routers = std::max<std::int64_t>(1, demand.routers);
-    const std::int64_t fair =
-        (rest + demand.peers_free + std::max<std::int64_t>(0, demand.free)) /
-        routers;
+    const std::int64_t fair = (rest + demand.peers_free + free) / routers;
+    const double seconds =
+        demand.is_leaving ? bridged_seconds_leaving : bridged_seconds;
     const std::int64_t bridging =
-        static_cast<std::int64_t>(demand.tokens_per_second * bridged_seconds);
+        static_cast<std::int64_t>(demand.tokens_per_second * seconds);
+    const std::int64_t least = demand.is_leaving ? 0 : fair / least_divisor;
     const std::int64_t wanted =
-        std::min(std::max(fair / first_divisor, bridging), fair);
-    std::int64_t grant = 0;
-    if (static_cast<double>(demand.free) <
-        low_mark * static_cast<double>(wanted))
+        std::min(std::max(least, bridging), fair / most_divisor);
+    if (demand.lacking > 0)
     {
-        grant = wanted - demand.free;
+        return std::min(rest, std::max(demand.lacking, wanted - free));
     }
-    grant = std::max(grant, demand.lacking);
-    return std::min(grant, rest);
+    const double stock = static_cast<double>(free);
+    if (stock < low_mark * static_cast<double>(wanted))
+    {
+        return std::min(rest, wanted - free);
+    }
+    if (stock > high_mark * static_cast<double>(wanted))
+    {
+        return wanted - free;
+    }
+    return 0;
 }
 
 } // namespace turmeric::domain
--- a/libraries/domain/prepaid/grant_record.hpp
+++ b/libraries/domain/prepaid/grant_record.hpp
@@ -45,13 +45,15 @@
     double tokens_per_second = 0;
     /// What waiting requests lack beyond `free`.
     std::int64_t lacking = 0;
+    /// A router that stops needs little more.
+    bool is_leaving = false;
 };
 
-/// Returns the tokens to ask for: enough to bridge an outage of the store at
-/// the present rate, but no more than a fair part of all that nobody has
-/// consumed or holds, so that near the end little is stranded at routers
-/// that do not need it. 0 when nothing is needed or nothing is left. Thread
-/// safe.
+/// Returns the tokens to ask for, or, below zero, those to give back: enough
+/// to bridge an outage of the store at the present rate, but no more than a
+/// part of a fair share of all that nobody has consumed, so that the loss of
+/// routers with all that they hold leaves the account something. 0 when
+/// nothing is to be changed. Thread safe.
 [[nodiscard]] std::int64_t size_grant(const grant_demand& demand);
 
 } // namespace turmeric::domain
--- a/libraries/drivers/exchange/traffic_desk.cpp
+++ b/libraries/drivers/exchange/traffic_desk.cpp
@@ -141,7 +141,7 @@
     m_retries.set_routers(std::max<std::int64_t>(1, m_fleet.routers));
     for (const auto& [account, known] : m_fleet.accounts)
     {
-        m_ledger.set_granted(account, known.own_granted - m_lent[account]);
+        m_ledger.set_granted(account, known.own_granted - m_released[account]);
         retry_holds(account);
     }
     serve_lines();
@@ -160,9 +160,9 @@
     seen.in_flight = static_cast<std::int64_t>(m_exchanges.size());
     for (const auto& [account, balance] : m_ledger.balances())
     {
-        const auto lent = m_lent.find(account);
+        const auto lent = m_released.find(account);
         const std::int64_t told =
-            balance.granted + (lent == m_lent.end() ? 0 : lent->second);
+            balance.granted + (lent == m_released.end() ? 0 : lent->second);
         seen.accounts[account] = {
             balance.used, balance.held, balance.free(), told, 0, 0};
     }
@@ -188,9 +188,9 @@
                                    std::int64_t wanted)
 {
     const domain::prepaid_balance balance = m_ledger.balance(account);
-    const std::int64_t spare = std::max<std::int64_t>(0, balance.free() / 2);
-    const std::int64_t released = std::clamp<std::int64_t>(wanted, 0, spare);
-    m_lent[account] += released;
+    const std::int64_t free = std::max<std::int64_t>(0, balance.free());
+    const std::int64_t released = std::clamp<std::int64_t>(wanted, 0, free);
+    m_released[account] += released;
     m_ledger.set_granted(account, balance.granted - released);
     return released;
 }
--- a/libraries/drivers/exchange/traffic_desk.hpp
+++ b/libraries/drivers/exchange/traffic_desk.hpp
@@ -76,9 +76,9 @@
     /// Calls `action` when a request lacks prepaid tokens.
     void on_need(std::function<void()> action);
 
-    /// Takes up to `wanted` tokens of an account for a peer, at most half of
-    /// those that nobody holds; they no longer count as granted here. Returns
-    /// how many.
+    /// Takes up to `wanted` tokens of an account that nobody holds, for a
+    /// peer or to give them back; they no longer count as granted here.
+    /// Returns how many.
     std::int64_t release(const std::string& account, std::int64_t wanted);
 
 private:
@@ -111,8 +111,8 @@
     fleet_view m_fleet;
     std::map<std::uint64_t, std::shared_ptr<exchange>> m_exchanges;
     std::map<std::string, std::vector<waiting_hold>> m_waiting_holds;
-    /// What was released to peers, by account.
-    std::map<std::string, std::int64_t> m_lent;
+    /// What was released, by account.
+    std::map<std::string, std::int64_t> m_released;
     std::function<void()> m_need;
     std::optional<ports::steady_time> m_refuse_from;
     std::uint64_t m_next_number = 1;
--- a/libraries/drivers/fleet/fleet_control.cpp
+++ b/libraries/drivers/fleet/fleet_control.cpp
@@ -38,7 +38,11 @@
               m_self.incarnation,
               [this](const std::string& account, std::int64_t wanted,
                      std::function<void(std::int64_t)> done)
-              { m_parts.traffic.release(account, wanted, std::move(done)); })
+              {
+                  m_parts.traffic.release(account,
+                                          std::min(wanted, m_free[account] / 2),
+                                          std::move(done));
+              })
 {
 }
 
@@ -103,7 +107,7 @@
     std::map<std::string, known_grants> known = m_tokens.known();
     for (const auto& [name, tokens] : m_loans.borrowed())
     {
-        known[name].own_granted += tokens;
+        known[name].ever_granted += tokens;
     }
     return known;
 }
@@ -121,8 +125,8 @@
         if (granted != known.end())
         {
             // A grant that the traffic thread has not heard of yet.
-            need.free += granted->second.own_granted - need.granted;
-            need.granted = granted->second.own_granted;
+            need.free += granted->second.ever_granted - need.granted;
+            need.granted = granted->second.ever_granted;
         }
         need.peers_free =
             peers == view.accounts.end() ? 0 : peers->second.peers_free;
@@ -132,12 +136,15 @@
 
 void fleet_control::review(const traffic_digest& seen)
 {
-    if (m_is_leaving)
+    const std::map<std::string, account_need> needs = current_needs(seen);
+    for (const auto& [account, need] : needs)
     {
-        return;
+        m_free[account] = need.free;
+    }
+    for (const auto& [account, tokens] : m_tokens.review(needs, m_is_leaving))
+    {
+        put_back(account, tokens, [] {});
     }
-    const std::map<std::string, account_need> needs = current_needs(seen);
-    m_tokens.review(needs);
     for (const auto& [account, need] : needs)
     {
         const std::int64_t lacking = need.lacking;
@@ -283,7 +290,7 @@
     for (const auto& [name, grants] : known_grants_now())
     {
         account_view& account = view.accounts[name];
-        account.own_granted = grants.own_granted;
+        account.own_granted = grants.ever_granted;
         account.granted_in_all = grants.granted_in_all;
     }
     m_parts.traffic.set_fleet(std::move(view));
@@ -296,11 +303,39 @@
     tick();
 }
 
+void fleet_control::put_back(const std::string& account, std::int64_t tokens,
+                             std::function<void()> then)
+{
+    m_parts.traffic.release(
+        account, tokens,
+        [this, account, then = std::move(then)](std::int64_t released)
+        {
+            m_tokens.put_back(account, released);
+            then();
+        });
+}
+
 void fleet_control::give_back(std::function<void()> done)
 {
     m_parts.traffic.ask(
         [this, done = std::move(done)](const traffic_digest& seen)
-        { m_tokens.give_back(seen.accounts, done); });
+        {
+            const std::shared_ptr<std::size_t> left =
+                std::make_shared<std::size_t>(seen.accounts.size() + 1);
+            const auto next = [this, left, done]
+            {
+                --*left;
+                if (*left == 0)
+                {
+                    m_tokens.give_back(done);
+                }
+            };
+            for (const auto& [account, need] : seen.accounts)
+            {
+                put_back(account, need.free, next);
+            }
+            next();
+        });
 }
 
 bool fleet_control::is_ready() const
--- a/libraries/drivers/fleet/fleet_control.hpp
+++ b/libraries/drivers/fleet/fleet_control.hpp
@@ -116,6 +116,9 @@
     void take_configuration(const std::string& text, const char* source);
     void ask_peers_for_configuration();
     void tell_traffic();
+    /// Takes tokens from the traffic thread, to give them back to the store.
+    void put_back(const std::string& account, std::int64_t tokens,
+                  std::function<void()> then);
     /// Asks the store, or peers, for the tokens that accounts need.
     void review(const traffic_digest& seen);
     /// Returns what accounts need, with what this thread knows by now.
@@ -137,6 +140,8 @@
     std::string m_configuration_text;
     std::unique_ptr<ports::timer> m_timer;
     std::int64_t m_sequence = 0;
+    /// What this router could hold of each account when it last looked.
+    std::map<std::string, std::int64_t> m_free;
     bool m_is_asking_peer = false;
     bool m_is_leaving = false;
 };
--- a/libraries/drivers/fleet/token_keeper.cpp
+++ b/libraries/drivers/fleet/token_keeper.cpp
@@ -28,7 +28,12 @@
     {
         ports::revision revision = 0;
         domain::grant_record record;
+        /// As the store has it.
         std::int64_t own_granted = 0;
+        /// What the store took back.
+        std::int64_t returned = 0;
+        /// What waits to be given back.
+        std::int64_t unreturned = 0;
         std::int64_t last_used = 0;
         std::optional<ports::steady_time> last_review;
         double tokens_per_second = 0;
@@ -51,9 +56,12 @@
 
     void read_all(std::function<void()> then);
     void take_record(const ports::key_value& entry);
+    static void set_own(account& known, std::int64_t granted);
     void note_use(account& known, const account_need& need);
+    [[nodiscard]] std::vector<planned_change> plan_returns() const;
     [[nodiscard]] std::vector<planned_change>
-    plan(const std::map<std::string, account_need>& needs);
+    plan(const std::map<std::string, account_need>& needs, bool is_leaving,
+         std::map<std::string, std::int64_t>& surplus);
     void commit(std::vector<planned_change> changes,
                 std::function<void()> then);
     void on_committed(const std::vector<planned_change>& changes,
@@ -90,10 +98,20 @@
     const auto own = known.record.granted_to.find(incarnation);
     if (own != known.record.granted_to.end())
     {
-        known.own_granted = own->second;
+        set_own(known, own->second);
     }
 }
 
+void token_keeper::state::set_own(account& known, std::int64_t granted)
+{
+    // Only what this router gave back lowers its own entry.
+    const std::int64_t taken =
+        std::max<std::int64_t>(0, known.own_granted - granted);
+    known.returned += taken;
+    known.unreturned = std::max<std::int64_t>(0, known.unreturned - taken);
+    known.own_granted = granted;
+}
+
 void token_keeper::state::read_all(std::function<void()> then)
 {
     is_busy = true;
@@ -136,9 +154,11 @@
 }
 
 std::vector<token_keeper::state::planned_change>
-token_keeper::state::plan(const std::map<std::string, account_need>& needs)
+token_keeper::state::plan(const std::map<std::string, account_need>& needs,
+                          bool is_leaving,
+                          std::map<std::string, std::int64_t>& surplus)
 {
-    std::vector<planned_change> changes;
+    std::vector<planned_change> changes = plan_returns();
     const bool is_ahead = prepaid.size() <= most_accounts_ahead;
     for (const auto& [name, total] : prepaid)
     {
@@ -147,7 +167,7 @@
             found == needs.end() ? account_need{} : found->second;
         account& known = accounts[name];
         note_use(known, need);
-        if (!is_ahead && found == needs.end())
+        if (known.unreturned > 0 || (!is_ahead && found == needs.end()))
         {
             continue;
         }
@@ -159,11 +179,30 @@
         demand.peers_free = need.peers_free;
         demand.tokens_per_second = known.tokens_per_second;
         demand.lacking = need.lacking;
+        demand.is_leaving = is_leaving;
         const std::int64_t tokens = domain::size_grant(demand);
         if (tokens > 0 && changes.size() < most_accounts_in_change)
         {
             changes.push_back({name, tokens});
         }
+        if (tokens < 0)
+        {
+            surplus[name] = -tokens;
+        }
+    }
+    return changes;
+}
+
+std::vector<token_keeper::state::planned_change>
+token_keeper::state::plan_returns() const
+{
+    std::vector<planned_change> changes;
+    for (const auto& [name, known] : accounts)
+    {
+        if (known.unreturned > 0 && changes.size() < most_accounts_in_change)
+        {
+            changes.push_back({name, -known.unreturned});
+        }
     }
     return changes;
 }
@@ -226,7 +265,7 @@
         known.record =
             domain::change_grant(std::move(known.record), incarnation,
                                  known.own_granted, planned.tokens, members);
-        known.own_granted += planned.tokens;
+        set_own(known, known.own_granted + planned.tokens);
         known.revision = made;
         log.write(log_level::info, log_event::grant_changed,
                   {{"account", planned.name},
@@ -274,39 +313,41 @@
     m_state->members = std::move(members);
 }
 
-void token_keeper::review(const std::map<std::string, account_need>& needs)
+std::map<std::string, std::int64_t>
+token_keeper::review(const std::map<std::string, account_need>& needs,
+                     bool is_leaving)
 {
+    std::map<std::string, std::int64_t> surplus;
     state& self = *m_state;
     const ports::steady_time now = self.clock.steady_now();
     if (self.is_busy || self.prepaid.empty() ||
         (self.paused_until && now < *self.paused_until))
     {
-        return;
+        return surplus;
     }
     if (self.is_stale)
     {
         self.read_all([] {});
-        return;
+        return surplus;
     }
-    std::vector<state::planned_change> changes = self.plan(needs);
+    std::vector<state::planned_change> changes =
+        self.plan(needs, is_leaving, surplus);
     if (!changes.empty())
     {
         self.commit(std::move(changes), [] {});
     }
+    return surplus;
+}
+
+void token_keeper::put_back(const std::string& account, std::int64_t tokens)
+{
+    m_state->accounts[account].unreturned += tokens;
 }
 
-void token_keeper::give_back(const std::map<std::string, account_need>& needs,
-                             std::function<void()> done)
+void token_keeper::give_back(std::function<void()> done)
 {
     state& self = *m_state;
-    std::vector<state::planned_change> changes;
-    for (const auto& [name, need] : needs)
-    {
-        if (need.free > 0 && changes.size() < most_accounts_in_change)
-        {
-            changes.push_back({name, -need.free});
-        }
-    }
+    std::vector<state::planned_change> changes = self.plan_returns();
     if (self.is_busy || self.is_stale || changes.empty())
     {
         done();
@@ -334,7 +375,8 @@
     std::map<std::string, known_grants> all;
     for (const auto& [name, account] : m_state->accounts)
     {
-        all[name] = {account.own_granted, account.record.granted_in_all};
+        all[name] = {account.own_granted + account.returned,
+                     account.record.granted_in_all};
     }
     return all;
 }
--- a/libraries/drivers/fleet/token_keeper.hpp
+++ b/libraries/drivers/fleet/token_keeper.hpp
@@ -22,7 +22,8 @@
 /// What is known of one account's grants.
 struct known_grants
 {
-    std::int64_t own_granted = 0;
+    /// All that this router was ever granted, also what it gave back.
+    std::int64_t ever_granted = 0;
     std::int64_t granted_in_all = 0;
 };
 
@@ -50,13 +51,18 @@
     void set_members(std::set<std::string> members);
 
     /// Looks at what the accounts need and asks the store where more is
-    /// wanted. No call is made while one is under way.
-    void review(const std::map<std::string, account_need>& needs);
+    /// wanted. No call is made while one is under way. Returns the accounts
+    /// that have more than they need, and how much.
+    std::map<std::string, std::int64_t>
+    review(const std::map<std::string, account_need>& needs, bool is_leaving);
 
-    /// Gives back what nobody holds, as the router stops; `done` is called
-    /// once, also when it failed. Precondition: nothing of it is held later.
-    void give_back(const std::map<std::string, account_need>& needs,
-                   std::function<void()> done);
+    /// Takes tokens that this router no longer counts as its own, to give
+    /// them back to the store with the next review.
+    void put_back(const std::string& account, std::int64_t tokens);
+
+    /// Gives back now what was put back; `done` is called once, also when it
+    /// failed.
+    void give_back(std::function<void()> done);
 
     /// Tells whether the store has so many tokens left of an account and
     /// answers.
