--- a/libraries/domain/prepaid/grant_record.cpp
+++ b/libraries/domain/prepaid/grant_record.cpp
@@ -1,6 +1,7 @@
 #include "libraries/domain/prepaid/grant_record.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace turmeric::domain
 {
@@ -11,6 +12,8 @@
 /// How long a router can go on without the store.
 constexpr double bridged_seconds = 10.0;
 constexpr double bridged_seconds_leaving = 3.0;
+/// How many standard deviations of the consumption are covered.
+constexpr double scatter_multiple = 1.5;
 /// The part of its fair share that a router gets whatever its rate.
 constexpr std::int64_t least_divisor = 8;
 /// The part of its fair share that a router gets at most.
@@ -45,8 +48,12 @@
     const std::int64_t fair = (rest + demand.peers_free + free) / routers;
     const double seconds =
         demand.is_leaving ? bridged_seconds_leaving : bridged_seconds;
-    const std::int64_t bridging =
-        static_cast<std::int64_t>(demand.tokens_per_second * seconds);
+    const double mean = demand.tokens_per_second * seconds;
+    // What so many requests consume scatters as the root of their number.
+    const double scatter =
+        scatter_multiple *
+        std::sqrt(mean * static_cast<double>(demand.typical_hold));
+    const std::int64_t bridging = static_cast<std::int64_t>(mean + scatter);
     const std::int64_t least = demand.is_leaving ? 0 : fair / least_divisor;
     const std::int64_t wanted =
         std::min(std::max(least, bridging), fair / most_divisor);
--- a/libraries/domain/prepaid/grant_record.hpp
+++ b/libraries/domain/prepaid/grant_record.hpp
@@ -43,6 +43,8 @@
     std::int64_t peers_free = 0;
     /// Tokens a second that this router consumes of late.
     double tokens_per_second = 0;
+    /// What one request holds, about.
+    std::int64_t typical_hold = 0;
     /// What waiting requests lack beyond `free`.
     std::int64_t lacking = 0;
     /// A router that stops needs little more.
--- a/libraries/domain/prepaid/prepaid_ledger.cpp
+++ b/libraries/domain/prepaid/prepaid_ledger.cpp
@@ -20,6 +20,8 @@
         return false;
     }
     balance.held += tokens;
+    constexpr std::int64_t smoothing_divisor = 8;
+    balance.typical_hold += (tokens - balance.typical_hold) / smoothing_divisor;
     return true;
 }
 
--- a/libraries/domain/prepaid/prepaid_ledger.hpp
+++ b/libraries/domain/prepaid/prepaid_ledger.hpp
@@ -19,6 +19,8 @@
     std::int64_t used = 0;
     /// Tokens that requests in flight may still consume.
     std::int64_t held = 0;
+    /// A running mean of what single requests held.
+    std::int64_t typical_hold = 0;
 
     /// Returns what can be held. Thread safe.
     [[nodiscard]] std::int64_t free() const
--- a/libraries/drivers/exchange/fleet_view.hpp
+++ b/libraries/drivers/exchange/fleet_view.hpp
@@ -37,6 +37,8 @@
     std::int64_t used = 0;
     std::int64_t held = 0;
     std::int64_t free = 0;
+    /// What one request holds, about.
+    std::int64_t typical_hold = 0;
     /// What the control thread last told of as granted.
     std::int64_t granted = 0;
     /// What waiting requests lack beyond `free`.
--- a/libraries/drivers/exchange/traffic_desk.cpp
+++ b/libraries/drivers/exchange/traffic_desk.cpp
@@ -160,11 +160,14 @@
     seen.in_flight = static_cast<std::int64_t>(m_exchanges.size());
     for (const auto& [account, balance] : m_ledger.balances())
     {
-        const auto lent = m_released.find(account);
-        const std::int64_t told =
-            balance.granted + (lent == m_released.end() ? 0 : lent->second);
-        seen.accounts[account] = {
-            balance.used, balance.held, balance.free(), told, 0, 0};
+        const auto released = m_released.find(account);
+        account_need& need = seen.accounts[account];
+        need.used = balance.used;
+        need.held = balance.held;
+        need.free = balance.free();
+        need.typical_hold = balance.typical_hold;
+        need.granted = balance.granted;
+        need.granted += released == m_released.end() ? 0 : released->second;
     }
     for (const auto& [account, waiting] : m_waiting_holds)
     {
--- a/libraries/drivers/fleet/token_keeper.cpp
+++ b/libraries/drivers/fleet/token_keeper.cpp
@@ -19,6 +19,8 @@
 constexpr double rate_smoothing = 0.15;
 /// How long to wait after a failed call.
 constexpr std::chrono::milliseconds failure_pause{300};
+/// Changes that no request waits for are gathered for so long.
+constexpr std::chrono::milliseconds change_interval{1'000};
 
 } // namespace
 
@@ -80,6 +82,7 @@
     bool is_stale = true;
     bool is_busy = false;
     std::optional<ports::steady_time> paused_until;
+    std::optional<ports::steady_time> changed_at;
 };
 
 void token_keeper::state::take_record(const ports::key_value& entry)
@@ -178,6 +181,7 @@
         demand.free = need.free;
         demand.peers_free = need.peers_free;
         demand.tokens_per_second = known.tokens_per_second;
+        demand.typical_hold = need.typical_hold;
         demand.lacking = need.lacking;
         demand.is_leaving = is_leaving;
         const std::int64_t tokens = domain::size_grant(demand);
@@ -332,8 +336,18 @@
     }
     std::vector<state::planned_change> changes =
         self.plan(needs, is_leaving, surplus);
+    const bool is_urgent =
+        is_leaving ||
+        std::any_of(needs.begin(), needs.end(),
+                    [](const auto& entry) { return entry.second.lacking > 0; });
+    if (!is_urgent && self.changed_at &&
+        now - *self.changed_at < change_interval)
+    {
+        return {};
+    }
     if (!changes.empty())
     {
+        self.changed_at = now;
         self.commit(std::move(changes), [] {});
     }
     return surplus;
