Budget: Share what is left by the routers' rates, measured evenly

Cause: an account that comes through one VM only got a sixth of what it needs; the running mean was taken at uneven intervals and overshot by 3.5 times.

--- a/libraries/codecs/fleet/digest_codec.cpp
+++ b/libraries/codecs/fleet/digest_codec.cpp
@@ -11,7 +11,7 @@
 {
 
 /// The version of the form; a router of another one is not understood.
-constexpr std::int64_t form = 1;
+constexpr std::int64_t form = 4;
 
 error not_understood(const char* what)
 {
@@ -43,7 +43,8 @@
     json accounts = json::object();
     for (const auto& [name, account] : digest.accounts)
     {
-        accounts[name] = {account.used, account.held, account.free};
+        accounts[name] = {account.used, account.held, account.free,
+                          account.rate};
     }
     const json whole = {form,
                         digest.incarnation,
@@ -91,7 +92,8 @@
         peer_account account;
         if (!read_number(row, 0, account.used) ||
             !read_number(row, 1, account.held) ||
-            !read_number(row, 2, account.free))
+            !read_number(row, 2, account.free) ||
+            !read_number(row, 3, account.rate))
         {
             return not_understood("accounts");
         }
--- a/libraries/codecs/fleet/digest_codec.hpp
+++ b/libraries/codecs/fleet/digest_codec.hpp
@@ -17,6 +17,8 @@
     std::int64_t used = 0;
     std::int64_t held = 0;
     std::int64_t free = 0;
+    /// Consumed in a second, of late.
+    std::int64_t rate = 0;
 };
 
 /// What one router tells its peers several times a second.
--- a/libraries/codecs/fleet/grant_record_codec.cpp
+++ b/libraries/codecs/fleet/prepaid_record_codec.cpp
@@ -1,11 +1,11 @@
-#include "libraries/codecs/fleet/grant_record_codec.hpp"
+#include "libraries/codecs/fleet/prepaid_record_codec.hpp"
 
 #include "libraries/codecs/common/json_reader.hpp"
 
 namespace turmeric::codecs
 {
 
-std::string write_grant_record(const domain::grant_record& record)
+std::string write_prepaid_record(const domain::prepaid_record& record)
 {
     json whole = {{"granted_in_all", record.granted_in_all},
                   {"granted_to", json::object()}};
@@ -16,10 +16,10 @@
     return whole.dump();
 }
 
-result<domain::grant_record> read_grant_record(std::string_view text)
+result<domain::prepaid_record> read_prepaid_record(std::string_view text)
 {
     const result<json> parsed =
-        parse_json(text, result_code::corrupt_value, "grant record");
+        parse_json(text, result_code::corrupt_value, "prepaid record");
     if (!parsed)
     {
         return parsed.failure();
@@ -32,9 +32,9 @@
         !rows->is_object())
     {
         return error{result_code::corrupt_value, "granted_in_all",
-                     "the grant record lacks a field"};
+                     "the prepaid record lacks a field"};
     }
-    domain::grant_record record;
+    domain::prepaid_record record;
     record.granted_in_all = total->get<std::int64_t>();
     for (const auto& [incarnation, granted] : rows->items())
     {
--- a/libraries/domain/placement/upstream_board.cpp
+++ b/libraries/domain/placement/upstream_board.cpp
@@ -60,9 +60,9 @@
     for (const auto& [id, record] : m_upstreams)
     {
         const auto stays = next.find(id);
-        const bool was_ready = record.entry.state == upstream_state::ready;
+        const bool was_ready = record.entry.state == upstream_state::serving;
         if (stays == next.end() ||
-            (was_ready && stays->second.entry.state != upstream_state::ready))
+            (was_ready && stays->second.entry.state != upstream_state::serving))
         {
             gone.push_back(record.entry);
         }
@@ -99,7 +99,7 @@
     for (const auto& [id, record] : m_upstreams)
     {
         if (record.entry.service != service ||
-            record.entry.state != upstream_state::ready)
+            record.entry.state != upstream_state::serving)
         {
             continue;
         }
@@ -191,7 +191,7 @@
         const bool is_ejected =
             record.ejected_until && now < *record.ejected_until;
         if (record.entry.service != request.service ||
-            record.entry.state != upstream_state::ready ||
+            record.entry.state != upstream_state::serving ||
             request.tried.count(id) != 0 || is_ejected != is_with_ejected ||
             !has_room(record, service))
         {
@@ -243,7 +243,7 @@
     for (const auto& [id, record] : m_upstreams)
     {
         if (record.entry.service != request.service ||
-            record.entry.state != upstream_state::ready)
+            record.entry.state != upstream_state::serving)
         {
             continue;
         }
@@ -358,7 +358,7 @@
 {
     const auto found = m_upstreams.find(id);
     return found != m_upstreams.end() &&
-           found->second.entry.state == upstream_state::ready;
+           found->second.entry.state == upstream_state::serving;
 }
 
 } // namespace turmeric::domain
--- a/libraries/domain/placement/upstream_entry.hpp
+++ b/libraries/domain/placement/upstream_entry.hpp
@@ -1,32 +1,13 @@
 #pragma once
 
+#include "libraries/domain/configuration/declarations.hpp"
+
 #include <cstdint>
 #include <string>
-#include <string_view>
 
 namespace turmeric::domain
 {
 
-/// Whether an upstream takes new requests.
-enum class upstream_state : std::uint8_t
-{
-    ready,
-    draining,
-};
-
-/// Returns the state's name. Thread safe.
-[[nodiscard]] constexpr std::string_view name_of(upstream_state value)
-{
-    switch (value)
-    {
-    case upstream_state::ready:
-        return "ready";
-    case upstream_state::draining:
-        return "draining";
-    }
-    return "unknown";
-}
-
 /// What an upstream says of itself.
 struct upstream_entry
 {
@@ -41,7 +22,7 @@
     /// The version of its software.
     std::string version;
     std::int32_t slots = 1;
-    upstream_state state = upstream_state::ready;
+    upstream_state state = upstream_state::serving;
 
     bool operator==(const upstream_entry&) const = default;
 };
--- a/libraries/domain/prepaid/grant_record.cpp
+++ b/libraries/domain/prepaid/prepaid_record.cpp
@@ -1,4 +1,4 @@
-#include "libraries/domain/prepaid/grant_record.hpp"
+#include "libraries/domain/prepaid/prepaid_record.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -16,8 +16,8 @@
 constexpr double scatter_multiple = 1.5;
 /// The part of its fair share that a router gets whatever its rate.
 constexpr std::int64_t least_divisor = 8;
-/// The part of its fair share that a router gets at most.
-constexpr std::int64_t most_divisor = 2;
+/// The part of all that is left that routers hold together at most.
+constexpr double most_part = 0.6;
 /// Below this part of the wanted stock a router asks for more.
 constexpr double low_mark = 0.8;
 /// Above this multiple of the wanted stock a router gives some back.
@@ -25,9 +25,10 @@
 
 } // namespace
 
-grant_record change_grant(grant_record record, const std::string& incarnation,
-                          std::int64_t own_granted, std::int64_t tokens,
-                          const std::set<std::string>& members)
+prepaid_record change_grant(prepaid_record record,
+                            const std::string& incarnation,
+                            std::int64_t own_granted, std::int64_t tokens,
+                            const std::set<std::string>& members)
 {
     record.granted_in_all += tokens;
     record.granted_to[incarnation] = own_granted + tokens;
@@ -45,7 +46,14 @@
         0, demand.prepaid_tokens - demand.granted_in_all);
     const std::int64_t free = std::max<std::int64_t>(0, demand.free);
     const std::int64_t routers = std::max<std::int64_t>(1, demand.routers);
-    const std::int64_t fair = (rest + demand.peers_free + free) / routers;
+    const std::int64_t pool = rest + demand.peers_free + free;
+    const std::int64_t fair = pool / routers;
+    const double all_rates =
+        demand.tokens_per_second + demand.peers_tokens_per_second;
+    const double share = all_rates < 1.0 ? 1.0 / static_cast<double>(routers)
+                                         : demand.tokens_per_second / all_rates;
+    const std::int64_t most = static_cast<std::int64_t>(
+        most_part * share * static_cast<double>(pool));
     const double seconds =
         demand.is_leaving ? bridged_seconds_leaving : bridged_seconds;
     const double mean = demand.tokens_per_second * seconds;
@@ -55,8 +63,7 @@
         std::sqrt(mean * static_cast<double>(demand.typical_hold));
     const std::int64_t bridging = static_cast<std::int64_t>(mean + scatter);
     const std::int64_t least = demand.is_leaving ? 0 : fair / least_divisor;
-    const std::int64_t wanted =
-        std::min(std::max(least, bridging), fair / most_divisor);
+    const std::int64_t wanted = std::max(least, std::min(bridging, most));
     if (demand.lacking > 0)
     {
         return std::min(rest, std::max(demand.lacking, wanted - free));
--- a/libraries/domain/prepaid/grant_record.hpp
+++ b/libraries/domain/prepaid/prepaid_record.hpp
@@ -11,7 +11,7 @@
 /// What the store keeps of one account: all that was ever granted counts as
 /// spent, so the sum stays within the prepaid total whatever becomes of the
 /// routers.
-struct grant_record
+struct prepaid_record
 {
     /// Tokens granted to all routers in all, less those given back.
     std::int64_t granted_in_all = 0;
@@ -24,11 +24,11 @@
 /// negative. `own_granted` is what the incarnation knows that it has.
 /// Entries of incarnations that are not in `members` are dropped; what they
 /// had stays in the sum. Thread safe.
-[[nodiscard]] grant_record change_grant(grant_record record,
-                                        const std::string& incarnation,
-                                        std::int64_t own_granted,
-                                        std::int64_t tokens,
-                                        const std::set<std::string>& members);
+[[nodiscard]] prepaid_record change_grant(prepaid_record record,
+                                          const std::string& incarnation,
+                                          std::int64_t own_granted,
+                                          std::int64_t tokens,
+                                          const std::set<std::string>& members);
 
 /// What decides how much a router asks for.
 struct grant_demand
@@ -43,6 +43,8 @@
     std::int64_t peers_free = 0;
     /// Tokens a second that this router consumes of late.
     double tokens_per_second = 0;
+    /// The same of all other routers together.
+    double peers_tokens_per_second = 0;
     /// What one request holds, about.
     std::int64_t typical_hold = 0;
     /// What waiting requests lack beyond `free`.
@@ -53,9 +55,9 @@
 
 /// Returns the tokens to ask for, or, below zero, those to give back: enough
 /// to bridge an outage of the store at the present rate, but no more than a
-/// part of a fair share of all that nobody has consumed, so that the loss of
-/// routers with all that they hold leaves the account something. 0 when
-/// nothing is to be changed. Thread safe.
+/// part of what nobody has consumed, shared by the routers' rates, so that
+/// the loss of routers with all that they hold leaves the account something.
+/// 0 when nothing is to be changed. Thread safe.
 [[nodiscard]] std::int64_t size_grant(const grant_demand& demand);
 
 } // namespace turmeric::domain
--- a/libraries/drivers/exchange/exchange_send.cpp
+++ b/libraries/drivers/exchange/exchange_send.cpp
@@ -26,7 +26,7 @@
     m_may_have_run_before = m_may_have_run;
     m_may_have_run = true;
 
-    upstream_order order;
+    upstream_terms order;
     order.upstream_id = chosen.upstream.id;
     order.account =
         m_subject.account == nullptr ? std::string() : m_subject.account->name;
--- a/libraries/drivers/exchange/fleet_view.hpp
+++ b/libraries/drivers/exchange/fleet_view.hpp
@@ -20,6 +20,8 @@
     std::int64_t peers_spent = 0;
     /// What peers can still hold.
     std::int64_t peers_free = 0;
+    /// What peers consume in a second, of late.
+    std::int64_t peers_rate = 0;
 };
 
 /// What the control thread tells the traffic thread of the other routers.
@@ -43,8 +45,10 @@
     std::int64_t granted = 0;
     /// What waiting requests lack beyond `free`.
     std::int64_t lacking = 0;
-    /// What peers can still hold; filled in by the control thread.
+    /// What peers can still hold, and what they consume in a second; filled
+    /// in by the control thread.
     std::int64_t peers_free = 0;
+    std::int64_t peers_rate = 0;
 };
 
 /// What the traffic thread tells the control thread.
--- a/libraries/drivers/exchange/traffic_dialect.hpp
+++ b/libraries/drivers/exchange/traffic_dialect.hpp
@@ -14,7 +14,7 @@
 {
 
 /// What a request to an upstream says beside what its caller sent.
-struct upstream_order
+struct upstream_terms
 {
     /// The upstream that is meant.
     std::string upstream_id;
@@ -55,7 +55,7 @@
     /// Writes the request for an upstream, head and body.
     [[nodiscard]] virtual std::string
     write_request(const ports::arrived_request& request,
-                  const upstream_order& order) const = 0;
+                  const upstream_terms& order) const = 0;
 
     /// Returns the name of the field by which answers name their request.
     [[nodiscard]] virtual std::string echo_name() const = 0;
--- a/libraries/drivers/fleet/fleet_control.cpp
+++ b/libraries/drivers/fleet/fleet_control.cpp
@@ -83,9 +83,14 @@
         m_routes == nullptr ? 0 : m_routes->version();
     digest.is_leaving = m_is_leaving;
     digest.load = seen.load;
+    const std::map<std::string, known_grants> known = m_tokens.known();
     for (const auto& [name, need] : seen.accounts)
     {
-        digest.accounts[name] = {need.used, need.held, need.free};
+        const auto grants = known.find(name);
+        const double rate =
+            grants == known.end() ? 0 : grants->second.tokens_per_second;
+        digest.accounts[name] = {need.used, need.held, need.free,
+                                 static_cast<std::int64_t>(rate)};
     }
     const std::string bytes = codecs::write_digest(digest);
     for (const std::string& address : m_peers.peer_addresses())
@@ -128,8 +133,11 @@
             need.free += granted->second.ever_granted - need.granted;
             need.granted = granted->second.ever_granted;
         }
-        need.peers_free =
-            peers == view.accounts.end() ? 0 : peers->second.peers_free;
+        if (peers != view.accounts.end())
+        {
+            need.peers_free = peers->second.peers_free;
+            need.peers_rate = peers->second.peers_rate;
+        }
     }
     return needs;
 }
@@ -261,7 +269,7 @@
                                {"revision", item.modified}});
             continue;
         }
-        ready += entry.value().state == domain::upstream_state::ready ? 1 : 0;
+        ready += entry.value().state == domain::upstream_state::serving ? 1 : 0;
         entries.push_back(std::move(entry.value()));
     }
     m_parts.log.write(log_level::info, log_event::upstreams_changed,
--- a/libraries/drivers/fleet/peer_table.cpp
+++ b/libraries/drivers/fleet/peer_table.cpp
@@ -114,6 +114,7 @@
             // What a dead router held was mostly not consumed.
             sum.peers_spent += account.used + (is_recent ? account.held : 0);
             sum.peers_free += is_recent ? account.free : 0;
+            sum.peers_rate += is_recent ? account.rate : 0;
         }
     }
     return seen;
--- a/libraries/drivers/fleet/token_keeper.cpp
+++ b/libraries/drivers/fleet/token_keeper.cpp
@@ -1,6 +1,7 @@
 #include "libraries/drivers/fleet/token_keeper.hpp"
 
-#include "libraries/codecs/fleet/grant_record_codec.hpp"
+#include "libraries/codecs/fleet/prepaid_record_codec.hpp"
+#include "libraries/domain/budget/spend_rate.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -16,7 +17,7 @@
 constexpr std::size_t most_accounts_in_change = 15;
 /// With more accounts, grants are asked for when a request comes.
 constexpr std::size_t most_accounts_ahead = 64;
-constexpr double rate_smoothing = 0.15;
+constexpr std::chrono::seconds rate_window{6};
 /// How long to wait after a failed call.
 constexpr std::chrono::milliseconds failure_pause{300};
 /// Changes that no request waits for are gathered for so long.
@@ -29,7 +30,7 @@
     struct account
     {
         ports::revision revision = 0;
-        domain::grant_record record;
+        domain::prepaid_record record;
         /// As the store has it.
         std::int64_t own_granted = 0;
         /// What the store took back.
@@ -37,8 +38,7 @@
         /// What waits to be given back.
         std::int64_t unreturned = 0;
         std::int64_t last_used = 0;
-        std::optional<ports::steady_time> last_review;
-        double tokens_per_second = 0;
+        domain::spend_rate rate{rate_window};
     };
 
     struct planned_change
@@ -60,6 +60,8 @@
     void take_record(const ports::key_value& entry);
     static void set_own(account& known, std::int64_t granted);
     void note_use(account& known, const account_need& need);
+    /// Returns the tokens that this router consumes in a second.
+    [[nodiscard]] double rate_of(const account& known) const;
     [[nodiscard]] std::vector<planned_change> plan_returns() const;
     [[nodiscard]] std::vector<planned_change>
     plan(const std::map<std::string, account_need>& needs, bool is_leaving,
@@ -87,7 +89,8 @@
 
 void token_keeper::state::take_record(const ports::key_value& entry)
 {
-    result<domain::grant_record> read = codecs::read_grant_record(entry.value);
+    result<domain::prepaid_record> read =
+        codecs::read_prepaid_record(entry.value);
     const std::string name = entry.key.substr(key_prefix.size());
     if (!read)
     {
@@ -142,20 +145,17 @@
 
 void token_keeper::state::note_use(account& known, const account_need& need)
 {
-    const ports::steady_time now = clock.steady_now();
-    if (known.last_review && now > *known.last_review)
-    {
-        const double seconds =
-            std::chrono::duration<double>(now - *known.last_review).count();
-        const double rate =
-            static_cast<double>(need.used - known.last_used) / seconds;
-        known.tokens_per_second +=
-            rate_smoothing * (rate - known.tokens_per_second);
-    }
-    known.last_review = now;
+    known.rate.add(need.used - known.last_used, clock.steady_now());
     known.last_used = need.used;
 }
 
+double token_keeper::state::rate_of(const account& known) const
+{
+    constexpr double seconds_per_minute = 60.0;
+    return static_cast<double>(known.rate.per_minute(clock.steady_now())) /
+           seconds_per_minute;
+}
+
 std::vector<token_keeper::state::planned_change>
 token_keeper::state::plan(const std::map<std::string, account_need>& needs,
                           bool is_leaving,
@@ -180,7 +180,8 @@
         demand.routers = static_cast<std::int64_t>(members.size());
         demand.free = need.free;
         demand.peers_free = need.peers_free;
-        demand.tokens_per_second = known.tokens_per_second;
+        demand.peers_tokens_per_second = static_cast<double>(need.peers_rate);
+        demand.tokens_per_second = rate_of(known);
         demand.typical_hold = need.typical_hold;
         demand.lacking = need.lacking;
         demand.is_leaving = is_leaving;
@@ -219,11 +220,11 @@
     {
         const account& known = accounts[planned.name];
         const std::string key = std::string(key_prefix) + planned.name;
-        const domain::grant_record next =
+        const domain::prepaid_record next =
             domain::change_grant(known.record, incarnation, known.own_granted,
                                  planned.tokens, members);
         change.conditions.push_back({key, known.revision});
-        change.writes.push_back({key, codecs::write_grant_record(next), 0});
+        change.writes.push_back({key, codecs::write_prepaid_record(next), 0});
     }
     is_busy = true;
     const std::shared_ptr<state> self = shared_from_this();
@@ -390,7 +391,7 @@
     for (const auto& [name, account] : m_state->accounts)
     {
         all[name] = {account.own_granted + account.returned,
-                     account.record.granted_in_all};
+                     account.record.granted_in_all, m_state->rate_of(account)};
     }
     return all;
 }
--- a/libraries/drivers/fleet/token_keeper.hpp
+++ b/libraries/drivers/fleet/token_keeper.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "libraries/core/logger.hpp"
-#include "libraries/domain/prepaid/grant_record.hpp"
+#include "libraries/domain/prepaid/prepaid_record.hpp"
 #include "libraries/drivers/exchange/fleet_view.hpp"
 #include "libraries/ports/asynchronous_store.hpp"
 #include "libraries/ports/clock.hpp"
@@ -25,6 +25,8 @@
     /// All that this router was ever granted, also what it gave back.
     std::int64_t ever_granted = 0;
     std::int64_t granted_in_all = 0;
+    /// What this router consumes in a second, of late.
+    double tokens_per_second = 0;
 };
 
 /// Gets prepaid tokens from the store for one router. All that the store has
