--- a/libraries/drivers/fleet/token_keeper.cpp
+++ b/libraries/drivers/fleet/token_keeper.cpp
@@ -66,8 +66,9 @@
     [[nodiscard]] std::vector<planned_change>
     plan(const std::map<std::string, account_need>& needs, bool is_leaving,
          std::map<std::string, std::int64_t>& surplus);
-    void commit(std::vector<planned_change> changes,
-                std::function<void()> then);
+    void commit(std::vector<planned_change> changes);
+    /// Gives back until nothing is left to give back.
+    void give_back_all();
     void on_committed(const std::vector<planned_change>& changes,
                       result<ports::change_outcome> got);
     void tell();
@@ -85,6 +86,8 @@
     bool is_busy = false;
     std::optional<ports::steady_time> paused_until;
     std::optional<ports::steady_time> changed_at;
+    /// Set while all that is left is given back.
+    std::function<void()> given_back;
 };
 
 void token_keeper::state::take_record(const ports::key_value& entry)
@@ -128,9 +131,9 @@
                    self->is_busy = false;
                    if (!got)
                    {
+                       // A later review reads again.
                        self->paused_until =
                            self->clock.steady_now() + failure_pause;
-                       then();
                        return;
                    }
                    for (const ports::key_value& entry : got.value().entries)
@@ -212,8 +215,7 @@
     return changes;
 }
 
-void token_keeper::state::commit(std::vector<planned_change> changes,
-                                 std::function<void()> then)
+void token_keeper::state::commit(std::vector<planned_change> changes)
 {
     ports::store_change change;
     for (const planned_change& planned : changes)
@@ -228,14 +230,17 @@
     }
     is_busy = true;
     const std::shared_ptr<state> self = shared_from_this();
-    store.commit(change,
-                 [self, changes = std::move(changes),
-                  then = std::move(then)](result<ports::change_outcome> got)
-                 {
-                     self->is_busy = false;
-                     self->on_committed(changes, std::move(got));
-                     then();
-                 });
+    store.commit(
+        change,
+        [self, changes = std::move(changes)](result<ports::change_outcome> got)
+        {
+            self->is_busy = false;
+            self->on_committed(changes, std::move(got));
+            if (self->given_back)
+            {
+                self->give_back_all();
+            }
+        });
 }
 
 void token_keeper::state::on_committed(
@@ -349,7 +354,7 @@
     if (!changes.empty())
     {
         self.changed_at = now;
-        self.commit(std::move(changes), [] {});
+        self.commit(std::move(changes));
     }
     return surplus;
 }
@@ -359,16 +364,35 @@
     m_state->accounts[account].unreturned += tokens;
 }
 
-void token_keeper::give_back(std::function<void()> done)
+void token_keeper::state::give_back_all()
 {
-    state& self = *m_state;
-    std::vector<state::planned_change> changes = self.plan_returns();
-    if (self.is_busy || self.is_stale || changes.empty())
+    if (is_busy)
+    {
+        // What is under way calls again when it ends.
+        return;
+    }
+    if (is_stale)
+    {
+        const std::shared_ptr<state> self = shared_from_this();
+        read_all([self] { self->give_back_all(); });
+        return;
+    }
+    std::vector<planned_change> changes = plan_returns();
+    if (changes.empty())
     {
-        done();
+        if (const auto done = std::exchange(given_back, nullptr))
+        {
+            done();
+        }
         return;
     }
-    self.commit(std::move(changes), std::move(done));
+    commit(std::move(changes));
+}
+
+void token_keeper::give_back(std::function<void()> done)
+{
+    m_state->given_back = std::move(done);
+    m_state->give_back_all();
 }
 
 bool token_keeper::can_grant(const std::string& account,
--- a/libraries/drivers/fleet/token_keeper.hpp
+++ b/libraries/drivers/fleet/token_keeper.hpp
@@ -62,8 +62,8 @@
     /// them back to the store with the next review.
     void put_back(const std::string& account, std::int64_t tokens);
 
-    /// Gives back now what was put back; `done` is called once, also when it
-    /// failed.
+    /// Gives back now what was put back, and calls `done` once nothing is
+    /// left of it; not at all while the store cannot be reached.
     void give_back(std::function<void()> done);
 
     /// Tells whether the store has so many tokens left of an account and
--- a/services/entry/entry_process.cpp
+++ b/services/entry/entry_process.cpp
@@ -22,7 +22,7 @@
 constexpr std::chrono::milliseconds stop_poll_interval{50};
 /// What is left of the stop time for giving back tokens and the last lines.
 constexpr std::chrono::milliseconds stop_reserve{400};
-constexpr std::chrono::milliseconds give_back_timeout{300};
+constexpr std::chrono::milliseconds give_back_timeout{350};
 constexpr std::chrono::milliseconds peer_timeout{1'000};
 constexpr std::size_t most_configuration_bytes = 8 << 20;
 constexpr std::size_t most_internal_connections = 200;
