Traffic: Let requests that wait for tokens keep their turn and ask once

Each grant made every waiting request fail, wait and ask again, which brought the next review: the loop took the whole processor share.

--- a/libraries/drivers/exchange/exchange.hpp
+++ b/libraries/drivers/exchange/exchange.hpp
@@ -75,8 +75,8 @@
 
     void on_caller_left() override;
 
-    /// Tries to hold tokens again after a grant.
-    void retry_hold();
+    /// Tries to hold tokens again after a grant; false when it still waits.
+    bool retry_hold();
 
     /// Tries to find a place; false when there is still none.
     bool try_place();
--- a/libraries/drivers/exchange/exchange_answer.cpp
+++ b/libraries/drivers/exchange/exchange_answer.cpp
@@ -159,6 +159,13 @@
     metrics.answers.with({m_subject.route->name, outcome}).add();
     metrics.whole_answer.with({m_subject.route->name})
         .record(since_arrival(now));
+    if (last_phase == exchange_phase::waiting_for_tokens && !m_is_caller_gone)
+    {
+        // The line of the refusal has said all.
+        m_held = 0;
+        m_desk.forget(m_subject.number);
+        return;
+    }
     m_desk.m_parts.log.write(
         log_level::info, log_event::request_finished,
         {{"request_id", m_subject.read.id},
--- a/libraries/drivers/exchange/exchange_start.cpp
+++ b/libraries/drivers/exchange/exchange_start.cpp
@@ -70,7 +70,6 @@
     if (m_desk.m_ledger.hold(account, tokens))
     {
         m_held = tokens;
-        m_desk.ask_for_tokens();
         seek_place();
         return;
     }
@@ -86,27 +85,27 @@
 
 void exchange::wait_for_tokens()
 {
+    if (m_tokens_deadline)
+    {
+        // Waits already, and keeps its turn.
+        return;
+    }
     m_phase = exchange_phase::waiting_for_tokens;
     m_desk.m_waiting_holds[m_subject.account->name].push_back(
         {shared_from_this(), needed_tokens()});
     m_desk.ask_for_tokens();
-    if (!m_tokens_deadline)
-    {
-        m_tokens_deadline =
-            std::min(m_deadline, m_desk.m_parts.clock.steady_now() +
-                                     longest_wait_for_tokens);
-    }
+    m_tokens_deadline = std::min(m_deadline, m_desk.m_parts.clock.steady_now() +
+                                                 longest_wait_for_tokens);
     schedule(*m_tokens_deadline);
 }
 
-void exchange::retry_hold()
+bool exchange::retry_hold()
 {
-    if (m_phase != exchange_phase::waiting_for_tokens)
+    if (m_phase == exchange_phase::waiting_for_tokens)
     {
-        return;
+        hold_tokens();
     }
-    m_timer.reset();
-    hold_tokens();
+    return m_phase != exchange_phase::waiting_for_tokens;
 }
 
 const std::string& exchange::pick_service() const
--- a/libraries/drivers/exchange/traffic_desk.cpp
+++ b/libraries/drivers/exchange/traffic_desk.cpp
@@ -14,6 +14,8 @@
 constexpr std::chrono::milliseconds not_ready_retry_after{500};
 constexpr std::chrono::milliseconds stopping_retry_after{50};
 constexpr std::chrono::milliseconds full_retry_after{300};
+/// Requests that lack tokens within this time are asked for together.
+constexpr std::chrono::milliseconds ask_interval{20};
 
 } // namespace
 
@@ -122,6 +124,11 @@
 void traffic_desk::set_routes(std::shared_ptr<const domain::route_table> routes)
 {
     m_routes = std::move(routes);
+    m_prepaid.clear();
+    for (const domain::caller_account& account : m_routes->accounts())
+    {
+        m_prepaid[account.name] = account.prepaid_tokens.value_or(0);
+    }
 }
 
 void traffic_desk::set_upstreams(
@@ -141,8 +148,13 @@
     m_retries.set_routers(std::max<std::int64_t>(1, m_fleet.routers));
     for (const auto& [account, known] : m_fleet.accounts)
     {
-        m_ledger.set_granted(account, known.own_granted - m_released[account]);
-        retry_holds(account);
+        const std::int64_t granted = known.own_granted - m_released[account];
+        const bool is_more = granted > m_ledger.balance(account).granted;
+        m_ledger.set_granted(account, granted);
+        if (is_more)
+        {
+            retry_holds(account);
+        }
     }
     serve_lines();
 }
@@ -235,11 +247,16 @@
     {
         return;
     }
+    // Those that came first are served first. One that ends may lead back
+    // here, so the list is taken out meanwhile.
     std::vector<waiting_hold> waiting = std::move(found->second);
     m_waiting_holds.erase(found);
-    for (const waiting_hold& one : waiting)
+    std::erase_if(waiting, [](const waiting_hold& one)
+                  { return one.who->retry_hold(); });
+    if (!waiting.empty())
     {
-        one.who->retry_hold();
+        std::vector<waiting_hold>& later = m_waiting_holds[account];
+        later.insert(later.begin(), waiting.begin(), waiting.end());
     }
 }
 
@@ -250,14 +267,8 @@
 
 bool traffic_desk::covers(const std::string& account, std::int64_t tokens) const
 {
-    std::int64_t prepaid = 0;
-    for (const domain::caller_account& one : m_routes->accounts())
-    {
-        if (one.name == account)
-        {
-            prepaid = one.prepaid_tokens.value_or(0);
-        }
-    }
+    const auto total = m_prepaid.find(account);
+    const std::int64_t prepaid = total == m_prepaid.end() ? 0 : total->second;
     const domain::prepaid_balance own = m_ledger.balance(account);
     const auto fleet = m_fleet.accounts.find(account);
     const std::int64_t peers_spent =
@@ -267,10 +278,13 @@
 
 void traffic_desk::ask_for_tokens()
 {
-    if (m_need)
+    const ports::steady_time now = m_parts.clock.steady_now();
+    if (!m_need || (m_asked_at && now - *m_asked_at < ask_interval))
     {
-        m_need();
+        return;
     }
+    m_asked_at = now;
+    m_need();
 }
 
 } // namespace turmeric::drivers
--- a/libraries/drivers/exchange/traffic_desk.hpp
+++ b/libraries/drivers/exchange/traffic_desk.hpp
@@ -114,6 +114,9 @@
     /// What was released, by account.
     std::map<std::string, std::int64_t> m_released;
     std::function<void()> m_need;
+    std::optional<ports::steady_time> m_asked_at;
+    /// What the accounts have paid for in all.
+    std::map<std::string, std::int64_t> m_prepaid;
     std::optional<ports::steady_time> m_refuse_from;
     std::uint64_t m_next_number = 1;
 };
