Traffic: Refuse at once when neither the store nor a peer can give tokens

Cause: in a cut every request waited 400 ms for tokens that could not come, which is priced as held and comes back to the same router.

--- a/libraries/domain/prepaid/prepaid_record.cpp
+++ b/libraries/domain/prepaid/prepaid_record.cpp
@@ -10,14 +10,14 @@
 {
 
 /// How long a router can go on without the store.
-constexpr double bridged_seconds = 7.0;
+constexpr double bridged_seconds = 5.0;
 constexpr double bridged_seconds_leaving = 3.0;
 /// How many standard deviations of the consumption are covered.
-constexpr double scatter_multiple = 1.0;
+constexpr double scatter_multiple = 0.8;
 /// The part of its fair share that a router gets whatever its rate.
 constexpr std::int64_t least_divisor = 8;
 /// The part of all that is left that routers hold together at most.
-constexpr double most_part = 0.4;
+constexpr double most_part = 0.35;
 /// Below this part of the wanted stock a router asks for more.
 constexpr double low_mark = 0.85;
 /// Above this multiple of the wanted stock a router gives some back.
--- a/libraries/drivers/exchange/exchange_start.cpp
+++ b/libraries/drivers/exchange/exchange_start.cpp
@@ -17,6 +17,8 @@
 constexpr std::chrono::milliseconds least_wait_in_line{50};
 constexpr std::chrono::milliseconds longest_wait_for_tokens{400};
 constexpr std::chrono::milliseconds tokens_retry_after{300};
+/// Long enough for a short cut to end, or for the caller to go elsewhere.
+constexpr std::chrono::milliseconds hopeless_retry_after{1'000};
 
 ports::steady_time deadline_of(const exchange::subject& about)
 {
@@ -80,6 +82,14 @@
                 "at its largest"});
         return;
     }
+    if (!m_desk.may_get(account, tokens))
+    {
+        refuse({result_code::grant_unavailable, "account",
+                "this router has no prepaid tokens left, and neither the "
+                "store nor a peer can give any now",
+                outcome::not_run, hopeless_retry_after});
+        return;
+    }
     wait_for_tokens();
 }
 
--- a/libraries/drivers/exchange/fleet_view.hpp
+++ b/libraries/drivers/exchange/fleet_view.hpp
@@ -31,6 +31,8 @@
     std::int64_t routers = 1;
     std::map<std::string, domain::upstream_load> peer_load;
     std::map<std::string, account_view> accounts;
+    /// Whether the store has not answered of late.
+    bool is_store_silent = false;
 };
 
 /// What one account needs of the store.
--- a/libraries/drivers/exchange/traffic_desk.cpp
+++ b/libraries/drivers/exchange/traffic_desk.cpp
@@ -276,6 +276,20 @@
     return prepaid - own.used - own.held - peers_spent >= tokens;
 }
 
+bool traffic_desk::may_get(const std::string& account,
+                           std::int64_t tokens) const
+{
+    const auto total = m_prepaid.find(account);
+    const auto known = m_fleet.accounts.find(account);
+    if (total == m_prepaid.end() || known == m_fleet.accounts.end())
+    {
+        return true;
+    }
+    const std::int64_t rest = total->second - known->second.granted_in_all;
+    return (!m_fleet.is_store_silent && rest >= tokens) ||
+           known->second.peers_free / 2 >= tokens;
+}
+
 void traffic_desk::ask_for_tokens()
 {
     const ports::steady_time now = m_parts.clock.steady_now();
--- a/libraries/drivers/exchange/traffic_desk.hpp
+++ b/libraries/drivers/exchange/traffic_desk.hpp
@@ -99,6 +99,9 @@
     void forget(std::uint64_t number);
     [[nodiscard]] bool covers(const std::string& account,
                               std::int64_t tokens) const;
+    /// Tells whether a grant or a loan for a request may come soon.
+    [[nodiscard]] bool may_get(const std::string& account,
+                               std::int64_t tokens) const;
     void ask_for_tokens();
 
     traffic_parts m_parts;
--- a/libraries/drivers/fleet/fleet_control.cpp
+++ b/libraries/drivers/fleet/fleet_control.cpp
@@ -295,6 +295,8 @@
 void fleet_control::tell_traffic()
 {
     fleet_view view = m_peers.view(m_parts.clock.steady_now());
+    view.is_store_silent =
+        m_upstreams.silent_since().has_value() || m_tokens.is_failing();
     for (const auto& [name, grants] : known_grants_now())
     {
         account_view& account = view.accounts[name];
--- a/libraries/drivers/fleet/token_keeper.cpp
+++ b/libraries/drivers/fleet/token_keeper.cpp
@@ -84,6 +84,8 @@
     /// Set while the store's records must be read before a change.
     bool is_stale = true;
     bool is_busy = false;
+    /// Whether the last call failed.
+    bool is_failing = false;
     std::optional<ports::steady_time> paused_until;
     std::optional<ports::steady_time> changed_at;
     /// Set while all that is left is given back.
@@ -129,6 +131,7 @@
                [self, then = std::move(then)](result<ports::key_range> got)
                {
                    self->is_busy = false;
+                   self->is_failing = !got;
                    if (!got)
                    {
                        // A later review reads again.
@@ -409,6 +412,11 @@
     return total->second - known->second.record.granted_in_all >= tokens;
 }
 
+bool token_keeper::is_failing() const
+{
+    return m_state->is_failing;
+}
+
 std::map<std::string, known_grants> token_keeper::known() const
 {
     std::map<std::string, known_grants> all;
