--- a/libraries/drivers/fleet/member_registry.cpp
+++ b/libraries/drivers/fleet/member_registry.cpp
@@ -170,7 +170,7 @@
     : m_state(
           std::make_shared<state>(store, timers, clock, log, std::move(self)))
     , m_follower(store, timers, clock, log,
-                 {key_prefix, std::chrono::milliseconds(2'200),
+                 {key_prefix, std::chrono::milliseconds(8'000),
                   std::chrono::milliseconds(3'000)})
 {
 }
--- a/libraries/drivers/fleet/prefix_follower.cpp
+++ b/libraries/drivers/fleet/prefix_follower.cpp
@@ -11,7 +11,7 @@
 {
 
 constexpr std::chrono::milliseconds first_backoff{100};
-constexpr std::chrono::milliseconds longest_backoff{400};
+constexpr std::chrono::milliseconds longest_backoff{600};
 
 } // namespace
 
--- a/libraries/drivers/fleet/token_keeper.cpp
+++ b/libraries/drivers/fleet/token_keeper.cpp
@@ -22,6 +22,8 @@
 constexpr std::chrono::milliseconds failure_pause{300};
 /// Changes that no request waits for are gathered for so long.
 constexpr std::chrono::milliseconds change_interval{1'000};
+/// The same while requests wait.
+constexpr std::chrono::milliseconds urgent_interval{100};
 
 } // namespace
 
@@ -59,7 +61,7 @@
     void read_all(std::function<void()> then);
     void take_record(const ports::key_value& entry);
     static void set_own(account& known, std::int64_t granted);
-    void note_use(account& known, const account_need& need);
+    void note_uses(const std::map<std::string, account_need>& needs);
     /// Returns the tokens that this router consumes in a second.
     [[nodiscard]] double rate_of(const account& known) const;
     [[nodiscard]] std::vector<planned_change> plan_returns() const;
@@ -149,10 +151,15 @@
                });
 }
 
-void token_keeper::state::note_use(account& known, const account_need& need)
+void token_keeper::state::note_uses(
+    const std::map<std::string, account_need>& needs)
 {
-    known.rate.add(need.used - known.last_used, clock.steady_now());
-    known.last_used = need.used;
+    for (const auto& [name, need] : needs)
+    {
+        account& known = accounts[name];
+        known.rate.add(need.used - known.last_used, clock.steady_now());
+        known.last_used = need.used;
+    }
 }
 
 double token_keeper::state::rate_of(const account& known) const
@@ -175,7 +182,6 @@
         const account_need need =
             found == needs.end() ? account_need{} : found->second;
         account& known = accounts[name];
-        note_use(known, need);
         if (known.unreturned > 0 || (!is_ahead && found == needs.end()))
         {
             continue;
@@ -333,32 +339,42 @@
     std::map<std::string, std::int64_t> surplus;
     state& self = *m_state;
     const ports::steady_time now = self.clock.steady_now();
+    self.note_uses(needs);
     if (self.is_busy || self.prepaid.empty() ||
         (self.paused_until && now < *self.paused_until))
     {
         return surplus;
     }
-    if (self.is_stale)
-    {
-        self.read_all([] {});
-        return surplus;
-    }
-    std::vector<state::planned_change> changes =
-        self.plan(needs, is_leaving, surplus);
     const bool is_urgent =
         is_leaving ||
         std::any_of(needs.begin(), needs.end(),
                     [](const auto& entry) { return entry.second.lacking > 0; });
-    if (!is_urgent && self.changed_at &&
-        now - *self.changed_at < change_interval)
+    const std::chrono::milliseconds interval =
+        is_urgent ? urgent_interval : change_interval;
+    if (!self.is_stale && self.changed_at &&
+        now - *self.changed_at < interval)
     {
-        return {};
+        return surplus;
     }
-    if (!changes.empty())
+    if (!self.is_stale && self.plan(needs, is_leaving, surplus).empty())
     {
-        self.changed_at = now;
-        self.commit(std::move(changes));
+        return surplus;
     }
+    self.changed_at = now;
+    // Others change the same records, so the plan is made anew on what they
+    // are now; a change of old records would be refused.
+    const std::shared_ptr<state> shared = m_state;
+    self.read_all(
+        [shared, needs, is_leaving]
+        {
+            std::map<std::string, std::int64_t> ignored;
+            std::vector<state::planned_change> changes =
+                shared->plan(needs, is_leaving, ignored);
+            if (!changes.empty())
+            {
+                shared->commit(std::move(changes));
+            }
+        });
     return surplus;
 }
 
