--- a/libraries/drivers/fleet/token_keeper.cpp
+++ b/libraries/drivers/fleet/token_keeper.cpp
@@ -351,8 +351,7 @@
                     [](const auto& entry) { return entry.second.lacking > 0; });
     const std::chrono::milliseconds interval =
         is_urgent ? urgent_interval : change_interval;
-    if (!self.is_stale && self.changed_at &&
-        now - *self.changed_at < interval)
+    if (!self.is_stale && self.changed_at && now - *self.changed_at < interval)
     {
         return surplus;
     }
--- a/standins/key_value/key_value_server.cpp
+++ b/standins/key_value/key_value_server.cpp
@@ -83,6 +83,7 @@
                                    const key_value_options& options)
     : m_clock(clock)
     , m_state(clock, options.history_limit)
+    , m_platform_form(m_state, form_faults())
     , m_http(options.threads)
     , m_faults(options.faults)
 {
@@ -151,6 +152,7 @@
                                            httplib::Response& reply)
                     { handle_call(row, request, reply); });
     }
+    m_platform_form.register_calls(m_http);
     m_http.Get("/counts",
                [this](const httplib::Request&, httplib::Response& reply)
                { reply_json(reply, counts()); });
@@ -165,7 +167,7 @@
                                    httplib::Response& reply)
 {
     ++m_calls.at(static_cast<std::size_t>(row.kind));
-    if (apply_faults(row, reply) == verdict::answered)
+    if (apply_faults(row.is_write, reply) == verdict::answered)
     {
         return;
     }
@@ -180,7 +182,7 @@
 }
 
 key_value_server::verdict
-key_value_server::apply_faults(const call_row& row, httplib::Response& reply)
+key_value_server::apply_faults(bool is_write, httplib::Response& reply)
 {
     const key_value_faults now = faults();
     if (now.delay_ms > 0)
@@ -199,7 +201,7 @@
         refuse(reply, no_leader);
         return verdict::answered;
     }
-    if (!is_within_rate(row.is_write))
+    if (!is_within_rate(is_write))
     {
         ++m_rate_limited;
         refuse(reply, too_many);
@@ -229,6 +231,16 @@
     return true;
 }
 
+platform_form_faults key_value_server::form_faults()
+{
+    return {[this](bool is_write, httplib::Response& reply)
+            { return apply_faults(is_write, reply) == verdict::answered; },
+            [this] { return take_one(&key_value_faults::drop_before_effect); },
+            [this]
+            { return take_one(&key_value_faults::drop_reply_after_effect); },
+            [this] { return faults().silent_watches; }};
+}
+
 void key_value_server::on_range(const json& body, httplib::Response& reply)
 {
     const result<range_operation> wanted = read_range(body);
--- a/standins/key_value/key_value_server.hpp
+++ b/standins/key_value/key_value_server.hpp
@@ -6,6 +6,7 @@
 #include "standins/common/http_server.hpp"
 #include "standins/key_value/key_value_faults.hpp"
 #include "standins/key_value/key_value_state.hpp"
+#include "standins/key_value/platform_form.hpp"
 #include "standins/key_value/rate_limiter.hpp"
 
 #include <array>
@@ -92,7 +93,8 @@
     void register_handlers();
     void handle_call(const call_row& row, const httplib::Request& request,
                      httplib::Response& reply);
-    verdict apply_faults(const call_row& row, httplib::Response& reply);
+    verdict apply_faults(bool is_write, httplib::Response& reply);
+    [[nodiscard]] platform_form_faults form_faults();
     bool is_within_rate(bool is_write);
     bool take_one(std::int64_t key_value_faults::*count);
     [[nodiscard]] key_value_faults faults();
@@ -107,6 +109,7 @@
 
     const ports::clock& m_clock;
     key_value_state m_state;
+    platform_form m_platform_form;
     http_server m_http;
     drivers::stop_signal m_stop;
 
--- a/standins/service/main.cpp
+++ b/standins/service/main.cpp
@@ -11,13 +11,16 @@
     cxxopts::Options options("standin_service",
                              "A stand-in for a plain service");
     options.add_options()("threads", "connections served at a time",
-                          cxxopts::value<std::size_t>()->default_value("512"));
+                          cxxopts::value<std::size_t>()->default_value("512"))(
+        "upstream-id", "answer as an upstream of the users' platform",
+        cxxopts::value<std::string>()->default_value(""));
     const turmeric::standins::program program{
         [&server](const host_port& address,
                   const cxxopts::ParseResult& arguments)
         {
             server = std::make_unique<service_server>(
                 arguments["threads"].as<std::size_t>());
+            server->act_as(arguments["upstream-id"].as<std::string>());
             return server->start(address.host, address.port);
         },
         [&server] { server->shut_down(); }};
--- a/standins/service/service_server.cpp
+++ b/standins/service/service_server.cpp
@@ -4,7 +4,10 @@
 #include "standins/common/json_reply.hpp"
 
 #include <array>
+#include <cstdlib>
+#include <memory>
 #include <span>
+#include <thread>
 #include <utility>
 
 namespace turmeric::standins
@@ -14,6 +17,7 @@
 {
 
 constexpr int http_internal_error = 500;
+constexpr int http_misdirected = 421;
 
 constexpr std::array fault_table = {
     switch_row<service_faults>{"delay_ms", &service_faults::delay_ms},
@@ -106,6 +110,12 @@
     {
         m_stop.sleep_for(delay);
     }
+    const std::string expected = request.get_header_value("X-Expect-Instance");
+    if (!m_upstream_id.empty() && expected != m_upstream_id)
+    {
+        reply.status = http_misdirected;
+        return;
+    }
     if (take_one(&service_faults::fail) || fails_by_chance())
     {
         reply_json(reply, {{"error", "the service failed"}},
@@ -124,6 +134,58 @@
         return;
     }
     reply_json(reply, record);
+    sign(request, reply);
+}
+
+void service_server::act_as(const std::string& upstream_id)
+{
+    m_upstream_id = upstream_id;
+}
+
+void service_server::sign(const httplib::Request& request,
+                          httplib::Response& reply)
+{
+    if (m_upstream_id.empty())
+    {
+        return;
+    }
+    reply.set_header("X-Request-Id", request.get_header_value("X-Request-Id"));
+    reply.set_header("X-Server-Stamp", m_upstream_id + ".1");
+    if (request.has_header("X-Token-Count"))
+    {
+        stream_events(request, reply);
+    }
+}
+
+void service_server::stream_events(const httplib::Request& request,
+                                   httplib::Response& reply)
+{
+    // "INPUT,OUTPUT": one event for each token of output.
+    const std::string counts = request.get_header_value("X-Token-Count");
+    const std::int64_t output =
+        std::strtoll(counts.substr(counts.find(',') + 1).c_str(), nullptr, 10);
+    const std::string resumed = request.get_header_value("Last-Event-Id");
+    const std::int64_t first = std::strtoll(resumed.c_str(), nullptr, 10) + 1;
+    const std::shared_ptr<std::int64_t> next =
+        std::make_shared<std::int64_t>(first);
+    reply.body.clear();
+    reply.headers.erase("Content-Type");
+    reply.set_chunked_content_provider(
+        "text/event-stream",
+        [next, output](std::size_t, httplib::DataSink& sink)
+        {
+            constexpr std::chrono::milliseconds gap{5};
+            if (*next > output)
+            {
+                sink.done();
+                return true;
+            }
+            const std::string id = std::to_string(*next);
+            const std::string event = "id: " + id + "\ndata: t" + id + "\n\n";
+            ++*next;
+            std::this_thread::sleep_for(gap);
+            return sink.write(event.data(), event.size());
+        });
 }
 
 bool service_server::take_one(std::int64_t service_faults::*count)
--- a/standins/service/service_server.hpp
+++ b/standins/service/service_server.hpp
@@ -36,6 +36,12 @@
 public:
     /// Serves up to `threads` connections at a time.
     explicit service_server(std::size_t threads);
+
+    /// Answers as upstreams of the users' platform do, under this id: signed,
+    /// with the request's id, as a stream of events where tokens are asked
+    /// for. Called before `start`.
+    void act_as(const std::string& upstream_id);
+
     ~service_server();
     service_server(const service_server&) = delete;
     service_server& operator=(const service_server&) = delete;
@@ -58,6 +64,9 @@
     bool take_one(std::int64_t service_faults::*count);
     bool fails_by_chance();
     json run_effect(const httplib::Request& request);
+    void sign(const httplib::Request& request, httplib::Response& reply);
+    static void stream_events(const httplib::Request& request,
+                              httplib::Response& reply);
     json show_faults();
 
     http_server m_http;
@@ -65,6 +74,7 @@
     std::mutex m_mutex;
     service_faults m_faults;
     std::map<std::string, std::int64_t> m_effects_by_id;
+    std::string m_upstream_id;
     std::int64_t m_calls = 0;
     std::int64_t m_effects = 0;
     std::int64_t m_failed = 0;
--- /dev/null
+++ b/tests/processes/entry_test.py
@@ -0,0 +1,162 @@
+"""The whole path on the platform's protocol, as processes: answers whole,
+calls that may not repeat, upstreams that leave, keys that are revoked,
+prepaid tokens that run out, and a start during an outage of the store."""
+import pathlib
+import tempfile
+import unittest
+
+import entry_fleet
+import fleet
+
+
+def accounts(prepaid, keys=('key-1',)):
+    return [{'Name': 'acme', 'ApiKeys': list(keys), 'Prepaid': prepaid}]
+
+
+class EntryTest(unittest.TestCase):
+    def setUp(self):
+        self._folder = tempfile.TemporaryDirectory()
+        self.folder = pathlib.Path(self._folder.name)
+        self.running = []
+        self.store = entry_fleet.Store(self.folder)
+        self.running.append(self.store.process)
+        self.engines = [self.start_upstream(f'i-engine{number}', 'model')
+                        for number in (1, 2)]
+        self.ledger = self.start_upstream('i-ledger', 'ledger')
+        self.configure(1, accounts(100_000))
+
+    def tearDown(self):
+        for process in reversed(self.running):
+            process.kill()
+        self._folder.cleanup()
+
+    def start_upstream(self, name, service):
+        process = fleet.Process(
+            self.folder, name, ['standin_service', '--listen', '127.0.0.1:0',
+                                '--upstream-id', name])
+        self.running.append(process)
+        self.store.register(name, service, process.address)
+        return process
+
+    def start_entry(self, name, is_awaited=True):
+        entry = entry_fleet.Entry(self.folder, name, self.store.address)
+        self.running.append(entry)
+        if is_awaited:
+            fleet.wait_until(f'{name} is ready', entry.is_ready)
+        return entry
+
+    def configure(self, version, new_accounts, **route_changes):
+        self.store.put('op/config', entry_fleet.operators_document(
+            version, ('model', 'ledger'), new_accounts, **route_changes))
+
+    def test_stream_is_whole_and_signed(self):
+        entry = self.start_entry('vm-1')
+        status, headers, text = entry.call('/ask/1', 'key-1', 'r-1', '10,20')
+        self.assertEqual(status, 200)
+        self.assertIn('X-Server-Stamp', headers)
+        expected = ''.join(f'id: {n}\ndata: t{n}\n\n' for n in range(1, 21))
+        self.assertEqual(text, expected)
+
+    def test_unsafe_call_runs_once(self):
+        entry = self.start_entry('vm-1')
+        self.assertEqual(entry.call('/pay/1', 'key-1', 'r-1')[0], 200)
+        self.ledger.set_faults(drop_reply_after_effect=1)
+        status, _, _ = entry.call('/pay/1', 'key-1', 'r-2')
+        self.assertEqual(status, 502)
+        self.assertEqual(self.ledger.counts()['request_ids']['r-2'], 1)
+
+    def test_draining_upstream_gets_nothing(self):
+        entry = self.start_entry('vm-1')
+        leaving = self.engines[0]
+        self.store.register('i-engine1', 'model', leaving.address, 'draining')
+        fleet.wait_until('the drain is seen',
+                         lambda: 'known=3 ready=2' in entry.log.read_text())
+        before = leaving.counts()['calls']
+        for number in range(10):
+            status, _, _ = entry.call('/ask/1', 'key-1', f'r-{number}', '5,2')
+            self.assertEqual(status, 200)
+        self.assertEqual(leaving.counts()['calls'], before)
+
+    def test_revoked_key_is_refused(self):
+        entry = self.start_entry('vm-1')
+        self.assertEqual(entry.call('/pay/1', 'key-1', 'r-1')[0], 200)
+        self.configure(2, accounts(100_000, ['key-2']))
+        fleet.wait_until(
+            'the key is refused',
+            lambda: entry.call('/pay/1', 'key-1', 'r-2')[0] == 401)
+        self.assertEqual(entry.call('/pay/1', 'key-2', 'r-3')[0], 200)
+
+    def test_prepaid_runs_out_over_two_routers_and_a_kill(self):
+        prepaid = 1_000
+        self.configure(2, accounts(prepaid))
+        first = self.start_entry('vm-1')
+        second = self.start_entry('vm-2')
+        served = 0
+        for number in range(60):
+            entry = (first, second)[number % 2]
+            if number == 20:
+                second.kill()
+                second = self.start_entry('vm-2')
+                entry = (first, second)[number % 2]
+            status, _, _ = entry.call('/ask/1', 'key-1', f'r-{number}',
+                                      '40,10')
+            self.assertIn(status, (200, 402, 503))
+            served += status == 200
+        self.assertGreater(served, 0)
+        self.assertLessEqual(served * 50, prepaid)
+        spent = sum(engine.counts()['effects'] for engine in self.engines)
+        self.assertLessEqual(spent * 50, prepaid)
+
+    def test_top_up_is_spent(self):
+        self.configure(2, accounts(100))
+        entry = self.start_entry('vm-1')
+        self.assertEqual(entry.call('/ask/1', 'key-1', 'r-1', '40,10')[0], 200)
+        self.assertEqual(entry.call('/ask/1', 'key-1', 'r-2', '90,10')[0], 402)
+        self.configure(3, accounts(10_000))
+        fleet.wait_until(
+            'the top-up is in force',
+            lambda: entry.call('/ask/1', 'key-1', 'r-3', '90,10')[0] == 200)
+
+    def test_start_during_an_outage_is_not_ready(self):
+        self.store.process.set_faults(unavailable=True)
+        entry = self.start_entry('vm-1', is_awaited=False)
+        fleet.wait_until(
+            'the process answers',
+            lambda: 'process_started' in entry.log.read_text())
+        fleet.wait_until('the outage is seen',
+                         lambda: 'platform_call_failed' in
+                         entry.log.read_text())
+        self.assertFalse(entry.is_ready())
+        status, headers, _ = entry.call('/pay/1', 'key-1', 'r-1')
+        self.assertEqual(status, 503)
+        self.assertIn('Retry-After', headers)
+        self.store.process.set_faults(unavailable=False)
+        fleet.wait_until('the router is ready', entry.is_ready)
+        self.assertEqual(entry.call('/pay/1', 'key-1', 'r-2')[0], 200)
+
+    def test_peer_that_stops_leaves_the_other_serving(self):
+        first = self.start_entry('vm-1')
+        second = self.start_entry('vm-2')
+        fleet.wait_until('both know each other',
+                         lambda: 'members=2' in first.log.read_text())
+        self.assertEqual(second.stop(), 0)
+        self.assertEqual(first.call('/pay/1', 'key-1', 'r-1')[0], 200)
+
+    def test_stop_ends_no_answer(self):
+        entry = self.start_entry('vm-1')
+        status, _, text = entry.call('/ask/1', 'key-1', 'r-1', '10,100')
+        self.assertEqual(status, 200)
+        self.assertIn('id: 100\n', text)
+        self.assertEqual(entry.stop(), 0)
+        self.assertIn('process_stopped', entry.log.read_text())
+
+    def test_metrics_are_served(self):
+        entry = self.start_entry('vm-1')
+        entry.call('/pay/1', 'key-1', 'r-1')
+        status, _, text = fleet.call(entry.peers, 'GET', '/metrics')
+        self.assertEqual(status, 200)
+        self.assertIn('turmeric_entry_answers_total', text)
+
+
+if __name__ == '__main__':
+    unittest.main()
