Traffic: Forget requests that ended while they waited for tokens

Cause: found by the new test of waiting requests: what they lacked stayed in the digest until the next grant, so too much was asked for and borrowed.

--- a/libraries/domain/placement/first_token_model.cpp
+++ b/libraries/domain/placement/first_token_model.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <cmath>
 
 namespace turmeric::domain
 {
@@ -47,8 +48,7 @@
         slope = std::max(0.0, covariance / variance);
     }
     const double predicted = mean_time + slope * (work - mean_work);
-    return std::chrono::milliseconds(
-        static_cast<std::int64_t>(std::max(0.0, predicted)));
+    return std::chrono::milliseconds(std::llround(std::max(0.0, predicted)));
 }
 
 } // namespace turmeric::domain
--- a/libraries/drivers/exchange/exchange_answer.cpp
+++ b/libraries/drivers/exchange/exchange_answer.cpp
@@ -148,6 +148,11 @@
         m_attempt->cancel();
         m_attempt.reset();
     }
+    if (last_phase == exchange_phase::waiting_for_tokens &&
+        m_subject.account != nullptr)
+    {
+        m_desk.leave_holds(m_subject.account->name, *this);
+    }
     if (m_held > 0)
     {
         m_desk.m_ledger.settle(m_subject.account->name, m_held,
--- a/libraries/drivers/exchange/traffic_desk.cpp
+++ b/libraries/drivers/exchange/traffic_desk.cpp
@@ -260,6 +260,21 @@
     }
 }
 
+void traffic_desk::leave_holds(const std::string& account, const exchange& who)
+{
+    const auto found = m_waiting_holds.find(account);
+    if (found == m_waiting_holds.end())
+    {
+        return;
+    }
+    std::erase_if(found->second, [&](const waiting_hold& one)
+                  { return one.who.get() == &who; });
+    if (found->second.empty())
+    {
+        m_waiting_holds.erase(found);
+    }
+}
+
 void traffic_desk::forget(std::uint64_t number)
 {
     m_exchanges.erase(number);
--- a/libraries/drivers/exchange/traffic_desk.hpp
+++ b/libraries/drivers/exchange/traffic_desk.hpp
@@ -96,6 +96,7 @@
     void serve_line(const std::string& service);
     void serve_lines();
     void retry_holds(const std::string& account);
+    void leave_holds(const std::string& account, const exchange& who);
     void forget(std::uint64_t number);
     [[nodiscard]] bool covers(const std::string& account,
                               std::int64_t tokens) const;
--- /dev/null
+++ b/tests/fleet/store_world.hpp
@@ -0,0 +1,342 @@
+#pragma once
+
+#include "libraries/fakes/manual_clock.hpp"
+#include "libraries/ports/asynchronous_store.hpp"
+#include "libraries/ports/timer_queue.hpp"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace turmeric::tests
+{
+
+/// What happens to the next call that reaches the store.
+enum class call_fate
+{
+    served,
+    /// Refused without effect.
+    refused,
+    /// Done, but not answered.
+    answer_lost,
+    /// Not answered, and done later if its conditions still hold.
+    done_late,
+};
+
+/// A store in memory for the event-driven port. Calls are answered when
+/// `run` is called, in order, each with the fate that was set for it.
+class store_world final : public ports::asynchronous_store
+{
+public:
+    void list(const std::string& prefix,
+              callback<ports::key_range> done) override
+    {
+        m_calls.push_back([this, prefix, done](call_fate fate)
+                          { serve_list(prefix, done, fate); });
+    }
+
+    void watch(const std::string& prefix, ports::revision after,
+               std::chrono::milliseconds,
+               callback<ports::watch_batch> done) override
+    {
+        m_watches.push_back({prefix, after, std::move(done)});
+    }
+
+    void commit(const ports::store_change& change,
+                callback<ports::change_outcome> done) override
+    {
+        m_calls.push_back([this, change, done](call_fate fate)
+                          { serve_commit(change, done, fate); });
+    }
+
+    void create_lease(std::chrono::milliseconds time_to_live,
+                      callback<ports::granted_lease> done) override
+    {
+        m_calls.push_back(
+            [this, time_to_live, done](call_fate) {
+                done(ports::granted_lease{++m_last_lease, time_to_live});
+            });
+    }
+
+    void renew_lease(ports::lease_id, callback<std::monostate> done) override
+    {
+        m_calls.push_back([done](call_fate) { done(std::monostate{}); });
+    }
+
+    void end_lease(ports::lease_id, callback<std::monostate> done) override
+    {
+        m_calls.push_back([done](call_fate) { done(std::monostate{}); });
+    }
+
+    /// Serves the next call; false when there is none.
+    bool run(call_fate fate = call_fate::served)
+    {
+        if (m_calls.empty())
+        {
+            return false;
+        }
+        const std::function<void(call_fate)> call = std::move(m_calls.front());
+        m_calls.pop_front();
+        call(fate);
+        return true;
+    }
+
+    /// Serves all calls.
+    void run_all()
+    {
+        while (run())
+        {
+        }
+    }
+
+    /// Does what was to be done late.
+    void run_late()
+    {
+        for (const ports::store_change& change : std::exchange(m_late, {}))
+        {
+            apply(change);
+        }
+    }
+
+    /// Answers the waiting watches with what has changed, or as compacted.
+    void answer_watches(bool is_compacted = false)
+    {
+        for (waiting_watch& watch : std::exchange(m_watches, {}))
+        {
+            ports::watch_batch batch;
+            batch.is_compacted = is_compacted;
+            batch.store_revision = m_revision;
+            for (const auto& [revision, event] : m_history)
+            {
+                if (revision > watch.after &&
+                    event.entry.key.rfind(watch.prefix, 0) == 0)
+                {
+                    batch.events.push_back(event);
+                }
+            }
+            watch.done(std::move(batch));
+        }
+    }
+
+    /// Fails the waiting watches.
+    void cut_watches()
+    {
+        for (waiting_watch& watch : std::exchange(m_watches, {}))
+        {
+            watch.done(error{result_code::platform_timeout, "store", "cut"});
+        }
+    }
+
+    void put(const std::string& key, const std::string& value)
+    {
+        m_items[key] = {key, value, ++m_revision};
+        m_history.push_back({m_revision, {m_items[key], false}});
+    }
+
+    void erase(const std::string& key)
+    {
+        m_items.erase(key);
+        ports::key_event event;
+        event.entry = {key, "", ++m_revision};
+        event.is_deleted = true;
+        m_history.push_back({m_revision, event});
+    }
+
+    std::string value(const std::string& key) const
+    {
+        const auto found = m_items.find(key);
+        return found == m_items.end() ? "" : found->second.value;
+    }
+
+    std::size_t waiting_calls() const
+    {
+        return m_calls.size();
+    }
+
+private:
+    struct waiting_watch
+    {
+        std::string prefix;
+        ports::revision after;
+        callback<ports::watch_batch> done;
+    };
+
+    void serve_list(const std::string& prefix,
+                    const callback<ports::key_range>& done, call_fate fate)
+    {
+        if (fate != call_fate::served)
+        {
+            done(error{result_code::platform_timeout, "store", "lost"});
+            return;
+        }
+        ports::key_range range;
+        range.store_revision = m_revision;
+        for (const auto& [key, item] : m_items)
+        {
+            if (key.rfind(prefix, 0) == 0)
+            {
+                range.entries.push_back(item);
+            }
+        }
+        done(std::move(range));
+    }
+
+    bool holds(const ports::store_change& change) const
+    {
+        for (const ports::key_condition& condition : change.conditions)
+        {
+            const auto found = m_items.find(condition.key);
+            const ports::revision now =
+                found == m_items.end() ? 0 : found->second.modified;
+            if (now != condition.expected)
+            {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    bool apply(const ports::store_change& change)
+    {
+        if (!holds(change))
+        {
+            return false;
+        }
+        ++m_revision;
+        for (const ports::key_write& write : change.writes)
+        {
+            m_items[write.key] = {write.key, write.value, m_revision};
+            m_history.push_back({m_revision, {m_items[write.key], false}});
+        }
+        return true;
+    }
+
+    void serve_commit(const ports::store_change& change,
+                      const callback<ports::change_outcome>& done,
+                      call_fate fate)
+    {
+        if (fate == call_fate::refused)
+        {
+            done(error{result_code::platform_unavailable, "store", "down"});
+            return;
+        }
+        if (fate == call_fate::done_late)
+        {
+            m_late.push_back(change);
+        }
+        const bool is_made = fate != call_fate::done_late && apply(change);
+        if (fate != call_fate::served)
+        {
+            done(error{result_code::platform_outcome_unknown, "store", "lost",
+                       outcome::outcome_unknown});
+            return;
+        }
+        if (is_made)
+        {
+            done(ports::change_outcome(ports::change_made{m_revision}));
+            return;
+        }
+        ports::change_refused refused;
+        for (const ports::key_condition& condition : change.conditions)
+        {
+            const auto found = m_items.find(condition.key);
+            if (found != m_items.end())
+            {
+                refused.current.push_back(found->second);
+            }
+        }
+        done(ports::change_outcome(std::move(refused)));
+    }
+
+    std::deque<std::function<void(call_fate)>> m_calls;
+    std::vector<waiting_watch> m_watches;
+    std::vector<ports::store_change> m_late;
+    std::map<std::string, ports::key_value> m_items;
+    std::vector<std::pair<ports::revision, ports::key_event>> m_history;
+    ports::revision m_revision = 1;
+    ports::lease_id m_last_lease = 0;
+};
+
+/// Timers that fire when the test moves the clock.
+class manual_timers final : public ports::timer_queue
+{
+public:
+    explicit manual_timers(fakes::manual_clock& clock)
+        : m_clock(clock)
+    {
+    }
+
+    [[nodiscard]] std::unique_ptr<ports::timer>
+    schedule(ports::steady_time at, std::function<void()> action) override
+    {
+        const std::shared_ptr<entry> made =
+            std::make_shared<entry>(entry{at, std::move(action)});
+        m_entries.push_back(made);
+        return std::make_unique<handle>(made);
+    }
+
+    /// Moves the clock and calls what is due, in order of time.
+    void advance(std::chrono::milliseconds step)
+    {
+        const ports::steady_time end = m_clock.steady_now() + step;
+        while (const std::shared_ptr<entry> next = next_due(end))
+        {
+            if (next->at > m_clock.steady_now())
+            {
+                m_clock.advance(next->at - m_clock.steady_now());
+            }
+            const std::function<void()> action =
+                std::exchange(next->action, nullptr);
+            action();
+        }
+        if (end > m_clock.steady_now())
+        {
+            m_clock.advance(end - m_clock.steady_now());
+        }
+    }
+
+private:
+    struct entry
+    {
+        ports::steady_time at;
+        std::function<void()> action;
+    };
+
+    struct handle final : ports::timer
+    {
+        explicit handle(std::shared_ptr<entry> of)
+            : owned(std::move(of))
+        {
+        }
+
+        ~handle() override
+        {
+            owned->action = nullptr;
+        }
+
+        std::shared_ptr<entry> owned;
+    };
+
+    std::shared_ptr<entry> next_due(ports::steady_time end)
+    {
+        std::erase_if(m_entries, [](const std::shared_ptr<entry>& one)
+                      { return one->action == nullptr; });
+        std::shared_ptr<entry> best;
+        for (const std::shared_ptr<entry>& one : m_entries)
+        {
+            if (one->at <= end && (best == nullptr || one->at < best->at))
+            {
+                best = one;
+            }
+        }
+        return best;
+    }
+
+    fakes::manual_clock& m_clock;
+    std::vector<std::shared_ptr<entry>> m_entries;
+};
+
+} // namespace turmeric::tests
--- /dev/null
+++ b/tests/placement/first_token_model_test.cpp
@@ -0,0 +1,32 @@
+#include "libraries/domain/placement/first_token_model.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace turmeric::domain;
+using namespace std::chrono_literals;
+
+TEST_GROUP(first_token_model_group){};
+
+TEST(first_token_model_group, learns_a_line)
+{
+    first_token_model model;
+    CHECK_FALSE(model.is_ready());
+    for (int step = 0; step < 100; ++step)
+    {
+        const double work = 100.0 * (step % 10);
+        model.learn(work, 60ms + std::chrono::milliseconds(step % 10));
+    }
+    CHECK(model.is_ready());
+    CHECK(model.predict(0) >= 59ms && model.predict(0) <= 61ms);
+    CHECK(model.predict(2'000) >= 79ms && model.predict(2'000) <= 81ms);
+}
+
+TEST(first_token_model_group, work_of_one_size_gives_its_mean)
+{
+    first_token_model model;
+    for (int step = 0; step < 20; ++step)
+    {
+        model.learn(500, 100ms);
+    }
+    LONGS_EQUAL(100, model.predict(5'000).count());
+}
--- /dev/null
+++ b/tests/prepaid/size_grant_test.cpp
@@ -0,0 +1,110 @@
+#include <rapidcheck.h>
+
+#include "libraries/domain/prepaid/prepaid_ledger.hpp"
+#include "libraries/domain/prepaid/prepaid_record.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace turmeric::domain;
+
+TEST_GROUP(size_grant_group)
+{
+    grant_demand demand;
+
+    void setup() override
+    {
+        demand.prepaid_tokens = 1'000'000;
+        demand.routers = 6;
+    }
+};
+
+TEST(size_grant_group, never_more_than_is_left)
+{
+    CHECK(rc::check(
+        "a grant keeps the sum within the prepaid total",
+        []
+        {
+            grant_demand any;
+            any.prepaid_tokens = *rc::gen::inRange<std::int64_t>(0, 1'000'000);
+            any.granted_in_all = *rc::gen::inRange<std::int64_t>(0, 1'100'000);
+            any.routers = *rc::gen::inRange<std::int64_t>(1, 400);
+            any.free = *rc::gen::inRange<std::int64_t>(0, 200'000);
+            any.peers_free = *rc::gen::inRange<std::int64_t>(0, 500'000);
+            any.tokens_per_second = *rc::gen::inRange(0, 100'000);
+            any.peers_tokens_per_second = *rc::gen::inRange(0, 100'000);
+            any.typical_hold = *rc::gen::inRange<std::int64_t>(0, 40'000);
+            any.lacking = *rc::gen::inRange<std::int64_t>(0, 90'000);
+            any.is_leaving = *rc::gen::arbitrary<bool>();
+            const std::int64_t tokens = size_grant(any);
+            RC_ASSERT(tokens <= 0 ||
+                      any.granted_in_all + tokens <= any.prepaid_tokens);
+            RC_ASSERT(tokens >= -any.free);
+        }));
+}
+
+TEST(size_grant_group, an_idle_router_takes_a_small_part)
+{
+    const std::int64_t first = size_grant(demand);
+    CHECK(first > 0);
+    CHECK(first < demand.prepaid_tokens / demand.routers);
+}
+
+TEST(size_grant_group, the_only_router_of_an_account_gets_what_it_consumes)
+{
+    demand.granted_in_all = 100'000;
+    demand.free = 10'000;
+    demand.tokens_per_second = 30'000;
+    CHECK(size_grant(demand) > 200'000);
+    demand.peers_tokens_per_second = 270'000;
+    CHECK(size_grant(demand) < 100'000);
+}
+
+TEST(size_grant_group, surplus_after_a_burst_goes_back)
+{
+    demand.granted_in_all = 600'000;
+    demand.free = 400'000;
+    demand.tokens_per_second = 1'000;
+    demand.peers_tokens_per_second = 5'000;
+    CHECK(size_grant(demand) < -200'000);
+}
+
+TEST(size_grant_group, a_leaving_router_keeps_little)
+{
+    demand.granted_in_all = 200'000;
+    demand.free = 100'000;
+    demand.tokens_per_second = 10'000;
+    demand.peers_tokens_per_second = 50'000;
+    demand.is_leaving = true;
+    CHECK(size_grant(demand) < 0);
+}
+
+TEST(size_grant_group, waiting_requests_get_the_last_tokens)
+{
+    demand.granted_in_all = 997'000;
+    demand.lacking = 5'000;
+    LONGS_EQUAL(3'000, size_grant(demand));
+}
+
+TEST_GROUP(prepaid_ledger_group){};
+
+TEST(prepaid_ledger_group, holds_stay_within_the_grant)
+{
+    prepaid_ledger ledger;
+    ledger.set_granted("acme", 100);
+    CHECK(ledger.hold("acme", 60));
+    CHECK_FALSE(ledger.hold("acme", 60));
+    ledger.settle("acme", 60, 20);
+    CHECK(ledger.hold("acme", 60));
+    LONGS_EQUAL(20, ledger.balance("acme").free());
+}
+
+TEST(prepaid_ledger_group, a_smaller_grant_only_stops_new_holds)
+{
+    prepaid_ledger ledger;
+    ledger.set_granted("acme", 100);
+    CHECK(ledger.hold("acme", 80));
+    ledger.set_granted("acme", 50);
+    CHECK_FALSE(ledger.hold("acme", 1));
+    ledger.settle("acme", 80, 80);
+    CHECK_FALSE(ledger.hold("acme", 1));
+}
