--- /dev/null
+++ b/tests/platform/dialect_test.cpp
@@ -0,0 +1,124 @@
+#include "platform/platform_dialect.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace turmeric;
+using namespace turmeric::platform;
+
+TEST_GROUP(platform_dialect_group)
+{
+    platform_dialect dialect;
+    ports::arrived_request request;
+    drivers::upstream_terms terms{"i-1", "acme", std::chrono::milliseconds(90),
+                                  2, std::nullopt};
+
+    void setup() override
+    {
+        request.head = {
+            "POST",
+            "/ask/1?q=2",
+            {{"Host", "shop.example:80"},
+             {"X-Request-Id", "r-1"},
+             {"X-Request-Deadline", "1500"},
+             {"X-Token-Count", "1460,80"},
+             {"X-Model", "m"},
+             {"X-Prompt-Prefix", "5c1e07a2:800,91bd3f06:410,e4402b7d:250"},
+             {"Authorization", "Bearer secret"}}};
+        request.body = "body";
+    }
+
+    bool writes(const std::string& text)
+    {
+        return dialect.write_request(request, terms).find(text) !=
+               std::string::npos;
+    }
+};
+
+TEST(platform_dialect_group, a_request_is_read)
+{
+    const domain::caller_request read =
+        dialect.read_request(request.head).value();
+    STRCMP_EQUAL("r-1", read.id.c_str());
+    STRCMP_EQUAL("shop.example", read.host.c_str());
+    STRCMP_EQUAL("/ask/1", read.path.c_str());
+    STRCMP_EQUAL("secret", read.key.c_str());
+    LONGS_EQUAL(1'500, read.patience->count());
+    LONGS_EQUAL(1'460, read.prompt->input_tokens);
+    LONGS_EQUAL(80, read.prompt->most_output_tokens);
+    LONGS_EQUAL(3, read.prompt->parts.size());
+    LONGS_EQUAL(0x5c1e07a2, read.prompt->parts.front().id);
+    LONGS_EQUAL(250, read.prompt->parts.back().tokens);
+}
+
+TEST(platform_dialect_group, a_request_without_an_id_is_refused)
+{
+    const result<domain::caller_request> read =
+        dialect.read_request({"GET", "/", {}});
+    CHECK(read.failure().code == result_code::invalid_field);
+    STRCMP_EQUAL("X-Request-Id", read.failure().field.c_str());
+}
+
+TEST(platform_dialect_group, counts_that_are_no_numbers_give_no_prompt)
+{
+    for (const char* counts : {"", "12", "12,", "a,b", "-1,5", "12,-5"})
+    {
+        const ports::request_head head{
+            "GET", "/", {{"X-Request-Id", "r"}, {"X-Token-Count", counts}}};
+        CHECK_FALSE(dialect.read_request(head).value().prompt.has_value());
+    }
+}
+
+TEST(platform_dialect_group, the_upstream_gets_the_body_and_the_terms)
+{
+    CHECK(writes("POST /ask/1?q=2 HTTP/1.1\r\n"));
+    CHECK(writes("X-Request-Id: r-1\r\n"));
+    CHECK(writes("X-Token-Count: 1460,80\r\n"));
+    CHECK(writes("X-Request-Deadline: 90\r\n"));
+    CHECK(writes("X-Expect-Instance: i-1\r\n"));
+    CHECK(writes("X-Tenant: acme\r\n"));
+    CHECK(writes("Content-Length: 4\r\n\r\nbody"));
+    CHECK_FALSE(writes("secret"));
+    CHECK_FALSE(writes("1500"));
+    CHECK_FALSE(writes("Last-Event-Id"));
+    terms.resume_after = 12;
+    CHECK(writes("Last-Event-Id: 12\r\n"));
+}
+
+TEST(platform_dialect_group, fields_that_are_the_routers_are_not_passed_on)
+{
+    for (const char* name :
+         {"X-Tenant", "x-hold", "X-Pin-Ms", "X-Kv-Backup", "Kv-From",
+          "Kv-Fetch", "X-Expect-Version", "X-Server-Stamp"})
+    {
+        request.head.fields.push_back({name, "forged"});
+    }
+    request.head.fields.push_back({"Connection", "close, X-Private"});
+    request.head.fields.push_back({"X-Private", "forged"});
+    request.head.fields.push_back({"Transfer-Encoding", "forged"});
+    CHECK_FALSE(writes("forged"));
+    CHECK_FALSE(writes("close"));
+}
+
+TEST(platform_dialect_group, only_upstreams_say_what_did_not_run)
+{
+    CHECK(dialect.read_answer({503, "", {{"X-Not-Executed", "1"}}})
+              .is_not_executed);
+    CHECK(dialect.read_answer({421, "", {}}).is_not_executed);
+    CHECK_FALSE(dialect.read_answer({503, "", {}}).is_not_executed);
+    CHECK_FALSE(dialect.read_answer({503, "", {}}).is_genuine);
+    CHECK(dialect.read_answer({500, "", {}}).is_genuine);
+}
+
+TEST(platform_dialect_group, refusals_bear_a_code_and_a_time_to_come_back)
+{
+    std::string body;
+    const ports::response_head head = dialect.write_failure(
+        {result_code::grant_unavailable, "account", "none left",
+         outcome::not_run, std::chrono::milliseconds(300)},
+        body);
+    LONGS_EQUAL(503, head.status);
+    STRCMP_EQUAL("0.300",
+                 ports::find_field(head.fields, "Retry-After")->c_str());
+    CHECK(body.find("\"code\":3002") != std::string::npos);
+    CHECK(body.find("\"outcome\":\"not_run\"") != std::string::npos);
+}
--- /dev/null
+++ b/tests/platform/documents_test.cpp
@@ -0,0 +1,79 @@
+#include "platform/documents.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace turmeric;
+using namespace turmeric::platform;
+
+namespace
+{
+
+constexpr const char* configuration = R"({"Version":7,"Routes":[
+    {"Name":"r1","Host":"shop.example","Prefix":"/a/","Kind":"streaming",
+     "TimeoutMs":5000,"SloMs":500,"Priority":1,"MaxAttempts":2,
+     "TrafficSplit":[{"Service":"m","Weight":90},{"Service":"n","Weight":10}],
+     "Resumable":true,"Later":{"x":1}},
+    {"Name":"r2","Host":"shop.example","Prefix":"/b/","Kind":"new-kind",
+     "TimeoutMs":800,"Service":"n"}],
+    "Services":[{"Name":"m","MaxConns":360,"Engine":
+      {"Slots":64,"KvCapacity":587418,"Stride":5}},{"Name":"n","MaxConns":9}],
+    "Limits":{"MaxHeaderBytes":16384,"IdleTimeoutMs":9000},
+    "Tenants":[{"Name":"acme","ApiKeys":["k"],"Priority":1,"Prepaid":99}]})";
+
+} // namespace
+
+TEST_GROUP(platform_documents_group){};
+
+TEST(platform_documents_group, a_configuration_is_read)
+{
+    const domain::route_declarations read =
+        read_configuration(configuration).value();
+    LONGS_EQUAL(7, read.version);
+    LONGS_EQUAL(2, read.routes[0].services.size());
+    CHECK(read.routes[0].may_repeat());
+    LONGS_EQUAL(500, read.routes[0].objective.count());
+    LONGS_EQUAL(5, read.services[0].engine->tokens_per_event);
+    CHECK_FALSE(read.services[1].engine.has_value());
+    LONGS_EQUAL(99, *read.accounts[0].prepaid_tokens);
+    LONGS_EQUAL(9'000, read.limits.idle_timeout.count());
+    LONGS_EQUAL(3'000, read.limits.header_timeout.count());
+}
+
+TEST(platform_documents_group, a_kind_that_is_not_known_runs_at_most_once)
+{
+    const domain::route_declarations read =
+        read_configuration(configuration).value();
+    CHECK(read.routes[1].kind == domain::request_kind::at_most_once);
+    LONGS_EQUAL(1, read.routes[1].most_attempts);
+}
+
+TEST(platform_documents_group, a_fault_names_its_field)
+{
+    const result<domain::route_declarations> missing =
+        read_configuration(R"({"Version":1,"Routes":[{"Name":"r"}]})");
+    STRCMP_EQUAL("Routes[0].Host", missing.failure().field.c_str());
+    CHECK_FALSE(read_configuration("{").has_value());
+    CHECK_FALSE(read_configuration("[]").has_value());
+}
+
+TEST(platform_documents_group, entries_of_other_writers_name_no_upstream)
+{
+    const std::string sound =
+        R"({"Service":"m","Address":"10.0.0.1:80","Zone":"z","Version":"v1",)"
+        R"("Slots":4,"State":"ready","SeqNo":1,"born":17})";
+    const domain::upstream_entry read =
+        read_upstream("servers/i-1", sound).value();
+    STRCMP_EQUAL("i-1", read.id.c_str());
+    LONGS_EQUAL(17, read.born);
+    for (const char* wrong :
+         {"", "bytes", "[]", "{}",
+          R"({"Service":"m","Address":1,"Zone":"z","Version":"v1","Slots":4,)"
+          R"("State":"ready"})",
+          R"({"Service":"m","Address":"a","Zone":"z","Version":"v1",)"
+          R"("Slots":4,"State":"odd"})",
+          R"({"Service":"m","Address":"a","Zone":"z","Version":"v1",)"
+          R"("Slots":0,"State":"ready"})"})
+    {
+        CHECK_FALSE(read_upstream("servers/i-1", wrong).has_value());
+    }
+}
