--- a/libraries/adapters/asio/caller_connection.cpp
+++ b/libraries/adapters/asio/caller_connection.cpp
@@ -229,7 +229,7 @@
 }
 
 void caller_connection::send_answer(const ports::response_head& head,
-                                    std::string body)
+                                    const std::string& body)
 {
     m_is_keeping = m_is_keeping && m_server.m_is_keeping;
     m_exchange.reset();
@@ -238,7 +238,7 @@
         write_head(head, body_framing::length, body.size(), m_is_keeping,
                    m_server.m_limits.idle_timeout);
     bytes += body;
-    write(std::move(bytes), nullptr);
+    write(bytes, nullptr);
 }
 
 void caller_connection::start_answer(const ports::response_head& head)
@@ -251,11 +251,10 @@
           nullptr);
 }
 
-void caller_connection::send_part(std::string part,
+void caller_connection::send_part(const std::string& part,
                                   std::function<void()> written)
 {
-    write(m_is_chunkable ? write_chunk(part) : std::move(part),
-          std::move(written));
+    write(m_is_chunkable ? write_chunk(part) : part, std::move(written));
 }
 
 void caller_connection::finish_answer()
@@ -283,7 +282,8 @@
     close(!m_is_chunkable);
 }
 
-void caller_connection::write(std::string bytes, std::function<void()> written)
+void caller_connection::write(const std::string& bytes,
+                              std::function<void()> written)
 {
     if (m_is_closed)
     {
--- a/libraries/adapters/asio/caller_connection.hpp
+++ b/libraries/adapters/asio/caller_connection.hpp
@@ -48,13 +48,13 @@
     void on_timer();
 
     // For the channel of the present request.
-    void send_answer(const ports::response_head& head, std::string body);
+    void send_answer(const ports::response_head& head, const std::string& body);
     void start_answer(const ports::response_head& head);
-    void send_part(std::string part, std::function<void()> written);
+    void send_part(const std::string& part, std::function<void()> written);
     void finish_answer();
     void break_off();
 
-    void write(std::string bytes, std::function<void()> written);
+    void write(const std::string& bytes, std::function<void()> written);
     void on_written(const boost::system::error_code& fault);
     void end_answer();
     void refuse(int status, std::string_view reason);
--- a/libraries/adapters/asio/connection_channel.cpp
+++ b/libraries/adapters/asio/connection_channel.cpp
@@ -16,7 +16,7 @@
 {
     if (const auto connection = m_connection.lock())
     {
-        connection->send_answer(head, std::move(body));
+        connection->send_answer(head, body);
     }
 }
 
@@ -33,7 +33,7 @@
 {
     if (const auto connection = m_connection.lock())
     {
-        connection->send_part(std::move(part), std::move(written));
+        connection->send_part(part, std::move(written));
     }
 }
 
--- a/libraries/drivers/exchange/exchange_start.cpp
+++ b/libraries/drivers/exchange/exchange_start.cpp
@@ -2,6 +2,7 @@
 #include "libraries/drivers/exchange/upstream_attempt.hpp"
 
 #include <algorithm>
+#include <cassert>
 #include <utility>
 
 namespace turmeric::drivers
@@ -127,6 +128,7 @@
     {
         total += static_cast<std::uint64_t>(share.weight);
     }
+    assert(total > 0);
     std::uint64_t drawn = m_desk.m_parts.random.next() % total;
     for (const domain::service_share& share : services)
     {
--- a/libraries/drivers/exchange/upstream_attempt.cpp
+++ b/libraries/drivers/exchange/upstream_attempt.cpp
@@ -168,14 +168,14 @@
     owner->on_broken(failure);
 }
 
-void upstream_attempt::ignore_part(exchange& owner, std::string part)
+void upstream_attempt::ignore_part(exchange& owner, std::string&& part)
 {
     static_cast<void>(owner);
     static_cast<void>(part);
     m_call->read_more();
 }
 
-void upstream_attempt::keep_part(exchange& owner, std::string part)
+void upstream_attempt::keep_part(exchange& owner, std::string&& part)
 {
     static_cast<void>(owner);
     if (m_kept.size() < m_desk.m_settings.kept_answer)
@@ -185,7 +185,7 @@
     m_call->read_more();
 }
 
-void upstream_attempt::keep_or_relay_part(exchange& owner, std::string part)
+void upstream_attempt::keep_or_relay_part(exchange& owner, std::string&& part)
 {
     m_kept += part;
     if (m_kept.size() < m_desk.m_settings.kept_answer)
@@ -197,12 +197,12 @@
     owner.on_body_part(*m_head, std::exchange(m_kept, std::string()));
 }
 
-void upstream_attempt::relay_part(exchange& owner, std::string part)
+void upstream_attempt::relay_part(exchange& owner, std::string&& part)
 {
     owner.on_body_part(*m_head, std::move(part));
 }
 
-void upstream_attempt::relay_events(exchange& owner, std::string part)
+void upstream_attempt::relay_events(exchange& owner, std::string&& part)
 {
     std::string events = owner.m_events.take(part);
     if (events.empty())
--- a/libraries/drivers/exchange/upstream_attempt.hpp
+++ b/libraries/drivers/exchange/upstream_attempt.hpp
@@ -46,7 +46,7 @@
     /// How the body is handled; chosen by the head.
     struct body_mode
     {
-        void (upstream_attempt::*on_part)(exchange&, std::string);
+        void (upstream_attempt::*on_part)(exchange&, std::string&&);
         void (upstream_attempt::*on_end)(exchange&);
     };
 
@@ -56,11 +56,11 @@
     static const body_mode relayed_mode;
     static const body_mode events_mode;
 
-    void ignore_part(exchange& owner, std::string part);
-    void keep_part(exchange& owner, std::string part);
-    void keep_or_relay_part(exchange& owner, std::string part);
-    void relay_part(exchange& owner, std::string part);
-    void relay_events(exchange& owner, std::string part);
+    void ignore_part(exchange& owner, std::string&& part);
+    void keep_part(exchange& owner, std::string&& part);
+    void keep_or_relay_part(exchange& owner, std::string&& part);
+    void relay_part(exchange& owner, std::string&& part);
+    void relay_events(exchange& owner, std::string&& part);
     void end_refused(exchange& owner);
     void end_failed(exchange& owner);
     void end_kept(exchange& owner);
--- a/libraries/drivers/fleet/fleet_control.cpp
+++ b/libraries/drivers/fleet/fleet_control.cpp
@@ -66,7 +66,8 @@
 
 void fleet_control::tick()
 {
-    m_parts.traffic.ask([this](traffic_digest seen) { on_digest(seen); });
+    m_parts.traffic.ask([this](const traffic_digest& seen)
+                        { on_digest(seen); });
     const std::chrono::milliseconds pause =
         std::max(least_tick, tick_for_each_router *
                                  m_peers.routers(m_parts.clock.steady_now()));
--- a/libraries/drivers/fleet/member_registry.cpp
+++ b/libraries/drivers/fleet/member_registry.cpp
@@ -95,7 +95,7 @@
 {
     const std::shared_ptr<state> self = shared_from_this();
     store.create_lease(lease_time,
-                       [self](result<ports::granted_lease> got)
+                       [self](const result<ports::granted_lease>& got)
                        {
                            if (self->is_stopped)
                            {
@@ -118,7 +118,7 @@
                              write_member(self_member), lease});
     const std::shared_ptr<state> self = shared_from_this();
     store.commit(change,
-                 [self](result<ports::change_outcome> got)
+                 [self](const result<ports::change_outcome>& got)
                  {
                      if (self->is_stopped)
                      {
@@ -146,7 +146,7 @@
     const std::shared_ptr<state> self = shared_from_this();
     store.renew_lease(
         lease,
-        [self](result<std::monostate> got)
+        [self](const result<std::monostate>& got)
         {
             if (self->is_stopped)
             {
@@ -218,7 +218,8 @@
     m_state->timer.reset();
     if (m_state->lease != 0)
     {
-        m_state->store.end_lease(m_state->lease, [](result<std::monostate> got)
+        m_state->store.end_lease(m_state->lease,
+                                 [](const result<std::monostate>& got)
                                  { static_cast<void>(got); });
     }
 }
--- a/meta/check_sources.py
+++ b/meta/check_sources.py
@@ -6,10 +6,18 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 FORBIDDEN_IN_DOMAIN = re.compile(
-    r'#include\s*[<"](libraries/adapters|httplib|nghttp2|thread|mutex|fstream'
+    r'#include\s*[<"](libraries/adapters|platform/|boost/asio|boost/beast'
+    r'|httplib|nghttp2|thread|mutex|fstream'
     r'|sys/|netinet|google|unistd)')
 FORBIDDEN_IN_MIDDLE = re.compile(
-    r'#include\s*[<"](libraries/adapters|httplib|nghttp2|sys/|netinet|google)')
+    r'#include\s*[<"](libraries/adapters|platform/|boost/asio|boost/beast'
+    r'|httplib|nghttp2|sys/|netinet|google)')
+# Names of the users' platform on the wire; platform/ alone reads and writes
+# them, and the stand-ins that take its place.
+WIRE_NAMES = re.compile(
+    r'"(X-(Prompt-Prefix|Token-Count|Server-Stamp|Not-Executed'
+    r'|Expect-Instance|Request-Deadline|Length-Hint|Tenant)'
+    r'|op/|servers/|/api/(kv|resolve|ready|report))')
 FORBIDDEN_CALLS = re.compile(
     r'(^|[^_a-z:.>])(fork|vfork|posix_spawn|system|popen|shm_[a-z]+'
     r'|io_uring_setup)\(')
@@ -17,7 +25,8 @@
 
 
 def sources():
-    for folder in ('libraries', 'services', 'utilities', 'standins', 'bench'):
+    for folder in ('libraries', 'platform', 'services', 'utilities',
+                   'standins', 'bench'):
         for path in (ROOT / folder).rglob('*.[ch]pp'):
             yield path
 
@@ -35,6 +44,9 @@
                 ('libraries/codecs/', 'libraries/drivers/'))
             if is_middle and FORBIDDEN_IN_MIDDLE.search(line):
                 yield f'{place}: codecs and drivers include no adapter'
+            is_outside = not relative.startswith(('platform/', 'standins/'))
+            if is_outside and WIRE_NAMES.search(line):
+                yield f'{place}: only platform/ knows the wire names'
             if FORBIDDEN_CALLS.search(line):
                 yield f'{place}: a call that the project does not use'
             if FORBIDDEN_NOTICES.search(line):
--- a/meta/lint.sh
+++ b/meta/lint.sh
@@ -12,13 +12,10 @@
     mapfile -t files < <(git ls-files '*.cpp' |
         grep -vE '^(schema/generated|tests)/')
 fi
-printf '%s\0' "${files[@]}" |
-    xargs -0 -P "$jobs" -n 1 clang-tidy --quiet -p "$folder" 2>/tmp/lint.$$ ||
-    { cat /tmp/lint.$$; rm -f /tmp/lint.$$; exit 1; }
-rm -f /tmp/lint.$$
+TURMERIC_JOBS=$jobs python3 meta/tidy.py "$folder" "${files[@]}"
 cppcheck --quiet --std=c++20 --language=c++ -I . -j "$jobs" \
     --enable=warning,performance,portability --inline-suppr \
     --suppress=unknownMacro --suppress=internalAstError \
     --suppress=missingInclude --error-exitcode=1 \
-    libraries services utilities standins bench
+    libraries platform services utilities standins bench
 python3 meta/check_sources.py
