--- a/libraries/domain/placement/upstream_board.cpp
+++ b/libraries/domain/placement/upstream_board.cpp
@@ -17,6 +17,8 @@
 constexpr double tokens_per_running = 150.0;
 /// What another data centre costs, in prompt tokens.
 constexpr double tokens_per_crossing = 400.0;
+/// What reading a shared part once more costs beyond the time that it takes.
+constexpr double reread_weight = 3.0;
 /// What a plain request costs, in the same unit.
 constexpr double plain_tokens = 1'000.0;
 /// A share of failures up to this says nothing about the upstream.
@@ -164,12 +166,13 @@
 }
 
 double upstream_board::cost_of(const upstream_record& record,
-                               const upstream_service& service,
-                               double work) const
+                               const upstream_service& service, double work,
+                               std::int64_t shared_tokens) const
 {
     const double excess =
         std::max(0.0, record.failure_share - usual_failure_share);
-    double cost = work * record.slowness * (1.0 + failure_weight * excess);
+    double cost = work * record.slowness * (1.0 + failure_weight * excess) +
+                  reread_weight * static_cast<double>(shared_tokens);
     if (service.engine && record.entry.data_centre != m_data_centre)
     {
         cost += tokens_per_crossing;
@@ -184,6 +187,10 @@
     const std::uint64_t home = request.prompt == nullptr
                                    ? 0
                                    : home_of(request.service, *request.prompt);
+    const std::int64_t own_tokens =
+        request.prompt == nullptr || request.prompt->parts.empty()
+            ? 1
+            : request.prompt->parts.back().tokens;
     const upstream_record* best = nullptr;
     placement chosen;
     for (const auto& [id, record] : m_upstreams)
@@ -202,7 +209,9 @@
                 ? 1
                 : tokens_to_read(record, *request.prompt, home, now);
         const double work = work_of(record, service, tokens);
-        const double cost = cost_of(record, service, work);
+        const double cost =
+            cost_of(record, service, work,
+                    std::max<std::int64_t>(0, tokens - own_tokens));
         if (best == nullptr || cost < chosen.cost)
         {
             best = &record;
--- a/libraries/domain/placement/upstream_board.hpp
+++ b/libraries/domain/placement/upstream_board.hpp
@@ -155,8 +155,8 @@
                                         const upstream_service& service,
                                         std::int64_t tokens);
     [[nodiscard]] double cost_of(const upstream_record& record,
-                                 const upstream_service& service,
-                                 double work) const;
+                                 const upstream_service& service, double work,
+                                 std::int64_t shared_tokens) const;
     [[nodiscard]] std::optional<placement>
     find_cheapest(const placement_request& request,
                   const upstream_service& service, ports::steady_time now,
