--- a/libraries/domain/placement/upstream_board.cpp
+++ b/libraries/domain/placement/upstream_board.cpp
@@ -14,11 +14,11 @@
 {
 
 /// What one running request costs a new one, in prompt tokens.
-constexpr double tokens_per_running = 150.0;
+constexpr double tokens_per_running = 100.0;
 /// What another data centre costs, in prompt tokens.
-constexpr double tokens_per_crossing = 400.0;
+constexpr double tokens_per_crossing = 1'500.0;
 /// What reading a shared part once more costs beyond the time that it takes.
-constexpr double reread_weight = 3.0;
+constexpr double reread_weight = 6.0;
 /// What a plain request costs, in the same unit.
 constexpr double plain_tokens = 1'000.0;
 /// A share of failures up to this says nothing about the upstream.
