--- a/libraries/drivers/exchange/exchange.hpp
+++ b/libraries/drivers/exchange/exchange.hpp
@@ -2,7 +2,7 @@
 
 #include "libraries/domain/callers/caller_request.hpp"
 #include "libraries/domain/streaming/event_splitter.hpp"
-#include "libraries/drivers/exchange/traffic_desk.hpp"
+#include "libraries/drivers/exchange/traffic_state.hpp"
 
 #include <chrono>
 #include <cstdint>
@@ -66,8 +66,8 @@
         std::shared_ptr<ports::caller_channel> channel;
     };
 
-    /// Precondition: `desk` outlives the exchange.
-    exchange(traffic_desk& desk, subject about);
+    /// Precondition: `state` outlives the exchange.
+    exchange(traffic_state& state, subject about);
     ~exchange() override;
 
     /// Starts to answer. Called once.
@@ -124,7 +124,7 @@
     [[nodiscard]] std::chrono::milliseconds
     since_arrival(ports::steady_time now) const;
 
-    traffic_desk& m_desk;
+    traffic_state& m_state;
     subject m_subject;
     ports::steady_time m_deadline;
     exchange_phase m_phase = exchange_phase::waiting_for_tokens;
--- a/libraries/drivers/exchange/exchange_answer.cpp
+++ b/libraries/drivers/exchange/exchange_answer.cpp
@@ -19,9 +19,9 @@
     {
         return;
     }
-    const ports::steady_time now = m_desk.m_parts.clock.steady_now();
+    const ports::steady_time now = m_state.parts.clock.steady_now();
     m_first_byte = since_arrival(now);
-    m_desk.m_parts.metrics.first_byte.with({m_subject.route->name})
+    m_state.parts.metrics.first_byte.with({m_subject.route->name})
         .record(*m_first_byte);
 }
 
@@ -29,7 +29,7 @@
                                std::string body)
 {
     note_first_byte();
-    m_subject.channel->send_answer(m_desk.m_parts.dialect.pass_on(head),
+    m_subject.channel->send_answer(m_state.parts.dialect.pass_on(head),
                                    std::move(body));
     constexpr int first_failure = 300;
     end(head.status < first_failure ? "ok" : "upstream_status");
@@ -42,7 +42,7 @@
         note_first_byte();
         m_is_answer_started = true;
         m_phase = exchange_phase::relaying;
-        m_subject.channel->start_answer(m_desk.m_parts.dialect.pass_on(head));
+        m_subject.channel->start_answer(m_state.parts.dialect.pass_on(head));
     }
     const std::weak_ptr<exchange> weak = weak_from_this();
     m_subject.channel->send_part(std::move(part),
@@ -80,16 +80,16 @@
 {
     std::string body;
     const ports::response_head head =
-        m_desk.m_parts.dialect.write_failure(failure, body);
+        m_state.parts.dialect.write_failure(failure, body);
     const bool is_not_run = failure.effect == outcome::not_run;
-    m_desk.m_parts.log.write(
+    m_state.parts.log.write(
         is_not_run ? log_level::info : log_level::warning,
         log_event::request_refused,
         {{"request_id", m_subject.read.id},
          {"code", static_cast<std::int64_t>(failure.code)},
          {"reason", failure.detail},
          {"phase", std::string(name_of(m_phase))},
-         {"waiting", static_cast<std::int64_t>(m_desk.m_line.size())},
+         {"waiting", static_cast<std::int64_t>(m_state.line.size())},
          {"sends", static_cast<std::int64_t>(m_sends)}});
     m_subject.channel->send_answer(head, std::move(body));
     end(std::string(name_of(failure.code)));
@@ -97,11 +97,11 @@
 
 void exchange::break_off(const std::string& reason)
 {
-    m_desk.m_parts.log.write(log_level::warning, log_event::answer_broken_off,
-                             {{"request_id", m_subject.read.id},
-                              {"reason", reason},
-                              {"sends", static_cast<std::int64_t>(m_sends)},
-                              {"events", m_events.events()}});
+    m_state.parts.log.write(log_level::warning, log_event::answer_broken_off,
+                            {{"request_id", m_subject.read.id},
+                             {"reason", reason},
+                             {"sends", static_cast<std::int64_t>(m_sends)},
+                             {"events", m_events.events()}});
     m_subject.channel->break_off();
     end("broken_off");
 }
@@ -139,7 +139,7 @@
     const exchange_phase last_phase = m_phase;
     m_phase = exchange_phase::ended;
     m_timer.reset();
-    m_desk.m_line.remove(m_subject.number);
+    m_state.line.remove(m_subject.number);
     const std::shared_ptr<exchange> self = shared_from_this();
     const std::string upstream =
         m_attempt == nullptr ? std::string() : m_attempt->chosen().upstream.id;
@@ -151,16 +151,16 @@
     if (last_phase == exchange_phase::waiting_for_tokens &&
         m_subject.account != nullptr)
     {
-        m_desk.leave_holds(m_subject.account->name, *this);
+        m_state.leave_holds(m_subject.account->name, *this);
     }
     if (m_held > 0)
     {
-        m_desk.m_ledger.settle(m_subject.account->name, m_held,
-                               consumed_tokens());
-        m_desk.retry_holds(m_subject.account->name);
+        m_state.ledger.settle(m_subject.account->name, m_held,
+                              consumed_tokens());
+        m_state.retry_holds(m_subject.account->name);
     }
-    const ports::steady_time now = m_desk.m_parts.clock.steady_now();
-    traffic_metrics& metrics = m_desk.m_parts.metrics;
+    const ports::steady_time now = m_state.parts.clock.steady_now();
+    traffic_metrics& metrics = m_state.parts.metrics;
     metrics.answers.with({m_subject.route->name, outcome}).add();
     metrics.whole_answer.with({m_subject.route->name})
         .record(since_arrival(now));
@@ -168,10 +168,10 @@
     {
         // The line of the refusal has said all.
         m_held = 0;
-        m_desk.forget(m_subject.number);
+        m_state.forget(m_subject.number);
         return;
     }
-    m_desk.m_parts.log.write(
+    m_state.parts.log.write(
         log_level::info, log_event::request_finished,
         {{"request_id", m_subject.read.id},
          {"route", m_subject.route->name},
@@ -187,7 +187,7 @@
          {"total_ms", static_cast<std::int64_t>(since_arrival(now).count())},
          {"tokens", consumed_tokens()}});
     m_held = 0;
-    m_desk.forget(m_subject.number);
+    m_state.forget(m_subject.number);
 }
 
 } // namespace turmeric::drivers
--- a/libraries/drivers/exchange/exchange_send.cpp
+++ b/libraries/drivers/exchange/exchange_send.cpp
@@ -19,7 +19,7 @@
 
 void exchange::send_to(const domain::placement& chosen)
 {
-    const ports::steady_time now = m_desk.m_parts.clock.steady_now();
+    const ports::steady_time now = m_state.parts.clock.steady_now();
     m_phase = exchange_phase::sent;
     m_tried.insert(chosen.upstream.id);
     ++m_sends;
@@ -37,17 +37,17 @@
 
     ports::outgoing_call call;
     call.address = chosen.upstream.address;
-    call.bytes = m_desk.m_parts.dialect.write_request(m_subject.request, order);
-    call.echo_name = m_desk.m_parts.dialect.echo_name();
+    call.bytes = m_state.parts.dialect.write_request(m_subject.request, order);
+    call.echo_name = m_state.parts.dialect.echo_name();
     call.echo_value = m_subject.read.id;
-    call.connect_timeout = m_desk.m_settings.connect_timeout;
+    call.connect_timeout = m_state.settings.connect_timeout;
     call.longest_idle = m_subject.route->may_repeat()
-                            ? m_desk.m_settings.idle_for_repeatable
-                            : m_desk.m_settings.idle_for_once;
+                            ? m_state.settings.idle_for_repeatable
+                            : m_state.settings.idle_for_once;
 
-    m_desk.m_board.note_sent(
+    m_state.board.note_sent(
         chosen, m_subject.read.prompt ? &*m_subject.read.prompt : nullptr, now);
-    m_desk.m_parts.log.write(
+    m_state.parts.log.write(
         log_level::debug, log_event::request_placed,
         {{"request_id", m_subject.read.id},
          {"upstream", chosen.upstream.id},
@@ -57,14 +57,14 @@
          {"cost", chosen.cost},
          {"expected_ms", static_cast<std::int64_t>(chosen.expected.count())}});
     schedule(m_deadline);
-    m_attempt = std::make_shared<upstream_attempt>(m_desk, weak_from_this(),
+    m_attempt = std::make_shared<upstream_attempt>(m_state, weak_from_this(),
                                                    chosen, now);
     m_attempt->begin(std::move(call));
 }
 
 bool exchange::may_send_again() const
 {
-    const ports::steady_time now = m_desk.m_parts.clock.steady_now();
+    const ports::steady_time now = m_state.parts.clock.steady_now();
     return m_sends < m_subject.route->most_attempts &&
            now + least_time_to_repeat < m_deadline && !m_is_caller_gone;
 }
@@ -72,11 +72,11 @@
 bool exchange::repeat_elsewhere(std::string_view reason)
 {
     if (!may_send_again() ||
-        !m_desk.m_retries.take(m_service, m_desk.m_parts.clock.steady_now()))
+        !m_state.retries.take(m_service, m_state.parts.clock.steady_now()))
     {
         return false;
     }
-    m_desk.m_parts.log.write(
+    m_state.parts.log.write(
         log_level::info,
         m_is_answer_started ? log_event::stream_resumed
                             : log_event::request_retried,
@@ -112,7 +112,7 @@
     m_may_have_run = m_may_have_run_before;
     ++m_failed_connects;
     if (m_failed_connects < most_failed_connects &&
-        m_desk.m_parts.clock.steady_now() + least_time_to_repeat < m_deadline)
+        m_state.parts.clock.steady_now() + least_time_to_repeat < m_deadline)
     {
         place_again();
         return;
@@ -162,7 +162,7 @@
         break_off("upstream failed the resumption");
         return;
     }
-    const answer_meaning meaning = m_desk.m_parts.dialect.read_answer(head);
+    const answer_meaning meaning = m_state.parts.dialect.read_answer(head);
     if (!meaning.is_genuine)
     {
         fail(result_code::upstream_failed,
--- a/libraries/drivers/exchange/exchange_start.cpp
+++ b/libraries/drivers/exchange/exchange_start.cpp
@@ -33,8 +33,8 @@
 
 } // namespace
 
-exchange::exchange(traffic_desk& desk, subject about)
-    : m_desk(desk)
+exchange::exchange(traffic_state& state, subject about)
+    : m_state(state)
     , m_subject(std::move(about))
     , m_deadline(deadline_of(m_subject))
     , m_events(m_subject.read.resume_after)
@@ -46,7 +46,7 @@
 void exchange::start()
 {
     m_service = pick_service();
-    m_desk.m_retries.note_request(m_service, m_desk.m_parts.clock.steady_now());
+    m_state.retries.note_request(m_service, m_state.parts.clock.steady_now());
     hold_tokens();
 }
 
@@ -70,20 +70,20 @@
         return;
     }
     const std::string& account = m_subject.account->name;
-    if (m_desk.m_ledger.hold(account, tokens))
+    if (m_state.ledger.hold(account, tokens))
     {
         m_held = tokens;
         seek_place();
         return;
     }
-    if (!m_desk.covers(account, tokens))
+    if (!m_state.covers(account, tokens))
     {
         refuse({result_code::budget_exhausted, "account",
                 "the rest of the prepaid tokens does not cover the request "
                 "at its largest"});
         return;
     }
-    if (!m_desk.may_get(account, tokens))
+    if (!m_state.may_get(account, tokens))
     {
         refuse({result_code::grant_unavailable, "account",
                 "this router has no prepaid tokens left, and neither the "
@@ -102,10 +102,10 @@
         return;
     }
     m_phase = exchange_phase::waiting_for_tokens;
-    m_desk.m_waiting_holds[m_subject.account->name].push_back(
+    m_state.waiting_holds[m_subject.account->name].push_back(
         {shared_from_this(), needed_tokens()});
-    m_desk.ask_for_tokens();
-    m_tokens_deadline = std::min(m_deadline, m_desk.m_parts.clock.steady_now() +
+    m_state.ask_for_tokens();
+    m_tokens_deadline = std::min(m_deadline, m_state.parts.clock.steady_now() +
                                                  longest_wait_for_tokens);
     schedule(*m_tokens_deadline);
 }
@@ -129,7 +129,7 @@
         total += static_cast<std::uint64_t>(share.weight);
     }
     assert(total > 0);
-    std::uint64_t drawn = m_desk.m_parts.random.next() % total;
+    std::uint64_t drawn = m_state.parts.random.next() % total;
     for (const domain::service_share& share : services)
     {
         const std::uint64_t weight = static_cast<std::uint64_t>(share.weight);
@@ -178,8 +178,8 @@
         fail(result_code::no_upstream, "the route's service is not declared");
         return true;
     }
-    const domain::placement_choice choice = m_desk.m_board.choose(
-        placement(), *service, m_desk.m_parts.clock.steady_now());
+    const domain::placement_choice choice = m_state.board.choose(
+        placement(), *service, m_state.parts.clock.steady_now());
     if (const domain::placement* chosen =
             std::get_if<domain::placement>(&choice))
     {
@@ -204,7 +204,7 @@
     waiting.service = m_service;
     waiting.urgency = urgency();
     waiting.due = m_subject.request.arrived + m_subject.route->objective;
-    m_desk.m_line.add(waiting);
+    m_state.line.add(waiting);
     schedule(line_deadline());
 }
 
@@ -214,14 +214,14 @@
         m_subject.request.arrived +
         m_subject.route->objective / objective_parts_in_line;
     const ports::steady_time least =
-        m_desk.m_parts.clock.steady_now() + least_wait_in_line;
+        m_state.parts.clock.steady_now() + least_wait_in_line;
     return std::min(m_deadline, std::max(usual, least));
 }
 
 void exchange::schedule(ports::steady_time at)
 {
     const std::weak_ptr<exchange> weak = weak_from_this();
-    m_timer = m_desk.m_parts.timers.schedule(
+    m_timer = m_state.parts.timers.schedule(
         at,
         [weak]
         {
--- /dev/null
+++ b/libraries/drivers/exchange/traffic_state.hpp
@@ -0,0 +1,108 @@
+#pragma once
+
+#include "libraries/core/logger.hpp"
+#include "libraries/domain/admission/waiting_line.hpp"
+#include "libraries/domain/callers/route_table.hpp"
+#include "libraries/domain/placement/upstream_board.hpp"
+#include "libraries/domain/prepaid/prepaid_ledger.hpp"
+#include "libraries/domain/retry/retry_window.hpp"
+#include "libraries/drivers/exchange/fleet_view.hpp"
+#include "libraries/drivers/exchange/traffic_dialect.hpp"
+#include "libraries/drivers/exchange/traffic_metrics.hpp"
+#include "libraries/drivers/exchange/traffic_settings.hpp"
+#include "libraries/ports/clock.hpp"
+#include "libraries/ports/random_source.hpp"
+#include "libraries/ports/timer_queue.hpp"
+#include "libraries/ports/upstream_transport.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace turmeric::drivers
+{
+
+class exchange;
+
+/// What requests are served with. All outlive the traffic.
+struct traffic_parts
+{
+    ports::clock& clock;
+    ports::timer_queue& timers;
+    ports::upstream_transport& transport;
+    ports::random_source& random;
+    const traffic_dialect& dialect;
+    turmeric::logger& log;
+    traffic_metrics& metrics;
+};
+
+/// A request that waits for prepaid tokens.
+struct waiting_hold
+{
+    std::shared_ptr<exchange> who;
+    std::int64_t tokens = 0;
+};
+
+/// What all requests of one router share on the traffic thread, and who of
+/// them is next. Used on the traffic thread only.
+struct traffic_state
+{
+    /// Precondition: all of `the_parts` outlive the state.
+    traffic_state(const traffic_parts& the_parts,
+                  traffic_settings the_settings);
+    ~traffic_state();
+    traffic_state(const traffic_state&) = delete;
+    traffic_state& operator=(const traffic_state&) = delete;
+
+    /// Places the requests that wait for a service, in turn.
+    void serve_line(const std::string& service);
+
+    /// Places the requests that wait for any service.
+    void serve_lines();
+
+    /// Lets the requests that wait for an account's tokens try again.
+    void retry_holds(const std::string& account);
+
+    /// Takes a request out of those that wait for an account's tokens.
+    void leave_holds(const std::string& account, const exchange& who);
+
+    /// Drops a request that has ended.
+    void forget(std::uint64_t number);
+
+    /// Tells whether what is left of an account, as far as it is known,
+    /// covers a request.
+    [[nodiscard]] bool covers(const std::string& account,
+                              std::int64_t tokens) const;
+
+    /// Tells whether a grant or a loan for a request may come soon.
+    [[nodiscard]] bool may_get(const std::string& account,
+                               std::int64_t tokens) const;
+
+    /// Tells the control thread that tokens are lacking.
+    void ask_for_tokens();
+
+    traffic_parts parts;
+    traffic_settings settings;
+    std::shared_ptr<const domain::route_table> routes;
+    domain::upstream_board board;
+    domain::prepaid_ledger ledger;
+    domain::waiting_line line;
+    domain::retry_window retries;
+    fleet_view fleet;
+    std::map<std::uint64_t, std::shared_ptr<exchange>> exchanges;
+    std::map<std::string, std::vector<waiting_hold>> waiting_holds;
+    /// What was released, by account.
+    std::map<std::string, std::int64_t> released;
+    /// What the accounts have paid for in all.
+    std::map<std::string, std::int64_t> prepaid;
+    std::function<void()> need;
+    std::optional<ports::steady_time> asked_at;
+    std::optional<ports::steady_time> refuse_from;
+    std::uint64_t next_number = 1;
+};
+
+} // namespace turmeric::drivers
--- a/libraries/drivers/exchange/upstream_attempt.cpp
+++ b/libraries/drivers/exchange/upstream_attempt.cpp
@@ -17,11 +17,11 @@
 const upstream_attempt::body_mode upstream_attempt::events_mode = {
     &upstream_attempt::relay_events, &upstream_attempt::end_events};
 
-upstream_attempt::upstream_attempt(traffic_desk& desk,
+upstream_attempt::upstream_attempt(traffic_state& state,
                                    std::weak_ptr<exchange> owner,
                                    domain::placement chosen,
                                    ports::steady_time sent_at)
-    : m_desk(desk)
+    : m_state(state)
     , m_owner(std::move(owner))
     , m_chosen(std::move(chosen))
     , m_sent_at(sent_at)
@@ -31,8 +31,7 @@
 void upstream_attempt::begin(ports::outgoing_call call)
 {
     assert(m_call == nullptr);
-    m_call =
-        m_desk.m_parts.transport.start(std::move(call), shared_from_this());
+    m_call = m_state.parts.transport.start(std::move(call), shared_from_this());
 }
 
 void upstream_attempt::cancel()
@@ -78,24 +77,23 @@
         return;
     }
     m_is_on_board = false;
-    m_desk.m_board.note_ended(m_chosen, m_is_started);
-    m_desk.serve_line(m_chosen.upstream.service);
+    m_state.board.note_ended(m_chosen, m_is_started);
+    m_state.serve_line(m_chosen.upstream.service);
 }
 
 void upstream_attempt::note_outcome(bool is_good, std::string_view result)
 {
-    m_desk.m_parts.metrics.sends
+    m_state.parts.metrics.sends
         .with({m_chosen.upstream.service, std::string(result)})
         .add();
-    const bool is_ejected = m_desk.m_board.note_outcome(
-        m_chosen.upstream.id, is_good, m_desk.m_parts.clock.steady_now());
+    const bool is_ejected = m_state.board.note_outcome(
+        m_chosen.upstream.id, is_good, m_state.parts.clock.steady_now());
     if (is_ejected)
     {
-        m_desk.m_parts.log.write(log_level::warning,
-                                 log_event::upstream_ejected,
-                                 {{"upstream", m_chosen.upstream.id},
-                                  {"service", m_chosen.upstream.service},
-                                  {"last_result", std::string(result)}});
+        m_state.parts.log.write(log_level::warning, log_event::upstream_ejected,
+                                {{"upstream", m_chosen.upstream.id},
+                                 {"service", m_chosen.upstream.service},
+                                 {"last_result", std::string(result)}});
     }
 }
 
@@ -107,7 +105,7 @@
         return;
     }
     m_head = head;
-    const answer_meaning meaning = m_desk.m_parts.dialect.read_answer(head);
+    const answer_meaning meaning = m_state.parts.dialect.read_answer(head);
     const bool is_stream =
         owner->m_subject.route->kind == domain::request_kind::streaming;
     if (meaning.is_not_executed)
@@ -178,7 +176,7 @@
 void upstream_attempt::keep_part(exchange& owner, std::string&& part)
 {
     static_cast<void>(owner);
-    if (m_kept.size() < m_desk.m_settings.kept_answer)
+    if (m_kept.size() < m_state.settings.kept_answer)
     {
         m_kept += part;
     }
@@ -188,7 +186,7 @@
 void upstream_attempt::keep_or_relay_part(exchange& owner, std::string&& part)
 {
     m_kept += part;
-    if (m_kept.size() < m_desk.m_settings.kept_answer)
+    if (m_kept.size() < m_state.settings.kept_answer)
     {
         m_call->read_more();
         return;
@@ -213,9 +211,9 @@
     if (!m_is_started)
     {
         m_is_started = true;
-        m_desk.m_board.note_started(
+        m_state.board.note_started(
             m_chosen, std::chrono::duration_cast<std::chrono::milliseconds>(
-                          m_desk.m_parts.clock.steady_now() - m_sent_at));
+                          m_state.parts.clock.steady_now() - m_sent_at));
     }
     owner.on_body_part(*m_head, std::move(events));
 }
--- a/libraries/drivers/exchange/upstream_attempt.hpp
+++ b/libraries/drivers/exchange/upstream_attempt.hpp
@@ -18,8 +18,8 @@
       public std::enable_shared_from_this<upstream_attempt>
 {
 public:
-    /// Precondition: `desk` outlives the attempt.
-    upstream_attempt(traffic_desk& desk, std::weak_ptr<exchange> owner,
+    /// Precondition: `state` outlives the attempt.
+    upstream_attempt(traffic_state& state, std::weak_ptr<exchange> owner,
                      domain::placement chosen, ports::steady_time sent_at);
 
     /// Starts the call. Called once.
@@ -73,7 +73,7 @@
     void note_outcome(bool is_good, std::string_view result);
     [[nodiscard]] std::shared_ptr<exchange> current_owner();
 
-    traffic_desk& m_desk;
+    traffic_state& m_state;
     std::weak_ptr<exchange> m_owner;
     domain::placement m_chosen;
     ports::steady_time m_sent_at;
