--- a/libraries/domain/retry/retry_window.hpp
+++ b/libraries/domain/retry/retry_window.hpp
@@ -19,6 +19,8 @@
     /// Repeats beyond that, within any window, of all routers together.
     double slack = 10;
     std::chrono::milliseconds window{10'000};
+
+    bool operator==(const retry_window_limits&) const = default;
 };
 
 /// One router's part of the fleet's bound on repeated sends, by service:
--- a/libraries/drivers/exchange/traffic_desk.cpp
+++ b/libraries/drivers/exchange/traffic_desk.cpp
@@ -49,71 +49,79 @@
     return std::nullopt;
 }
 
+std::optional<error>
+traffic_desk::find_refusal(const domain::caller_request& request) const
+{
+    if (std::optional<error> refusal = find_refusal_to_all())
+    {
+        return refusal;
+    }
+    const domain::route_table& routes = *m_state.routes;
+    const domain::caller_route* route =
+        routes.find_route(request.host, request.path);
+    if (route == nullptr)
+    {
+        return error{result_code::unknown_route, "path",
+                     "no route of the configuration in force takes this host "
+                     "and path"};
+    }
+    const bool needs_key = !route->is_public && routes.has_accounts();
+    if (needs_key && routes.find_account(request.key) == nullptr)
+    {
+        return error{request.key.empty() ? result_code::missing_key
+                                         : result_code::wrong_key,
+                     "key", "the key belongs to no client account"};
+    }
+    return std::nullopt;
+}
+
+void traffic_desk::refuse(ports::caller_channel& channel, const error& failure,
+                          const std::string& request_id)
+{
+    std::string body;
+    const ports::response_head head =
+        m_state.parts.dialect.write_failure(failure, body);
+    const std::int64_t version =
+        m_state.routes == nullptr ? 0 : m_state.routes->version();
+    m_state.parts.log.write(log_level::info, log_event::request_refused,
+                            {{"request_id", request_id},
+                             {"code", static_cast<std::int64_t>(failure.code)},
+                             {"reason", failure.detail},
+                             {"configuration_version", version}});
+    m_state.parts.metrics.answers
+        .with({"-", std::string(name_of(failure.code))})
+        .add();
+    channel.send_answer(head, std::move(body));
+}
+
 std::shared_ptr<ports::exchange_in_flight>
 traffic_desk::accept(ports::arrived_request request,
                      std::shared_ptr<ports::caller_channel> channel)
 {
-    const auto refuse =
-        [&](const error& failure,
-            const std::string& id) -> std::shared_ptr<ports::exchange_in_flight>
-    {
-        std::string body;
-        const ports::response_head head =
-            m_state.parts.dialect.write_failure(failure, body);
-        m_state.parts.log.write(
-            log_level::info, log_event::request_refused,
-            {{"request_id", id},
-             {"code", static_cast<std::int64_t>(failure.code)},
-             {"reason", failure.detail},
-             {"configuration_version", m_state.routes == nullptr
-                                           ? std::int64_t{-1}
-                                           : m_state.routes->version()}});
-        m_state.parts.metrics.answers
-            .with({"-", std::string(name_of(failure.code))})
-            .add();
-        channel->send_answer(head, std::move(body));
-        return nullptr;
-    };
     result<domain::caller_request> read =
         m_state.parts.dialect.read_request(request.head);
     if (!read)
     {
-        return refuse(read.failure(), "");
-    }
-    const std::string& id = read.value().id;
-    if (const std::optional<error> failure = find_refusal_to_all())
-    {
-        return refuse(*failure, id);
-    }
-    const domain::caller_route* route =
-        m_state.routes->find_route(read.value().host, read.value().path);
-    if (route == nullptr)
-    {
-        return refuse({result_code::unknown_route, "path",
-                       "no route of the configuration in force takes this "
-                       "host and path"},
-                      id);
+        refuse(*channel, read.failure(), "");
+        return nullptr;
     }
-    const domain::caller_account* account =
-        m_state.routes->find_account(read.value().key);
-    if (account == nullptr && !route->is_public &&
-        m_state.routes->has_accounts())
+    if (const std::optional<error> failure = find_refusal(read.value()))
     {
-        return refuse({read.value().key.empty() ? result_code::missing_key
-                                                : result_code::wrong_key,
-                       "key", "the key belongs to no client account"},
-                      id);
+        refuse(*channel, *failure, read.value().id);
+        return nullptr;
     }
     exchange::subject about;
     about.number = m_state.next_number++;
     about.request = std::move(request);
     about.read = std::move(read.value());
     about.routes = m_state.routes;
-    about.route = route;
-    about.account = route->is_public ? nullptr : account;
+    about.route = about.routes->find_route(about.read.host, about.read.path);
+    about.account = about.route->is_public
+                        ? nullptr
+                        : about.routes->find_account(about.read.key);
     about.channel = std::move(channel);
     const std::uint64_t number = about.number;
-    std::shared_ptr<exchange> started =
+    const std::shared_ptr<exchange> started =
         std::make_shared<exchange>(m_state, std::move(about));
     m_state.exchanges.emplace(number, started);
     started->start();
@@ -161,6 +169,18 @@
     m_state.serve_lines();
 }
 
+void traffic_desk::set_retries(const domain::retry_window_limits& limits)
+{
+    if (limits == m_state.settings.retries)
+    {
+        return;
+    }
+    m_state.settings.retries = limits;
+    m_state.retries = domain::retry_window(limits);
+    m_state.retries.set_routers(
+        std::max<std::int64_t>(1, m_state.fleet.routers));
+}
+
 void traffic_desk::stop()
 {
     m_state.refuse_from = m_state.parts.clock.steady_now() +
--- a/libraries/drivers/exchange/traffic_desk.hpp
+++ b/libraries/drivers/exchange/traffic_desk.hpp
@@ -38,6 +38,10 @@
     /// Sets what is known of the other routers.
     void set_fleet(fleet_view view);
 
+    /// Sets the bound of repeated sends; what was counted is forgotten if the
+    /// bound has changed.
+    void set_retries(const domain::retry_window_limits& limits);
+
     /// Starts to stop: new requests are refused after a while.
     void stop();
 
@@ -54,6 +58,10 @@
 
 private:
     [[nodiscard]] std::optional<error> find_refusal_to_all() const;
+    [[nodiscard]] std::optional<error>
+    find_refusal(const domain::caller_request& request) const;
+    void refuse(ports::caller_channel& channel, const error& failure,
+                const std::string& request_id);
 
     traffic_state m_state;
 };
--- a/services/entry/entry_process.cpp
+++ b/services/entry/entry_process.cpp
@@ -42,8 +42,9 @@
 
 } // namespace
 
-entry_process::entry_process(entry_settings settings)
+entry_process::entry_process(entry_settings settings, settings_reader reread)
     : m_settings(std::move(settings))
+    , m_reread(std::move(reread))
     , m_log(m_clock, m_settings.least_level, m_settings.format, m_settings.vm,
             STDOUT_FILENO)
     , m_metrics(m_registry)
@@ -161,13 +162,34 @@
 {
     if (number == SIGHUP)
     {
-        m_log.write(log_level::info, log_event::settings_reloaded, {});
+        reload();
         await_signal();
         return;
     }
     begin_stop();
 }
 
+void entry_process::reload()
+{
+    const std::optional<entry_settings> changed = m_reread();
+    if (!changed)
+    {
+        m_log.write(
+            log_level::error, log_event::settings_rejected,
+            {{"effect", std::string("the settings stay as they were")}});
+        return;
+    }
+    m_settings.stop_time = changed->stop_time;
+    m_settings.traffic.retries = changed->traffic.retries;
+    m_log.write(
+        log_level::info, log_event::settings_reloaded,
+        {{"retry_ratio", changed->traffic.retries.ratio},
+         {"retry_slack", changed->traffic.retries.slack},
+         {"stop_ms", static_cast<std::int64_t>(changed->stop_time.count())}});
+    asio::post(m_traffic_loop, [this, limits = changed->traffic.retries]
+               { m_desk.set_retries(limits); });
+}
+
 void entry_process::begin_stop()
 {
     m_log.write(log_level::info, log_event::process_stopping, {});
--- a/services/entry/entry_process.hpp
+++ b/services/entry/entry_process.hpp
@@ -20,7 +20,9 @@
 #include "services/entry/internal_calls.hpp"
 #include "services/entry/thread_link.hpp"
 
+#include <functional>
 #include <memory>
+#include <optional>
 #include <thread>
 
 namespace turmeric::entry
@@ -31,8 +33,11 @@
 class entry_process
 {
 public:
-    /// No precondition.
-    explicit entry_process(entry_settings settings);
+    /// Reads the settings anew; nothing when they are not valid.
+    using settings_reader = std::function<std::optional<entry_settings>()>;
+
+    /// No precondition. `reread` is called when the settings have changed.
+    entry_process(entry_settings settings, settings_reader reread);
     ~entry_process();
     entry_process(const entry_process&) = delete;
     entry_process& operator=(const entry_process&) = delete;
@@ -50,6 +55,7 @@
 private:
     void await_signal();
     void on_signal(int number);
+    void reload();
     void begin_stop();
     void poll_stop();
     void finish_stop();
@@ -58,6 +64,7 @@
                   std::function<void(std::string)> done);
 
     entry_settings m_settings;
+    settings_reader m_reread;
     adapters::system_clock m_clock;
     adapters::system_random m_random;
     adapters::buffered_logger m_log;
--- a/services/entry/main.cpp
+++ b/services/entry/main.cpp
@@ -4,22 +4,45 @@
 #include "services/entry/entry_settings.hpp"
 
 #include <fmt/format.h>
+#include <optional>
 #include <variant>
 
+namespace
+{
+
+using turmeric::json;
+using turmeric::adapters::exit_code;
+using turmeric::entry::entry_process;
+using turmeric::entry::entry_settings;
+
+std::variant<json, exit_code> read_options(int argc, char** argv)
+{
+    return turmeric::adapters::read_daemon_options(
+        argc, argv, "turmeric_entry",
+        "Serves callers on an entry VM of the users' platform.",
+        turmeric::entry::entry_settings_schema());
+}
+
+} // namespace
+
 int main(int argc, char** argv)
 {
-    using turmeric::adapters::exit_code;
-    const std::variant<turmeric::json, exit_code> options =
-        turmeric::adapters::read_daemon_options(
-            argc, argv, "turmeric_entry",
-            "Serves callers on an entry VM of the users' platform.",
-            turmeric::entry::entry_settings_schema());
+    const std::variant<json, exit_code> options = read_options(argc, argv);
     if (const exit_code* code = std::get_if<exit_code>(&options))
     {
         return static_cast<int>(*code);
     }
-    turmeric::entry::entry_process process(turmeric::entry::read_entry_settings(
-        std::get<turmeric::json>(options)));
+    const auto reread = [argc, argv]() -> std::optional<entry_settings>
+    {
+        const std::variant<json, exit_code> changed = read_options(argc, argv);
+        if (const json* settings = std::get_if<json>(&changed))
+        {
+            return turmeric::entry::read_entry_settings(*settings);
+        }
+        return std::nullopt;
+    };
+    entry_process process(
+        turmeric::entry::read_entry_settings(std::get<json>(options)), reread);
     const turmeric::status opened = process.open();
     if (!opened)
     {
--- a/tests/processes/entry_fleet.py
+++ b/tests/processes/entry_fleet.py
@@ -69,8 +69,8 @@
         self.readiness = ports['readiness']
         self.directory = ports['directory']
         self.peers = ports['peers']
-        settings = folder / f'{name}.json'
-        settings.write_text(json.dumps({
+        self.settings = folder / f'{name}.json'
+        self.settings.write_text(json.dumps({
             'vm': name, 'data_centre': 'east', 'listen': ports,
             'store': store_address, 'stop_ms': 4000,
             'log': {'level': 'debug'}}))
@@ -78,7 +78,7 @@
         self._output = open(self.log, 'w', encoding='utf-8')
         self.popen = subprocess.Popen(
             [str(fleet.BINARIES / 'turmeric_entry'), '--settings',
-             str(settings)], stdout=self._output, stderr=self._output)
+             str(self.settings)], stdout=self._output, stderr=self._output)
 
     def is_ready(self):
         try:
--- a/tests/processes/entry_test.py
+++ b/tests/processes/entry_test.py
@@ -1,7 +1,9 @@
 """The whole path on the platform's protocol, as processes: answers whole,
 calls that may not repeat, upstreams that leave, keys that are revoked,
 prepaid tokens that run out, and a start during an outage of the store."""
+import json
 import pathlib
+import signal
 import tempfile
 import unittest
 
@@ -150,6 +152,21 @@
         self.assertEqual(entry.stop(), 0)
         self.assertIn('process_stopped', entry.log.read_text())
 
+    def test_settings_are_read_again_and_bad_ones_change_nothing(self):
+        entry = self.start_entry('vm-1')
+        settings = json.loads(entry.settings.read_text())
+        settings['retries'] = {'ratio': 0.3}
+        entry.settings.write_text(json.dumps(settings))
+        entry.popen.send_signal(signal.SIGHUP)
+        fleet.wait_until('the settings are read',
+                         lambda: 'retry_ratio=0.3' in entry.log.read_text())
+        settings['retries'] = {'ratio': -1}
+        entry.settings.write_text(json.dumps(settings))
+        entry.popen.send_signal(signal.SIGHUP)
+        fleet.wait_until('the settings are rejected',
+                         lambda: 'settings_rejected' in entry.log.read_text())
+        self.assertEqual(entry.call('/pay/1', 'key-1', 'r-1')[0], 200)
+
     def test_metrics_are_served(self):
         entry = self.start_entry('vm-1')
         entry.call('/pay/1', 'key-1', 'r-1')
