--- a/libraries/domain/prepaid/prepaid_record.cpp
+++ b/libraries/domain/prepaid/prepaid_record.cpp
@@ -10,18 +10,18 @@
 {
 
 /// How long a router can go on without the store.
-constexpr double bridged_seconds = 9.0;
+constexpr double bridged_seconds = 10.0;
 constexpr double bridged_seconds_leaving = 3.0;
 /// How many standard deviations of the consumption are covered.
 constexpr double scatter_multiple = 1.0;
 /// The part of its fair share that a router gets whatever its rate.
 constexpr std::int64_t least_divisor = 8;
 /// The part of all that is left that routers hold together at most.
-constexpr double most_part = 0.45;
+constexpr double most_part = 0.2;
 /// Below this part of the wanted stock a router asks for more.
 constexpr double low_mark = 0.9;
 /// Above this multiple of the wanted stock a router gives some back.
-constexpr double high_mark = 1.25;
+constexpr double high_mark = 1.2;
 
 } // namespace
 
