Budget: Never give back twice what may have been given back

The test a_return_that_may_have_been_made_is_not_made_twice shows the double return and fails without the mend. A stopping router now keeps its lease until it has given back, and strands what is in doubt.

--- a/libraries/drivers/fleet/fleet_control.cpp
+++ b/libraries/drivers/fleet/fleet_control.cpp
@@ -310,7 +310,6 @@
 void fleet_control::leave()
 {
     m_is_leaving = true;
-    m_registry.leave();
     tick();
 }
 
@@ -338,7 +337,14 @@
                 --*left;
                 if (*left == 0)
                 {
-                    m_tokens.give_back(done);
+                    m_tokens.give_back(
+                        [this, done]
+                        {
+                            // Not before: who is registered keeps its entry
+                            // in the records.
+                            m_registry.leave();
+                            done();
+                        });
                 }
             };
             for (const auto& [account, need] : seen.accounts)
--- a/libraries/drivers/fleet/token_keeper.cpp
+++ b/libraries/drivers/fleet/token_keeper.cpp
@@ -39,6 +39,8 @@
         std::int64_t returned = 0;
         /// What waits to be given back.
         std::int64_t unreturned = 0;
+        /// The part of it whose giving back was not answered.
+        std::int64_t doubtful = 0;
         std::int64_t last_used = 0;
         domain::spend_rate rate{rate_window};
     };
@@ -73,6 +75,8 @@
     void give_back_all();
     void on_committed(const std::vector<planned_change>& changes,
                       result<ports::change_outcome> got);
+    /// Notes which returns may or may not have been made.
+    void note_doubt(const std::vector<planned_change>& changes);
     void tell();
 
     ports::asynchronous_store& store;
@@ -112,7 +116,13 @@
     if (own != known.record.granted_to.end())
     {
         set_own(known, own->second);
+        known.doubtful = 0;
+        return;
     }
+    // Another router has dropped this one's entry, so nothing tells whether
+    // the return was made. Made twice it would free tokens that are spent.
+    known.unreturned = std::max<std::int64_t>(
+        0, known.unreturned - std::exchange(known.doubtful, 0));
 }
 
 void token_keeper::state::set_own(account& known, std::int64_t granted)
@@ -263,6 +273,7 @@
                    {"reason", got.failure().detail}});
         is_stale = true;
         paused_until = clock.steady_now() + failure_pause;
+        note_doubt(changes);
         return;
     }
     if (const ports::change_refused* refused =
@@ -296,6 +307,17 @@
     tell();
 }
 
+void token_keeper::state::note_doubt(const std::vector<planned_change>& changes)
+{
+    for (const planned_change& planned : changes)
+    {
+        if (planned.tokens < 0)
+        {
+            accounts[planned.name].doubtful = -planned.tokens;
+        }
+    }
+}
+
 void token_keeper::state::tell()
 {
     if (changed)
--- a/tests/fleet/token_keeper_test.cpp
+++ b/tests/fleet/token_keeper_test.cpp
@@ -135,6 +135,36 @@
     LONGS_EQUAL(40'000, next.ledger.balance("acme").granted);
 }
 
+TEST(token_keeper_group, a_return_that_may_have_been_made_is_not_made_twice)
+{
+    // The answer to a return is lost, and before this router reads again,
+    // another one that does not know it as a member drops its entry.
+    router one(store, clock, log, "stopping");
+    router other(store, clock, log, "b");
+    for (router* each : {&other, &one})
+    {
+        each->lacking = 40'000;
+        each->review();
+        store.run_all();
+    }
+    one.lacking = 0;
+    one.release(30'000);
+    one.keeper.give_back([] {});
+    store.run(call_fate::answer_lost);
+    LONGS_EQUAL(50'000, granted_in_all());
+    clock.advance(2s);
+    other.lacking = 10'000;
+    other.review();
+    // This router's reading comes first, then the other's reading and change.
+    store.run(call_fate::refused);
+    store.run_all();
+    LONGS_EQUAL(60'000, granted_in_all());
+    clock.advance(2s);
+    one.keeper.give_back([] {});
+    store.run_all();
+    LONGS_EQUAL(60'000, granted_in_all());
+}
+
 TEST(token_keeper_group, routers_that_stop_together_give_all_back)
 {
     router one(store, clock, log, "a");
