--- a/tests/exchange/exchange_world.hpp
+++ b/tests/exchange/exchange_world.hpp
@@ -76,6 +76,13 @@
         return sent.bytes.find(text) != std::string::npos;
     }
 
+    /// Forgets who listens, as a closed connection does.
+    void drop()
+    {
+        m_listener.reset();
+        m_kept.reset();
+    }
+
     ports::outgoing_call sent;
     bool is_cancelled = false;
     int reads = 0;
@@ -95,6 +102,14 @@
 class made_calls final : public ports::upstream_transport
 {
 public:
+    ~made_calls() override
+    {
+        for (const std::shared_ptr<made_call>& call : calls)
+        {
+            call->drop();
+        }
+    }
+
     std::shared_ptr<ports::upstream_call>
     start(ports::outgoing_call call,
           std::shared_ptr<ports::call_listener> listener) override
