--- a/libraries/adapters/asio/caller_connection.cpp
+++ b/libraries/adapters/asio/caller_connection.cpp
@@ -3,7 +3,6 @@
 #include "libraries/adapters/asio/connection_channel.hpp"
 #include "libraries/adapters/asio/socket_options.hpp"
 
-#include <algorithm>
 #include <cassert>
 #include <iterator>
 #include <utility>
@@ -61,7 +60,7 @@
     m_is_reading = true;
     const std::shared_ptr<caller_connection> self = shared_from_this();
     m_socket.async_read_some(
-        asio::buffer(m_block),
+        m_buffer.room(),
         [self](const boost::system::error_code& fault, std::size_t bytes)
         { self->on_read(fault, bytes); });
 }
@@ -84,7 +83,7 @@
         read_more();
         return;
     }
-    keep_read(bytes);
+    m_buffer.keep(bytes);
     if (m_is_answering)
     {
         // The next request is kept; further reads notice the caller's close.
@@ -97,13 +96,6 @@
     parse();
 }
 
-void caller_connection::keep_read(std::size_t bytes)
-{
-    const auto room = m_buffer.prepare(bytes);
-    std::copy_n(m_block.begin(), bytes, static_cast<char*>(room.data()));
-    m_buffer.commit(bytes);
-}
-
 void caller_connection::parse()
 {
     if (m_buffer.size() > 0 && !m_parser->got_some())
@@ -113,9 +105,7 @@
     }
     while (m_buffer.size() > 0 && !m_parser->is_done())
     {
-        boost::system::error_code fault;
-        const std::size_t used = m_parser->put(m_buffer.data(), fault);
-        m_buffer.consume(used);
+        const boost::system::error_code fault = m_buffer.feed(*m_parser);
         if (fault == http::error::need_more)
         {
             break;
--- a/libraries/adapters/asio/caller_connection.hpp
+++ b/libraries/adapters/asio/caller_connection.hpp
@@ -3,10 +3,9 @@
 #include "libraries/adapters/asio/asio.hpp"
 #include "libraries/adapters/asio/caller_server.hpp"
 #include "libraries/adapters/asio/http_text.hpp"
+#include "libraries/adapters/asio/read_buffer.hpp"
 #include "libraries/ports/caller_channel.hpp"
 
-#include <array>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <functional>
 #include <memory>
@@ -37,7 +36,6 @@
 
     void read_more();
     void on_read(const boost::system::error_code& fault, std::size_t bytes);
-    void keep_read(std::size_t bytes);
     void parse();
     void begin_message();
     void on_unreadable(const boost::system::error_code& fault);
@@ -63,10 +61,7 @@
     caller_server& m_server;
     tcp::socket m_socket;
     asio::steady_timer m_timer;
-    /// Where reads land; apart from the buffer, which moves while one is
-    /// pending.
-    std::array<char, 8 << 10> m_block{};
-    boost::beast::flat_buffer m_buffer;
+    read_buffer<8 << 10> m_buffer;
     std::optional<request_parser> m_parser;
     ports::steady_time m_arrived{};
     std::shared_ptr<ports::exchange_in_flight> m_exchange;
--- a/libraries/adapters/asio/upstream_connection.cpp
+++ b/libraries/adapters/asio/upstream_connection.cpp
@@ -146,7 +146,7 @@
     m_is_reading = true;
     const std::shared_ptr<upstream_connection> self = shared_from_this();
     m_socket.async_read_some(
-        asio::buffer(m_block),
+        m_buffer.room(),
         [self](const boost::system::error_code& fault, std::size_t bytes)
         { self->on_read(fault, bytes); });
 }
@@ -170,17 +170,10 @@
         on_read_end(fault);
         return;
     }
-    keep_read(bytes);
+    m_buffer.keep(bytes);
     parse();
 }
 
-void upstream_connection::keep_read(std::size_t bytes)
-{
-    const auto room = m_buffer.prepare(bytes);
-    std::copy_n(m_block.begin(), bytes, static_cast<char*>(room.data()));
-    m_buffer.commit(bytes);
-}
-
 void upstream_connection::on_read_end(const boost::system::error_code& fault)
 {
     if (fault != asio::error::eof)
@@ -200,9 +193,7 @@
 {
     while (m_buffer.size() > 0 && !m_parser->is_done())
     {
-        boost::system::error_code fault;
-        const std::size_t used = m_parser->put(m_buffer.data(), fault);
-        m_buffer.consume(used);
+        const boost::system::error_code fault = m_buffer.feed(*m_parser);
         if (fault == http::error::need_more)
         {
             break;
--- a/libraries/adapters/asio/upstream_connection.hpp
+++ b/libraries/adapters/asio/upstream_connection.hpp
@@ -2,10 +2,9 @@
 
 #include "libraries/adapters/asio/asio.hpp"
 #include "libraries/adapters/asio/http_text.hpp"
+#include "libraries/adapters/asio/read_buffer.hpp"
 #include "libraries/adapters/asio/upstream_pool.hpp"
 
-#include <array>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <cstdint>
 #include <memory>
@@ -50,7 +49,6 @@
     void read();
     void on_read(const boost::system::error_code& fault, std::size_t bytes);
     void on_read_end(const boost::system::error_code& fault);
-    void keep_read(std::size_t bytes);
     void parse();
     void pass_head();
     /// Passes on what was parsed of the body; false when nothing was.
@@ -67,10 +65,7 @@
     std::string m_address;
     tcp::socket m_socket;
     asio::steady_timer m_connect_timer;
-    /// Where reads land; apart from the buffer, which moves while one is
-    /// pending.
-    std::array<char, 16 << 10> m_block{};
-    boost::beast::flat_buffer m_buffer;
+    read_buffer<16 << 10> m_buffer;
     std::optional<answer_parser> m_parser;
     ports::outgoing_call m_call;
     std::shared_ptr<ports::call_listener> m_listener;
--- a/libraries/drivers/exchange/traffic_dialect.hpp
+++ b/libraries/drivers/exchange/traffic_dialect.hpp
@@ -38,7 +38,7 @@
     bool is_genuine = false;
 };
 
-/// How callers and upstreams of one installation write HTTP messages.
+/// How callers and upstreams of one deployment write HTTP messages.
 /// Thread safe.
 class traffic_dialect
 {
--- a/libraries/drivers/fleet/document_forms.hpp
+++ b/libraries/drivers/fleet/document_forms.hpp
@@ -10,7 +10,7 @@
 namespace turmeric::drivers
 {
 
-/// Where an installation's store keeps what others write, and how it reads.
+/// Where a deployment's store keeps what others write, and how it reads.
 struct document_forms
 {
     std::string configuration_key;
