Budget: Spread a router's tokens over a silence of the store

Whoever was refused came back after 1 s, past the objective, also when the next router had tokens.

Change: once the store is silent, a router hands out its tokens evenly until 9 s after the last answer, whatever the sizes of requests; who is refused for it comes back after 80 ms, to another router. A call that is open for 600 ms says that the store is silent. Refused requests' lines tell account, tokens needed, free and the length of the silence.

--- a/libraries/drivers/exchange/exchange.hpp
+++ b/libraries/drivers/exchange/exchange.hpp
@@ -117,6 +117,7 @@
     void on_body_part(const ports::response_head& head, std::string part);
     void refuse(error failure);
     void fail(result_code code, const std::string& detail);
+    void add_token_inputs(std::vector<log_field>& fields) const;
     void break_off(const std::string& reason);
     void note_first_byte();
     void end(const std::string& outcome);
--- a/libraries/drivers/exchange/exchange_answer.cpp
+++ b/libraries/drivers/exchange/exchange_answer.cpp
@@ -82,19 +82,46 @@
     const ports::response_head head =
         m_state.parts.dialect.write_failure(failure, body);
     const bool is_not_run = failure.effect == outcome::not_run;
-    m_state.parts.log.write(
-        is_not_run ? log_level::info : log_level::warning,
-        log_event::request_refused,
-        {{"request_id", m_subject.read.id},
-         {"code", static_cast<std::int64_t>(failure.code)},
-         {"reason", failure.detail},
-         {"phase", std::string(name_of(m_phase))},
-         {"waiting", static_cast<std::int64_t>(m_state.line.size())},
-         {"sends", static_cast<std::int64_t>(m_sends)}});
+    std::vector<log_field> fields = {
+        {"request_id", m_subject.read.id},
+        {"route", m_subject.route->name},
+        {"code", static_cast<std::int64_t>(failure.code)},
+        {"reason", failure.detail},
+        {"phase", std::string(name_of(m_phase))},
+        {"waiting", static_cast<std::int64_t>(m_state.line.size())},
+        {"sends", static_cast<std::int64_t>(m_sends)}};
+    if (m_subject.account != nullptr && needed_tokens() > 0)
+    {
+        add_token_inputs(fields);
+    }
+    m_state.parts.log.write(is_not_run ? log_level::info : log_level::warning,
+                            log_event::request_refused, fields);
     m_subject.channel->send_answer(head, std::move(body));
     end(std::string(name_of(failure.code)));
 }
 
+void exchange::add_token_inputs(std::vector<log_field>& fields) const
+{
+    const std::string& account = m_subject.account->name;
+    const domain::prepaid_balance balance = m_state.ledger.balance(account);
+    const auto seen = m_state.fleet.accounts.find(account);
+    const bool is_seen = seen != m_state.fleet.accounts.end();
+    fields.push_back({"account", account});
+    fields.push_back({"tokens_needed", needed_tokens()});
+    fields.push_back({"tokens_free", balance.free()});
+    fields.push_back(
+        {"granted_in_all", is_seen ? seen->second.granted_in_all : 0});
+    fields.push_back({"peers_free", is_seen ? seen->second.peers_free : 0});
+    if (const auto since = m_state.fleet.store_silent_since)
+    {
+        const auto silence =
+            std::chrono::duration_cast<std::chrono::milliseconds>(
+                m_state.parts.clock.steady_now() - *since);
+        fields.push_back(
+            {"store_silent_ms", static_cast<std::int64_t>(silence.count())});
+    }
+}
+
 void exchange::break_off(const std::string& reason)
 {
     m_state.parts.log.write(log_level::warning, log_event::answer_broken_off,
--- a/libraries/drivers/exchange/exchange_start.cpp
+++ b/libraries/drivers/exchange/exchange_start.cpp
@@ -20,6 +20,8 @@
 constexpr std::chrono::milliseconds tokens_retry_after{300};
 /// Long enough for a short cut to end, or for the caller to go elsewhere.
 constexpr std::chrono::milliseconds hopeless_retry_after{1'000};
+/// Another router may have tokens to spend now, in time for the objective.
+constexpr std::chrono::milliseconds paced_retry_after{80};
 
 ports::steady_time deadline_of(const exchange::subject& about)
 {
@@ -70,6 +72,15 @@
         return;
     }
     const std::string& account = m_subject.account->name;
+    if (!m_state.pacer.allows(account, m_state.ledger.balance(account),
+                              m_state.parts.clock.steady_now()))
+    {
+        refuse({result_code::grant_unavailable, "account",
+                "the store is silent, and this router spreads its prepaid "
+                "tokens over the time until it may answer",
+                outcome::not_run, paced_retry_after});
+        return;
+    }
     if (m_state.ledger.hold(account, tokens))
     {
         m_held = tokens;
--- a/libraries/drivers/exchange/fleet_view.hpp
+++ b/libraries/drivers/exchange/fleet_view.hpp
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "libraries/domain/placement/upstream_board.hpp"
+#include "libraries/ports/clock.hpp"
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 
 namespace turmeric::drivers
@@ -31,8 +33,8 @@
     std::int64_t routers = 1;
     std::map<std::string, domain::upstream_load> peer_load;
     std::map<std::string, account_view> accounts;
-    /// Whether the store has not answered of late.
-    bool is_store_silent = false;
+    /// Set while the store does not answer: when it was last known to.
+    std::optional<ports::steady_time> store_silent_since;
 };
 
 /// What one account needs of the store.
--- a/libraries/drivers/exchange/traffic_desk.cpp
+++ b/libraries/drivers/exchange/traffic_desk.cpp
@@ -152,6 +152,7 @@
 void traffic_desk::set_fleet(fleet_view view)
 {
     m_state.fleet = std::move(view);
+    pace_stock();
     m_state.board.set_peer_load(m_state.fleet.peer_load, m_state.fleet.routers);
     m_state.retries.set_routers(
         std::max<std::int64_t>(1, m_state.fleet.routers));
@@ -169,6 +170,19 @@
     m_state.serve_lines();
 }
 
+void traffic_desk::pace_stock()
+{
+    const std::optional<ports::steady_time> since =
+        m_state.fleet.store_silent_since;
+    if (!since)
+    {
+        m_state.pacer.stop();
+        return;
+    }
+    m_state.pacer.start(m_state.ledger.balances(), *since,
+                        m_state.parts.clock.steady_now());
+}
+
 void traffic_desk::set_retries(const domain::retry_window_limits& limits)
 {
     if (limits == m_state.settings.retries)
--- a/libraries/drivers/exchange/traffic_desk.hpp
+++ b/libraries/drivers/exchange/traffic_desk.hpp
@@ -57,6 +57,7 @@
     std::int64_t release(const std::string& account, std::int64_t wanted);
 
 private:
+    void pace_stock();
     [[nodiscard]] std::optional<error> find_refusal_to_all() const;
     [[nodiscard]] std::optional<error>
     find_refusal(const domain::caller_request& request) const;
--- a/libraries/drivers/exchange/traffic_state.cpp
+++ b/libraries/drivers/exchange/traffic_state.cpp
@@ -118,7 +118,7 @@
         return true;
     }
     const std::int64_t rest = total->second - known->second.granted_in_all;
-    return (!fleet.is_store_silent && rest >= tokens) ||
+    return (!fleet.store_silent_since && rest >= tokens) ||
            known->second.peers_free / 2 >= tokens;
 }
 
--- a/libraries/drivers/exchange/traffic_state.hpp
+++ b/libraries/drivers/exchange/traffic_state.hpp
@@ -5,6 +5,7 @@
 #include "libraries/domain/callers/route_table.hpp"
 #include "libraries/domain/placement/upstream_board.hpp"
 #include "libraries/domain/prepaid/prepaid_ledger.hpp"
+#include "libraries/domain/prepaid/stock_pacer.hpp"
 #include "libraries/domain/retry/retry_window.hpp"
 #include "libraries/drivers/exchange/fleet_view.hpp"
 #include "libraries/drivers/exchange/traffic_dialect.hpp"
@@ -90,6 +91,7 @@
     std::shared_ptr<const domain::route_table> routes;
     domain::upstream_board board;
     domain::prepaid_ledger ledger;
+    domain::stock_pacer pacer;
     domain::waiting_line line;
     domain::retry_window retries;
     fleet_view fleet;
--- a/libraries/drivers/fleet/fleet_control.cpp
+++ b/libraries/drivers/fleet/fleet_control.cpp
@@ -296,8 +296,11 @@
 void fleet_control::tell_traffic()
 {
     fleet_view view = m_peers.view(m_parts.clock.steady_now());
-    view.is_store_silent =
-        m_upstreams.silent_since().has_value() || m_tokens.is_failing();
+    view.store_silent_since = m_tokens.silent_since();
+    if (!view.store_silent_since)
+    {
+        view.store_silent_since = m_upstreams.silent_since();
+    }
     for (const auto& [name, grants] : known_grants_now())
     {
         account_view& account = view.accounts[name];
--- a/libraries/drivers/fleet/token_keeper.cpp
+++ b/libraries/drivers/fleet/token_keeper.cpp
@@ -24,6 +24,8 @@
 constexpr std::chrono::milliseconds change_interval{1'000};
 /// The same while requests wait.
 constexpr std::chrono::milliseconds urgent_interval{100};
+/// A call that is open for longer says that the store is silent.
+constexpr std::chrono::milliseconds usual_answer_time{600};
 
 } // namespace
 
@@ -57,6 +59,7 @@
         , clock(the_clock)
         , log(the_log)
         , incarnation(std::move(the_incarnation))
+        , answered_at(clock.steady_now())
     {
     }
 
@@ -71,6 +74,8 @@
     plan(const std::map<std::string, account_need>& needs, bool is_leaving,
          std::map<std::string, std::int64_t>& surplus);
     void commit(std::vector<planned_change> changes);
+    void note_call();
+    void note_answer(bool is_good);
     /// Gives back until nothing is left to give back.
     void give_back_all();
     void on_committed(const std::vector<planned_change>& changes,
@@ -90,6 +95,8 @@
     /// Set while the store's records must be read before a change.
     bool is_stale = true;
     bool is_busy = false;
+    ports::steady_time answered_at;
+    ports::steady_time called_at;
     /// Whether the last call failed.
     bool is_failing = false;
     std::optional<ports::steady_time> paused_until;
@@ -137,13 +144,12 @@
 
 void token_keeper::state::read_all(std::function<void()> then)
 {
-    is_busy = true;
+    note_call();
     const std::shared_ptr<state> self = shared_from_this();
     store.list(std::string(key_prefix),
                [self, then = std::move(then)](result<ports::key_range> got)
                {
-                   self->is_busy = false;
-                   self->is_failing = !got;
+                   self->note_answer(bool(got));
                    if (!got)
                    {
                        // A later review reads again.
@@ -161,6 +167,22 @@
                });
 }
 
+void token_keeper::state::note_call()
+{
+    is_busy = true;
+    called_at = clock.steady_now();
+}
+
+void token_keeper::state::note_answer(bool is_good)
+{
+    is_busy = false;
+    is_failing = !is_good;
+    if (is_good)
+    {
+        answered_at = clock.steady_now();
+    }
+}
+
 void token_keeper::state::note_uses(
     const std::map<std::string, account_need>& needs)
 {
@@ -247,13 +269,13 @@
         change.conditions.push_back({key, known.revision});
         change.writes.push_back({key, codecs::write_prepaid_record(next), 0});
     }
-    is_busy = true;
+    note_call();
     const std::shared_ptr<state> self = shared_from_this();
     store.commit(
         change,
         [self, changes = std::move(changes)](result<ports::change_outcome> got)
         {
-            self->is_busy = false;
+            self->note_answer(bool(got));
             self->on_committed(changes, std::move(got));
             if (self->given_back)
             {
@@ -449,9 +471,17 @@
     return total->second - known->second.record.granted_in_all >= tokens;
 }
 
-bool token_keeper::is_failing() const
+std::optional<ports::steady_time> token_keeper::silent_since() const
 {
-    return m_state->is_failing;
+    const state& self = *m_state;
+    const bool is_overdue =
+        self.is_busy &&
+        self.clock.steady_now() - self.called_at > usual_answer_time;
+    if (!self.is_failing && !is_overdue)
+    {
+        return std::nullopt;
+    }
+    return self.answered_at;
 }
 
 std::map<std::string, known_grants> token_keeper::known() const
--- a/libraries/drivers/fleet/token_keeper.hpp
+++ b/libraries/drivers/fleet/token_keeper.hpp
@@ -71,8 +71,9 @@
     [[nodiscard]] bool can_grant(const std::string& account,
                                  std::int64_t tokens) const;
 
-    /// Tells whether the last call to the store failed.
-    [[nodiscard]] bool is_failing() const;
+    /// Returns when the store answered last if its last call failed or one
+    /// has been open for too long.
+    [[nodiscard]] std::optional<ports::steady_time> silent_since() const;
 
     /// Returns what is known of the grants, by account.
     [[nodiscard]] std::map<std::string, known_grants> known() const;
--- a/tests/exchange/exchange_test.cpp
+++ b/tests/exchange/exchange_test.cpp
@@ -320,6 +320,24 @@
     LONGS_EQUAL(0, asked);
 }
 
+TEST(prepaid_exchange_group, a_silent_store_spreads_what_is_left)
+{
+    world.grant(90, 90);
+    drivers::fleet_view view;
+    view.accounts["acme"].own_granted = 90;
+    view.store_silent_since = world.clock.steady_now();
+    world.desk.set_fleet(view);
+    world.ask("ask", "10,20");
+    const auto too_soon = world.ask("ask", "10,20");
+    LONGS_EQUAL(1, world.calls());
+    LONGS_EQUAL(503, too_soon->status);
+    CHECK(too_soon->has("Retry-After"));
+    view.store_silent_since.reset();
+    world.desk.set_fleet(view);
+    world.ask("ask", "10,20");
+    LONGS_EQUAL(2, world.calls());
+}
+
 TEST(prepaid_exchange_group, released_tokens_are_not_spent_here)
 {
     world.grant(100, 100);
--- a/tests/fleet/token_keeper_test.cpp
+++ b/tests/fleet/token_keeper_test.cpp
@@ -119,6 +119,32 @@
     LONGS_EQUAL(granted_in_all(), one.ledger.balance("acme").granted);
 }
 
+TEST(token_keeper_group, an_open_call_tells_of_a_silent_store)
+{
+    router one(store, clock, log, "a");
+    one.review();
+    const ports::steady_time asked_at = clock.steady_now();
+    clock.advance(500ms);
+    CHECK_FALSE(one.keeper.silent_since().has_value());
+    clock.advance(500ms);
+    CHECK(one.keeper.silent_since() == asked_at);
+    store.run_all();
+    CHECK_FALSE(one.keeper.silent_since().has_value());
+}
+
+TEST(token_keeper_group, a_failed_call_tells_of_a_silent_store)
+{
+    router one(store, clock, log, "a");
+    one.review();
+    store.run_all();
+    const ports::steady_time answered_at = clock.steady_now();
+    clock.advance(2s);
+    one.lacking = 60'000;
+    one.review();
+    store.run(call_fate::refused);
+    CHECK(one.keeper.silent_since() == answered_at);
+}
+
 TEST(token_keeper_group, what_a_dead_router_had_counts_as_spent)
 {
     {
