Budget: Hold less of an account the nearer it is to its end

Change: routers hold 0.3 of what is left while that is at least half of the total, below that less by the square; the least part of a router is a sixteenth of its fair part instead of an eighth, else that decides.

--- a/libraries/domain/prepaid/prepaid_record.cpp
+++ b/libraries/domain/prepaid/prepaid_record.cpp
@@ -15,14 +15,30 @@
 /// How many standard deviations of the consumption are covered.
 constexpr double scatter_multiple = 1.0;
 /// The part of its fair share that a router gets whatever its rate.
-constexpr std::int64_t least_divisor = 8;
+constexpr std::int64_t least_divisor = 16;
 /// The part of all that is left that routers hold together at most.
-constexpr double most_part = 0.2;
+constexpr double most_part = 0.3;
+/// Below this part of the total routers hold less of what is left, since
+/// tokens that are stranded by a kill are then missed soon: the account can
+/// not be used up, and all later requests are refused though they would fit.
+constexpr double ample_part = 0.5;
 /// Below this part of the wanted stock a router asks for more.
 constexpr double low_mark = 0.9;
 /// Above this multiple of the wanted stock a router gives some back.
 constexpr double high_mark = 1.2;
 
+/// Returns the part of `pool` that routers hold together at most.
+double held_part(std::int64_t pool, std::int64_t total)
+{
+    const double ample = ample_part * static_cast<double>(total);
+    if (ample <= 0 || static_cast<double>(pool) >= ample)
+    {
+        return most_part;
+    }
+    const double part = static_cast<double>(pool) / ample;
+    return most_part * part * part;
+}
+
 } // namespace
 
 prepaid_record change_grant(prepaid_record record,
@@ -52,8 +68,9 @@
         demand.tokens_per_second + demand.peers_tokens_per_second;
     const double share = all_rates < 1.0 ? 1.0 / static_cast<double>(routers)
                                          : demand.tokens_per_second / all_rates;
-    const std::int64_t most = static_cast<std::int64_t>(
-        most_part * share * static_cast<double>(pool));
+    const std::int64_t most =
+        static_cast<std::int64_t>(held_part(pool, demand.prepaid_tokens) *
+                                  share * static_cast<double>(pool));
     const double seconds =
         demand.is_leaving ? bridged_seconds_leaving : bridged_seconds;
     const double mean = demand.tokens_per_second * seconds;
--- a/tests/prepaid/size_grant_test.cpp
+++ b/tests/prepaid/size_grant_test.cpp
@@ -49,6 +49,23 @@
     CHECK(first < demand.prepaid_tokens / demand.routers);
 }
 
+TEST(size_grant_group, routers_hold_less_of_an_account_that_runs_out)
+{
+    demand.routers = 1;
+    demand.tokens_per_second = 1'000'000;
+    const auto held_part = [this](std::int64_t left)
+    {
+        demand.granted_in_all = demand.prepaid_tokens - left;
+        return static_cast<double>(size_grant(demand)) /
+               static_cast<double>(left);
+    };
+    DOUBLES_EQUAL(0.3, held_part(1'000'000), 0.001);
+    DOUBLES_EQUAL(0.3, held_part(500'000), 0.001);
+    DOUBLES_EQUAL(0.075, held_part(250'000), 0.001);
+    // With a quarter left a kill strands less than 3 in 100 of the total.
+    CHECK(held_part(250'000) * 250'000 < 0.03 * 1'000'000);
+}
+
 TEST(size_grant_group, the_only_router_of_an_account_gets_what_it_consumes)
 {
     demand.granted_in_all = 100'000;
