Logs: Write the entry process's lines as JSON

Cause: the users ask for JSON lines on standard output; the entry process wrote key=value. Lines are now written field by field without building a tree, "time" first, and both formats share one loop.

--- a/libraries/adapters/fmt/log_line.cpp
+++ b/libraries/adapters/fmt/log_line.cpp
@@ -2,6 +2,7 @@
 
 #include "libraries/core/json.hpp"
 
+#include <algorithm>
 #include <array>
 #include <fmt/chrono.h>
 #include <fmt/format.h>
@@ -41,6 +42,26 @@
            text.find_first_of(" =\"\n\t\\") != std::string::npos;
 }
 
+/// Tells whether a text stands in JSON as it is, between quotes.
+bool is_plain(const std::string& text)
+{
+    return std::all_of(text.begin(), text.end(),
+                       [](char one) {
+                           return one >= ' ' && one <= '~' && one != '"' &&
+                                  one != '\\';
+                       });
+}
+
+std::string to_json_text(const log_field& field)
+{
+    const auto* text = std::get_if<std::string>(&field.value);
+    if (text != nullptr && is_plain(*text))
+    {
+        return '"' + *text + '"';
+    }
+    return dump(to_json(field));
+}
+
 std::string to_text(const log_field& field)
 {
     const auto* text = std::get_if<std::string>(&field.value);
@@ -51,6 +72,25 @@
     return dump(to_json(field));
 }
 
+/// The parts of a line that differ between the formats.
+struct line_form
+{
+    const char* head;
+    const char* field;
+    const char* end;
+    std::string (*value)(const log_field& field);
+};
+
+const line_form& form_of(log_format format)
+{
+    static const line_form text = {"time={} level={} event={} name={}",
+                                   " {}={}", "", to_text};
+    static const line_form json_line = {
+        R"({{"time":"{}","level":"{}","event":{},"name":"{}")", R"(,"{}":{})",
+        "}", to_json_text};
+    return format == log_format::json ? json_line : text;
+}
+
 } // namespace
 
 std::string format_log_line(log_format format, ports::system_time time,
@@ -58,31 +98,19 @@
                             const std::string& process,
                             const std::vector<log_field>& fields)
 {
-    const std::string written_time = format_time(time);
-    if (format == log_format::json)
-    {
-        json row = {{"time", written_time},
-                    {"level", name_of(level)},
-                    {"event", static_cast<int>(event)},
-                    {"name", name_of(event)},
-                    {"process", process}};
-        for (const log_field& field : fields)
-        {
-            row[std::string(field.name)] = to_json(field);
-        }
-        return dump(row);
-    }
+    const line_form& form = form_of(format);
     fmt::memory_buffer line;
-    fmt::format_to(std::back_inserter(line),
-                   "time={} level={} event={} name={} process={}", written_time,
-                   name_of(level), static_cast<int>(event), name_of(event),
-                   process);
-    for (const log_field& field : fields)
+    fmt::format_to(std::back_inserter(line), fmt::runtime(form.head),
+                   format_time(time), name_of(level), static_cast<int>(event),
+                   name_of(event));
+    const auto add = [&](const log_field& field)
     {
-        fmt::format_to(std::back_inserter(line), " {}={}", field.name,
-                       to_text(field));
-    }
-    return fmt::to_string(line);
+        fmt::format_to(std::back_inserter(line), fmt::runtime(form.field),
+                       field.name, form.value(field));
+    };
+    add({"process", process});
+    std::for_each(fields.begin(), fields.end(), add);
+    return fmt::to_string(line) + form.end;
 }
 
 log_level log_level_of(const std::string& name)
