Budget: Spread tokens only while no peer can lend

Change: a digest tells whether its sender's store answers. Tokens are spread only while no peer with an answering store is heard of; else a router spends and borrows as before.

--- a/libraries/codecs/fleet/digest_codec.cpp
+++ b/libraries/codecs/fleet/digest_codec.cpp
@@ -11,7 +11,7 @@
 {
 
 /// The version of the form; a router of another one is not understood.
-constexpr std::int64_t form = 4;
+constexpr std::int64_t form = 5;
 
 error not_understood(const char* what)
 {
@@ -51,6 +51,7 @@
                         digest.sequence,
                         digest.configuration_version,
                         digest.is_leaving,
+                        digest.is_store_silent,
                         std::move(load),
                         std::move(accounts)};
     const std::vector<std::uint8_t> bytes = json::to_cbor(whole);
@@ -59,7 +60,7 @@
 
 result<peer_digest> read_digest(std::string_view bytes)
 {
-    constexpr std::size_t places = 7;
+    constexpr std::size_t places = 8;
     const json whole = json::from_cbor(bytes.begin(), bytes.end(), true, false);
     std::int64_t sent_form = 0;
     if (!whole.is_array() || whole.size() != places ||
@@ -70,14 +71,15 @@
     peer_digest digest;
     if (!whole[1].is_string() || !read_number(whole, 2, digest.sequence) ||
         !read_number(whole, 3, digest.configuration_version) ||
-        !whole[4].is_boolean() || !whole[5].is_object() ||
-        !whole[6].is_object())
+        !whole[4].is_boolean() || !whole[5].is_boolean() ||
+        !whole[6].is_object() || !whole[7].is_object())
     {
         return not_understood("fields");
     }
     digest.incarnation = whole[1].get<std::string>();
     digest.is_leaving = whole[4].get<bool>();
-    for (const auto& [id, row] : whole[5].items())
+    digest.is_store_silent = whole[5].get<bool>();
+    for (const auto& [id, row] : whole[6].items())
     {
         domain::upstream_load load;
         if (!read_number(row, 0, load.requests) ||
@@ -87,7 +89,7 @@
         }
         digest.load.emplace(id, load);
     }
-    for (const auto& [name, row] : whole[6].items())
+    for (const auto& [name, row] : whole[7].items())
     {
         peer_account account;
         if (!read_number(row, 0, account.used) ||
--- a/libraries/codecs/fleet/digest_codec.hpp
+++ b/libraries/codecs/fleet/digest_codec.hpp
@@ -29,6 +29,8 @@
     std::int64_t sequence = 0;
     std::int64_t configuration_version = 0;
     bool is_leaving = false;
+    /// Whether the store does not answer this router.
+    bool is_store_silent = false;
     std::map<std::string, domain::upstream_load> load;
     std::map<std::string, peer_account> accounts;
 };
--- a/libraries/drivers/exchange/fleet_view.hpp
+++ b/libraries/drivers/exchange/fleet_view.hpp
@@ -35,6 +35,9 @@
     std::map<std::string, account_view> accounts;
     /// Set while the store does not answer: when it was last known to.
     std::optional<ports::steady_time> store_silent_since;
+    /// Whether a peer that was heard of late has a store that answers, so
+    /// that it can lend what it gets.
+    bool is_peer_in_touch = false;
 };
 
 /// What one account needs of the store.
--- a/libraries/drivers/exchange/traffic_desk.cpp
+++ b/libraries/drivers/exchange/traffic_desk.cpp
@@ -174,7 +174,7 @@
 {
     const std::optional<ports::steady_time> since =
         m_state.fleet.store_silent_since;
-    if (!since)
+    if (!since || m_state.fleet.is_peer_in_touch)
     {
         m_state.pacer.stop();
         return;
--- a/libraries/drivers/fleet/fleet_control.cpp
+++ b/libraries/drivers/fleet/fleet_control.cpp
@@ -83,6 +83,7 @@
     digest.configuration_version =
         m_routes == nullptr ? 0 : m_routes->version();
     digest.is_leaving = m_is_leaving;
+    digest.is_store_silent = store_silent_since().has_value();
     digest.load = seen.load;
     const std::map<std::string, known_grants> known = m_tokens.known();
     for (const auto& [name, need] : seen.accounts)
@@ -293,14 +294,16 @@
     m_tokens.set_members(std::move(incarnations));
 }
 
+std::optional<ports::steady_time> fleet_control::store_silent_since() const
+{
+    const std::optional<ports::steady_time> since = m_tokens.silent_since();
+    return since ? since : m_upstreams.silent_since();
+}
+
 void fleet_control::tell_traffic()
 {
     fleet_view view = m_peers.view(m_parts.clock.steady_now());
-    view.store_silent_since = m_tokens.silent_since();
-    if (!view.store_silent_since)
-    {
-        view.store_silent_since = m_upstreams.silent_since();
-    }
+    view.store_silent_since = store_silent_since();
     for (const auto& [name, grants] : known_grants_now())
     {
         account_view& account = view.accounts[name];
--- a/libraries/drivers/fleet/fleet_control.hpp
+++ b/libraries/drivers/fleet/fleet_control.hpp
@@ -115,6 +115,7 @@
     /// Puts a configuration in force if it is newer than the present one.
     void take_configuration(const std::string& text, const char* source);
     void ask_peers_for_configuration();
+    [[nodiscard]] std::optional<ports::steady_time> store_silent_since() const;
     void tell_traffic();
     /// Takes tokens from the traffic thread, to give them back to the store.
     void put_back(const std::string& account, std::int64_t tokens,
--- a/libraries/drivers/fleet/peer_table.cpp
+++ b/libraries/drivers/fleet/peer_table.cpp
@@ -99,6 +99,8 @@
     {
         const bool is_recent =
             known.heard_at && now - *known.heard_at <= load_kept;
+        seen.is_peer_in_touch = seen.is_peer_in_touch ||
+                                (is_recent && !known.digest.is_store_silent);
         for (const auto& [id, load] : known.digest.load)
         {
             if (is_recent)
--- a/tests/exchange/exchange_test.cpp
+++ b/tests/exchange/exchange_test.cpp
@@ -338,6 +338,18 @@
     LONGS_EQUAL(2, world.calls());
 }
 
+TEST(prepaid_exchange_group, nothing_is_spread_while_a_peer_can_lend)
+{
+    drivers::fleet_view view;
+    view.accounts["acme"].own_granted = 90;
+    view.store_silent_since = world.clock.steady_now();
+    view.is_peer_in_touch = true;
+    world.desk.set_fleet(view);
+    world.ask("ask", "10,20");
+    world.ask("ask", "10,20");
+    LONGS_EQUAL(2, world.calls());
+}
+
 TEST(prepaid_exchange_group, released_tokens_are_not_spent_here)
 {
     world.grant(100, 100);
--- /dev/null
+++ b/tests/fleet/peer_table_test.cpp
@@ -0,0 +1,93 @@
+#include <rapidcheck.h>
+
+#include "libraries/codecs/fleet/digest_codec.hpp"
+#include "libraries/drivers/fleet/peer_table.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace turmeric;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+codecs::peer_digest sample_digest()
+{
+    codecs::peer_digest digest;
+    digest.incarnation = "b";
+    digest.sequence = 7;
+    digest.configuration_version = 3;
+    digest.is_store_silent = true;
+    digest.load["u1"] = {2, 900};
+    digest.accounts["acme"] = {10, 20, 30, 4};
+    return digest;
+}
+
+} // namespace
+
+TEST_GROUP(peer_table_group)
+{
+    ports::steady_time now{100s};
+    drivers::peer_table peers{{"a", "va", "east", "10.0.0.1:1", "10.0.0.1:2"}};
+
+    void hear(std::int64_t sequence, bool is_store_silent)
+    {
+        codecs::peer_digest digest = sample_digest();
+        digest.sequence = sequence;
+        digest.is_store_silent = is_store_silent;
+        peers.take(digest, now);
+    }
+};
+
+TEST(peer_table_group, a_digest_is_read_as_it_was_written)
+{
+    const result<codecs::peer_digest> read =
+        codecs::read_digest(codecs::write_digest(sample_digest()));
+    CHECK(bool(read));
+    const codecs::peer_digest& digest = read.value();
+    CHECK(digest.incarnation == "b");
+    LONGS_EQUAL(7, digest.sequence);
+    LONGS_EQUAL(3, digest.configuration_version);
+    CHECK_FALSE(digest.is_leaving);
+    CHECK(digest.is_store_silent);
+    LONGS_EQUAL(900, digest.load.at("u1").unread_tokens);
+    LONGS_EQUAL(30, digest.accounts.at("acme").free);
+    LONGS_EQUAL(4, digest.accounts.at("acme").rate);
+}
+
+TEST(peer_table_group, a_damaged_digest_is_refused_and_harms_nothing)
+{
+    const std::string whole = codecs::write_digest(sample_digest());
+    CHECK(rc::check(
+        "any byte may be wrong or missing",
+        [&whole]
+        {
+            std::string bytes = whole.substr(
+                0, *rc::gen::inRange<std::size_t>(0, whole.size()));
+            if (!bytes.empty())
+            {
+                bytes[*rc::gen::inRange<std::size_t>(0, bytes.size())] =
+                    *rc::gen::arbitrary<char>();
+            }
+            RC_ASSERT(!codecs::read_digest(bytes));
+        }));
+}
+
+TEST(peer_table_group, only_a_peer_whose_store_answers_can_lend_more)
+{
+    CHECK_FALSE(peers.view(now).is_peer_in_touch);
+    hear(1, true);
+    CHECK_FALSE(peers.view(now).is_peer_in_touch);
+    hear(2, false);
+    CHECK(peers.view(now).is_peer_in_touch);
+    LONGS_EQUAL(30, peers.view(now).accounts["acme"].peers_free);
+    now += 2s;
+    CHECK_FALSE(peers.view(now).is_peer_in_touch);
+}
+
+TEST(peer_table_group, an_older_digest_is_dropped)
+{
+    hear(2, false);
+    hear(1, true);
+    CHECK(peers.view(now).is_peer_in_touch);
+}
