Budget: Part what a router knows of its grants from the calls

The token keeper held the records' arithmetic, the plan and the calls in one file of 500 lines. grant_book knows the records, rates and returns in doubt and plans changes, without calls; token_keeper makes and paces the calls. No change of behaviour; the keeper's tests pass unchanged.

--- a/libraries/drivers/fleet/token_keeper.cpp
+++ b/libraries/drivers/fleet/token_keeper.cpp
@@ -1,7 +1,6 @@
 #include "libraries/drivers/fleet/token_keeper.hpp"
 
 #include "libraries/codecs/fleet/prepaid_record_codec.hpp"
-#include "libraries/domain/budget/spend_rate.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -13,11 +12,6 @@
 {
 
 constexpr std::string_view key_prefix = "turmericfront/tokens/";
-/// Accounts in one change; the store takes 32 entries.
-constexpr std::size_t most_accounts_in_change = 15;
-/// With more accounts, grants are asked for when a request comes.
-constexpr std::size_t most_accounts_ahead = 64;
-constexpr std::chrono::seconds rate_window{6};
 /// How long to wait after a failed call.
 constexpr std::chrono::milliseconds failure_pause{300};
 /// Changes that no request waits for are gathered for so long.
@@ -27,71 +21,47 @@
 /// A call that is open for longer says that the store is silent.
 constexpr std::chrono::milliseconds usual_answer_time{600};
 
+bool is_anyone_waiting(const std::map<std::string, account_need>& needs)
+{
+    return std::any_of(needs.begin(), needs.end(),
+                       [](const auto& entry)
+                       { return entry.second.lacking > 0; });
+}
+
 } // namespace
 
 struct token_keeper::state : std::enable_shared_from_this<state>
 {
-    struct account
-    {
-        ports::revision revision = 0;
-        domain::prepaid_record record;
-        /// As the store has it.
-        std::int64_t own_granted = 0;
-        /// What the store took back.
-        std::int64_t returned = 0;
-        /// What waits to be given back.
-        std::int64_t unreturned = 0;
-        /// The part of it whose giving back was not answered.
-        std::int64_t doubtful = 0;
-        std::int64_t last_used = 0;
-        domain::spend_rate rate{rate_window};
-    };
-
-    struct planned_change
-    {
-        std::string name;
-        std::int64_t tokens = 0;
-    };
-
     state(ports::asynchronous_store& the_store, const ports::clock& the_clock,
-          logger& the_log, std::string the_incarnation)
+          logger& the_log, std::string incarnation)
         : store(the_store)
         , clock(the_clock)
         , log(the_log)
-        , incarnation(std::move(the_incarnation))
+        , book(the_clock, std::move(incarnation))
         , answered_at(clock.steady_now())
     {
     }
 
     void read_all(std::function<void()> then);
     void take_record(const ports::key_value& entry);
-    static void set_own(account& known, std::int64_t granted);
-    void note_uses(const std::map<std::string, account_need>& needs);
-    /// Returns the tokens that this router consumes in a second.
-    [[nodiscard]] double rate_of(const account& known) const;
-    [[nodiscard]] std::vector<planned_change> plan_returns() const;
-    [[nodiscard]] std::vector<planned_change>
-    plan(const std::map<std::string, account_need>& needs, bool is_leaving,
-         std::map<std::string, std::int64_t>& surplus);
-    void commit(std::vector<planned_change> changes);
-    void note_call();
-    void note_answer(bool is_good);
+    void commit(std::vector<planned_grant> changes);
+    void on_committed(const std::vector<planned_grant>& changes,
+                      result<ports::change_outcome> got);
+    void on_refused(const std::vector<planned_grant>& changes,
+                    const ports::change_refused& refused);
+    void on_made(const std::vector<planned_grant>& changes, ports::revision at);
     /// Gives back until nothing is left to give back.
     void give_back_all();
-    void on_committed(const std::vector<planned_change>& changes,
-                      result<ports::change_outcome> got);
-    /// Notes which returns may or may not have been made.
-    void note_doubt(const std::vector<planned_change>& changes);
+    [[nodiscard]] bool is_too_soon(bool is_urgent) const;
+    void note_call();
+    void note_answer(bool is_good);
     void tell();
 
     ports::asynchronous_store& store;
     const ports::clock& clock;
     logger& log;
-    std::string incarnation;
     std::function<void()> changed;
-    std::map<std::string, std::int64_t> prepaid;
-    std::set<std::string> members;
-    std::map<std::string, account> accounts;
+    grant_book book;
     /// Set while the store's records must be read before a change.
     bool is_stale = true;
     bool is_busy = false;
@@ -109,37 +79,14 @@
 {
     result<domain::prepaid_record> read =
         codecs::read_prepaid_record(entry.value);
-    const std::string name = entry.key.substr(key_prefix.size());
     if (!read)
     {
         log.write(log_level::error, log_event::document_unreadable,
                   {{"key", entry.key}, {"reason", read.failure().detail}});
         return;
     }
-    account& known = accounts[name];
-    known.revision = entry.modified;
-    known.record = std::move(read.value());
-    const auto own = known.record.granted_to.find(incarnation);
-    if (own != known.record.granted_to.end())
-    {
-        set_own(known, own->second);
-        known.doubtful = 0;
-        return;
-    }
-    // Another router has dropped this one's entry, so nothing tells whether
-    // the return was made. Made twice it would free tokens that are spent.
-    known.unreturned = std::max<std::int64_t>(
-        0, known.unreturned - std::exchange(known.doubtful, 0));
-}
-
-void token_keeper::state::set_own(account& known, std::int64_t granted)
-{
-    // Only what this router gave back lowers its own entry.
-    const std::int64_t taken =
-        std::max<std::int64_t>(0, known.own_granted - granted);
-    known.returned += taken;
-    known.unreturned = std::max<std::int64_t>(0, known.unreturned - taken);
-    known.own_granted = granted;
+    book.take(entry.key.substr(key_prefix.size()), entry.modified,
+              std::move(read.value()));
 }
 
 void token_keeper::state::read_all(std::function<void()> then)
@@ -183,91 +130,16 @@
     }
 }
 
-void token_keeper::state::note_uses(
-    const std::map<std::string, account_need>& needs)
-{
-    for (const auto& [name, need] : needs)
-    {
-        account& known = accounts[name];
-        known.rate.add(need.used - known.last_used, clock.steady_now());
-        known.last_used = need.used;
-    }
-}
-
-double token_keeper::state::rate_of(const account& known) const
-{
-    constexpr double seconds_per_minute = 60.0;
-    return static_cast<double>(known.rate.per_minute(clock.steady_now())) /
-           seconds_per_minute;
-}
-
-std::vector<token_keeper::state::planned_change>
-token_keeper::state::plan(const std::map<std::string, account_need>& needs,
-                          bool is_leaving,
-                          std::map<std::string, std::int64_t>& surplus)
-{
-    std::vector<planned_change> changes = plan_returns();
-    const bool is_ahead = prepaid.size() <= most_accounts_ahead;
-    for (const auto& [name, total] : prepaid)
-    {
-        const auto found = needs.find(name);
-        const account_need need =
-            found == needs.end() ? account_need{} : found->second;
-        account& known = accounts[name];
-        if (known.unreturned > 0 || (!is_ahead && found == needs.end()))
-        {
-            continue;
-        }
-        domain::grant_demand demand;
-        demand.prepaid_tokens = total;
-        demand.granted_in_all = known.record.granted_in_all;
-        demand.routers = static_cast<std::int64_t>(members.size());
-        demand.free = need.free;
-        demand.peers_free = need.peers_free;
-        demand.peers_tokens_per_second = static_cast<double>(need.peers_rate);
-        demand.tokens_per_second = rate_of(known);
-        demand.typical_hold = need.typical_hold;
-        demand.lacking = need.lacking;
-        demand.is_leaving = is_leaving;
-        const std::int64_t tokens = domain::size_grant(demand);
-        if (tokens > 0 && changes.size() < most_accounts_in_change)
-        {
-            changes.push_back({name, tokens});
-        }
-        if (tokens < 0)
-        {
-            surplus[name] = -tokens;
-        }
-    }
-    return changes;
-}
-
-std::vector<token_keeper::state::planned_change>
-token_keeper::state::plan_returns() const
-{
-    std::vector<planned_change> changes;
-    for (const auto& [name, known] : accounts)
-    {
-        if (known.unreturned > 0 && changes.size() < most_accounts_in_change)
-        {
-            changes.push_back({name, -known.unreturned});
-        }
-    }
-    return changes;
-}
-
-void token_keeper::state::commit(std::vector<planned_change> changes)
+void token_keeper::state::commit(std::vector<planned_grant> changes)
 {
     ports::store_change change;
-    for (const planned_change& planned : changes)
+    for (const planned_grant& planned : changes)
     {
-        const account& known = accounts[planned.name];
-        const std::string key = std::string(key_prefix) + planned.name;
-        const domain::prepaid_record next =
-            domain::change_grant(known.record, incarnation, known.own_granted,
-                                 planned.tokens, members);
-        change.conditions.push_back({key, known.revision});
-        change.writes.push_back({key, codecs::write_prepaid_record(next), 0});
+        const std::string key = std::string(key_prefix) + planned.account;
+        const planned_record next = book.apply(planned);
+        change.conditions.push_back({key, next.before});
+        change.writes.push_back(
+            {key, codecs::write_prepaid_record(next.record), 0});
     }
     note_call();
     const std::shared_ptr<state> self = shared_from_this();
@@ -285,7 +157,7 @@
 }
 
 void token_keeper::state::on_committed(
-    const std::vector<planned_change>& changes,
+    const std::vector<planned_grant>& changes,
     result<ports::change_outcome> got)
 {
     if (!got)
@@ -295,49 +167,44 @@
                    {"reason", got.failure().detail}});
         is_stale = true;
         paused_until = clock.steady_now() + failure_pause;
-        note_doubt(changes);
+        book.note_doubt(changes);
         return;
     }
     if (const ports::change_refused* refused =
             std::get_if<ports::change_refused>(&got.value()))
     {
-        for (const ports::key_value& entry : refused->current)
-        {
-            take_record(entry);
-        }
-        // A key that is not among them was removed; only a read tells.
-        is_stale = refused->current.size() < changes.size();
-        tell();
+        on_refused(changes, *refused);
         return;
     }
-    const ports::revision made = std::get<ports::change_made>(got.value()).at;
-    for (const planned_change& planned : changes)
+    on_made(changes, std::get<ports::change_made>(got.value()).at);
+}
+
+void token_keeper::state::on_refused(const std::vector<planned_grant>& changes,
+                                     const ports::change_refused& refused)
+{
+    for (const ports::key_value& entry : refused.current)
     {
-        account& known = accounts[planned.name];
-        known.record =
-            domain::change_grant(std::move(known.record), incarnation,
-                                 known.own_granted, planned.tokens, members);
-        set_own(known, known.own_granted + planned.tokens);
-        known.revision = made;
-        log.write(log_level::info, log_event::grant_changed,
-                  {{"account", planned.name},
-                   {"tokens", planned.tokens},
-                   {"granted", known.own_granted},
-                   {"granted_in_all", known.record.granted_in_all},
-                   {"revision", made}});
+        take_record(entry);
     }
+    // A key that is not among them was removed; only a read tells.
+    is_stale = refused.current.size() < changes.size();
     tell();
 }
 
-void token_keeper::state::note_doubt(const std::vector<planned_change>& changes)
+void token_keeper::state::on_made(const std::vector<planned_grant>& changes,
+                                  ports::revision at)
 {
-    for (const planned_change& planned : changes)
+    for (const planned_grant& planned : changes)
     {
-        if (planned.tokens < 0)
-        {
-            accounts[planned.name].doubtful = -planned.tokens;
-        }
+        const known_grants known = book.note_made(planned, at);
+        log.write(log_level::info, log_event::grant_changed,
+                  {{"account", planned.account},
+                   {"tokens", planned.tokens},
+                   {"granted", known.ever_granted},
+                   {"granted_in_all", known.granted_in_all},
+                   {"revision", at}});
     }
+    tell();
 }
 
 void token_keeper::state::tell()
@@ -368,12 +235,24 @@
 
 void token_keeper::set_prepaid(std::map<std::string, std::int64_t> prepaid)
 {
-    m_state->prepaid = std::move(prepaid);
+    m_state->book.set_prepaid(std::move(prepaid));
 }
 
 void token_keeper::set_members(std::set<std::string> members)
 {
-    m_state->members = std::move(members);
+    m_state->book.set_members(std::move(members));
+}
+
+bool token_keeper::state::is_too_soon(bool is_urgent) const
+{
+    const ports::steady_time now = clock.steady_now();
+    if (paused_until && now < *paused_until)
+    {
+        return true;
+    }
+    const std::chrono::milliseconds interval =
+        is_urgent ? urgent_interval : change_interval;
+    return !is_stale && changed_at && now - *changed_at < interval;
 }
 
 std::map<std::string, std::int64_t>
@@ -382,28 +261,17 @@
 {
     std::map<std::string, std::int64_t> surplus;
     state& self = *m_state;
-    const ports::steady_time now = self.clock.steady_now();
-    self.note_uses(needs);
-    if (self.is_busy || self.prepaid.empty() ||
-        (self.paused_until && now < *self.paused_until))
-    {
-        return surplus;
-    }
-    const bool is_urgent =
-        is_leaving ||
-        std::any_of(needs.begin(), needs.end(),
-                    [](const auto& entry) { return entry.second.lacking > 0; });
-    const std::chrono::milliseconds interval =
-        is_urgent ? urgent_interval : change_interval;
-    if (!self.is_stale && self.changed_at && now - *self.changed_at < interval)
+    self.book.note_uses(needs);
+    if (self.is_busy || !self.book.has_prepaid() ||
+        self.is_too_soon(is_leaving || is_anyone_waiting(needs)))
     {
         return surplus;
     }
-    if (!self.is_stale && self.plan(needs, is_leaving, surplus).empty())
+    if (!self.is_stale && self.book.plan(needs, is_leaving, surplus).empty())
     {
         return surplus;
     }
-    self.changed_at = now;
+    self.changed_at = self.clock.steady_now();
     // Others change the same records, so the plan is made anew on what they
     // are now; a change of old records would be refused.
     const std::shared_ptr<state> shared = m_state;
@@ -411,8 +279,8 @@
         [shared, needs, is_leaving]
         {
             std::map<std::string, std::int64_t> ignored;
-            std::vector<state::planned_change> changes =
-                shared->plan(needs, is_leaving, ignored);
+            std::vector<planned_grant> changes =
+                shared->book.plan(needs, is_leaving, ignored);
             if (!changes.empty())
             {
                 shared->commit(std::move(changes));
@@ -423,7 +291,7 @@
 
 void token_keeper::put_back(const std::string& account, std::int64_t tokens)
 {
-    m_state->accounts[account].unreturned += tokens;
+    m_state->book.put_back(account, tokens);
 }
 
 void token_keeper::state::give_back_all()
@@ -439,7 +307,7 @@
         read_all([self] { self->give_back_all(); });
         return;
     }
-    std::vector<planned_change> changes = plan_returns();
+    std::vector<planned_grant> changes = book.plan_returns();
     if (changes.empty())
     {
         if (const auto done = std::exchange(given_back, nullptr))
@@ -460,15 +328,7 @@
 bool token_keeper::can_grant(const std::string& account,
                              std::int64_t tokens) const
 {
-    const state& self = *m_state;
-    const auto total = self.prepaid.find(account);
-    const auto known = self.accounts.find(account);
-    if (self.is_stale || total == self.prepaid.end() ||
-        known == self.accounts.end())
-    {
-        return false;
-    }
-    return total->second - known->second.record.granted_in_all >= tokens;
+    return !m_state->is_stale && m_state->book.has_left(account, tokens);
 }
 
 std::optional<ports::steady_time> token_keeper::silent_since() const
@@ -486,13 +346,7 @@
 
 std::map<std::string, known_grants> token_keeper::known() const
 {
-    std::map<std::string, known_grants> all;
-    for (const auto& [name, account] : m_state->accounts)
-    {
-        all[name] = {account.own_granted + account.returned,
-                     account.record.granted_in_all, m_state->rate_of(account)};
-    }
-    return all;
+    return m_state->book.known();
 }
 
 } // namespace turmeric::drivers
--- a/libraries/drivers/fleet/token_keeper.hpp
+++ b/libraries/drivers/fleet/token_keeper.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "libraries/core/logger.hpp"
-#include "libraries/domain/prepaid/prepaid_record.hpp"
 #include "libraries/drivers/exchange/fleet_view.hpp"
+#include "libraries/drivers/fleet/grant_book.hpp"
 #include "libraries/ports/asynchronous_store.hpp"
 #include "libraries/ports/clock.hpp"
 #include "libraries/ports/timer_queue.hpp"
@@ -19,16 +19,6 @@
 namespace turmeric::drivers
 {
 
-/// What is known of one account's grants.
-struct known_grants
-{
-    /// All that this router was ever granted, also what it gave back.
-    std::int64_t ever_granted = 0;
-    std::int64_t granted_in_all = 0;
-    /// What this router consumes in a second, of late.
-    double tokens_per_second = 0;
-};
-
 /// Gets prepaid tokens from the store for one router. All that the store has
 /// granted counts as spent there, so no loss of routers can overspend an
 /// account. A change whose reply was lost is read again before the next one.
