--- a/utilities/turmericctl/command_line.cpp
+++ b/utilities/turmericctl/command_line.cpp
@@ -1,5 +1,7 @@
 #include "utilities/turmericctl/command_line.hpp"
 
+#include "utilities/turmericctl/explain_command.hpp"
+
 #include <cstdlib>
 #include <cxxopts.hpp>
 #include <fmt/format.h>
@@ -24,6 +26,7 @@
   status                    print the version in force on each router
   drain --upstream NAME | --vm NAME [--undo]
                             take out of service, or back into it
+  explain REQUEST-ID LOG... print what the logs say of one request, in order
 )";
 
 cxxopts::Options make_options()
@@ -113,15 +116,6 @@
 read_parsed(const cxxopts::ParseResult& parsed)
 {
     command_line line;
-    line.client = read_client(parsed);
-    if (line.client.controllers.empty())
-    {
-        return fail("--controllers: expected host:port of a controller");
-    }
-    if (line.client.key.empty())
-    {
-        return fail("--key-file: expected a file with the operator's key");
-    }
     if (parsed.count("command") == 0)
     {
         return fail("expected a command; see --help");
@@ -129,6 +123,16 @@
     line.arguments = parsed["command"].as<std::vector<std::string>>();
     line.command = line.arguments.front();
     line.arguments.erase(line.arguments.begin());
+    line.client = read_client(parsed);
+    const bool is_calling = line.command != explain_name;
+    if (is_calling && line.client.controllers.empty())
+    {
+        return fail("--controllers: expected host:port of a controller");
+    }
+    if (is_calling && line.client.key.empty())
+    {
+        return fail("--key-file: expected a file with the operator's key");
+    }
     line.folder = text_of(parsed, "f");
     line.out_folder = text_of(parsed, "o");
     line.id = text_of(parsed, "id");
--- a/utilities/turmericctl/exit_status.hpp
+++ b/utilities/turmericctl/exit_status.hpp
@@ -21,6 +21,8 @@
     conflict = 5,
     /// No controller could be reached; nothing was changed.
     unreachable = 6,
+    /// `explain` only: no line of the logs is about the request.
+    not_found = 7,
 };
 
 } // namespace turmeric::ctl
--- /dev/null
+++ b/utilities/turmericctl/explain_command.hpp
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "utilities/turmericctl/command_line.hpp"
+#include "utilities/turmericctl/exit_status.hpp"
+
+namespace turmeric::ctl
+{
+
+/// The command that reads logs and calls no controller.
+inline constexpr const char* explain_name = "explain";
+
+/// Prints the timeline of one request from the log files of the line. The
+/// arguments are the request's id and the files; `-` is standard input. Not
+/// thread safe; blocks.
+exit_status explain_request(const command_line& line);
+
+} // namespace turmeric::ctl
--- a/utilities/turmericctl/main.cpp
+++ b/utilities/turmericctl/main.cpp
@@ -1,5 +1,6 @@
 #include "utilities/turmericctl/command_line.hpp"
 #include "utilities/turmericctl/commands.hpp"
+#include "utilities/turmericctl/explain_command.hpp"
 
 int main(int argc, char** argv)
 {
@@ -12,6 +13,10 @@
         return static_cast<int>(*status);
     }
     const command_line& line = std::get<command_line>(read);
+    if (line.command == turmeric::ctl::explain_name)
+    {
+        return static_cast<int>(turmeric::ctl::explain_request(line));
+    }
     turmeric::ctl::operator_client client(
         line.client.controllers,
         turmeric::ctl::make_http_exchange(line.client));
