Budget: Borrow from a peer whenever a request lacks tokens

Each call of the store took 190 ms, and a grant takes a read and a change. A peer was asked only where the store was silent or had nothing left.

Change: a peer is asked at once whenever tokens are lacking; the store is asked as before. A loan takes one datagram each way.

--- a/libraries/drivers/fleet/fleet_control.cpp
+++ b/libraries/drivers/fleet/fleet_control.cpp
@@ -158,7 +158,7 @@
     for (const auto& [account, need] : needs)
     {
         const std::int64_t lacking = need.lacking;
-        if (lacking > 0 && !m_tokens.can_grant(account, lacking))
+        if (lacking > 0)
         {
             m_loans.borrow(account, lacking);
         }
