--- a/tests/fleet/lending_test.cpp
+++ b/tests/fleet/lending_test.cpp
@@ -15,6 +15,8 @@
 /// Passes datagrams on between the routers of a test at once.
 struct datagram_net
 {
+    /// How often each datagram to this address arrives.
+    std::map<std::string, int> copies;
     std::map<std::string, std::function<void(std::string_view)>> receivers;
 };
 
@@ -30,7 +32,13 @@
     void send(const std::string& address, const std::string& bytes) override
     {
         const auto receiver = m_net.receivers.find(address);
-        if (receiver != m_net.receivers.end())
+        if (receiver == m_net.receivers.end())
+        {
+            return;
+        }
+        const auto copies = m_net.copies.find(address);
+        const int count = copies == m_net.copies.end() ? 1 : copies->second;
+        for (int copy = 0; copy < count; ++copy)
         {
             receiver->second(bytes);
         }
@@ -169,6 +177,33 @@
     LONGS_EQUAL(two.traffic.lacking, one.traffic.released - released_before);
 }
 
+TEST(lending_group, a_lost_loan_is_spent_by_nobody)
+{
+    const std::int64_t had = one.traffic.free() + two.traffic.free();
+    shared.net.copies["two"] = 0;
+    two.traffic.lacking = 100;
+    two.control.review_tokens();
+    LONGS_EQUAL(had - 100, one.traffic.free() + two.traffic.free());
+}
+
+TEST(lending_group, a_doubled_loan_is_spent_once)
+{
+    const std::int64_t had = one.traffic.free() + two.traffic.free();
+    shared.net.copies["two"] = 2;
+    two.traffic.lacking = 100;
+    two.control.review_tokens();
+    LONGS_EQUAL(had, one.traffic.free() + two.traffic.free());
+}
+
+TEST(lending_group, a_doubled_request_strands_but_never_doubles)
+{
+    const std::int64_t had = one.traffic.free() + two.traffic.free();
+    shared.net.copies["one"] = 2;
+    two.traffic.lacking = 100;
+    two.control.review_tokens();
+    LONGS_EQUAL(had - 100, one.traffic.free() + two.traffic.free());
+}
+
 TEST(lending_group, a_lender_keeps_half)
 {
     two.traffic.lacking = 100'000;
