Entry: Put changed settings in force without a signal

Cause: the settings file may change without SIGHUP, and such a change took effect at the next start only. The file's time and size are looked at twice a second; a change is taken once two looks agree, so that a file that is being written is not read half. Daemons' options now tell the file's path.

--- a/libraries/adapters/settings/daemon_options.cpp
+++ b/libraries/adapters/settings/daemon_options.cpp
@@ -38,10 +38,9 @@
 
 } // namespace
 
-std::variant<json, exit_code> read_daemon_options(int argc, char** argv,
-                                                  const std::string& program,
-                                                  const std::string& purpose,
-                                                  const json& schema)
+std::variant<daemon_options, exit_code>
+read_daemon_options(int argc, char** argv, const std::string& program,
+                    const std::string& purpose, const json& schema)
 {
     cxxopts::Options options(program, purpose);
     options.add_options()("settings", "Settings file (JSON)",
@@ -79,7 +78,7 @@
             fmt::print("{}: the settings are valid\n", program);
             return exit_code::success;
         }
-        return std::move(settings.value());
+        return daemon_options{std::move(settings.value()), file};
     }
     catch (const cxxopts::exceptions::exception& fault)
     {
--- a/libraries/adapters/settings/daemon_options.hpp
+++ b/libraries/adapters/settings/daemon_options.hpp
@@ -22,15 +22,23 @@
     cut_off = 3,
 };
 
+/// What a daemon was started with.
+struct daemon_options
+{
+    /// The checked settings.
+    json settings;
+    /// Where they were read from.
+    std::string file;
+};
+
 /// Reads a daemon's command line: `--settings FILE` or `--settings-from
 /// NAME` (an environment variable that holds the path), `--check-settings`,
 /// `--help`, `--version`. Returns the checked settings, or the code to exit
 /// with after it has printed what was asked for or what is wrong.
 /// Precondition: `schema` is a JSON schema. Not thread safe.
-std::variant<json, exit_code> read_daemon_options(int argc, char** argv,
-                                                  const std::string& program,
-                                                  const std::string& purpose,
-                                                  const json& schema);
+std::variant<daemon_options, exit_code>
+read_daemon_options(int argc, char** argv, const std::string& program,
+                    const std::string& purpose, const json& schema);
 
 /// Returns the part of a settings schema that all daemons share: `name`,
 /// `vm`, `data_centre`, `log`, `platform`. Thread safe.
--- /dev/null
+++ b/libraries/adapters/settings/watched_file.hpp
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <cstdint>
+#include <filesystem>
+#include <string>
+
+namespace turmeric::adapters
+{
+
+/// Notices that a file was changed, also without a signal. Not thread safe.
+class watched_file
+{
+public:
+    /// The file as it is now counts as seen. No precondition.
+    explicit watched_file(std::string path);
+
+    /// Returns true once for each change, when the file looked the same at
+    /// the last two calls: one that is being written is not read half. A
+    /// file that is missing has not changed.
+    [[nodiscard]] bool has_settled_change();
+
+    /// Counts the file as it is now as seen.
+    void mark_seen();
+
+private:
+    struct stamp
+    {
+        std::filesystem::file_time_type written;
+        std::uintmax_t size = 0;
+
+        bool operator==(const stamp&) const = default;
+    };
+
+    /// Returns the file's stamp; the one of the last look if it has none.
+    [[nodiscard]] stamp look() const;
+
+    std::filesystem::path m_path;
+    stamp m_seen;
+    stamp m_last;
+};
+
+} // namespace turmeric::adapters
--- a/services/controller/main.cpp
+++ b/services/controller/main.cpp
@@ -48,7 +48,7 @@
 
 int main(int argc, char** argv)
 {
-    std::variant<json, exit_code> options =
+    std::variant<turmeric::adapters::daemon_options, exit_code> options =
         turmeric::adapters::read_daemon_options(
             argc, argv, "turmeric_controller",
             "Answers operators and leads moves and budgets.",
@@ -59,5 +59,5 @@
     }
     return static_cast<int>(
         serve(turmeric::controller::read_controller_settings(
-            std::get<json>(options))));
+            std::get<turmeric::adapters::daemon_options>(options).settings)));
 }
--- a/services/entry/entry_process.cpp
+++ b/services/entry/entry_process.cpp
@@ -19,6 +19,7 @@
 {
 
 constexpr std::chrono::milliseconds log_interval{100};
+constexpr std::chrono::milliseconds settings_look_interval{500};
 constexpr std::chrono::milliseconds stop_poll_interval{50};
 /// What is left of the stop time for giving back tokens and the last lines.
 constexpr std::chrono::milliseconds stop_reserve{400};
@@ -42,9 +43,11 @@
 
 } // namespace
 
-entry_process::entry_process(entry_settings settings, settings_reader reread)
+entry_process::entry_process(entry_settings settings, settings_reader reread,
+                             std::string settings_file)
     : m_settings(std::move(settings))
     , m_reread(std::move(reread))
+    , m_settings_file(std::move(settings_file))
     , m_log(m_clock, m_settings.least_level, m_settings.format, m_settings.vm,
             STDOUT_FILENO)
     , m_metrics(m_registry)
@@ -124,6 +127,7 @@
     await_signal();
     m_control.start();
     flush_log();
+    watch_settings();
     m_traffic_thread = std::thread([this] { m_traffic_loop.run(); });
     m_control_loop.run();
     m_log.flush_at_end();
@@ -162,6 +166,7 @@
 {
     if (number == SIGHUP)
     {
+        m_settings_file.mark_seen();
         reload();
         await_signal();
         return;
@@ -259,6 +264,23 @@
         });
 }
 
+void entry_process::watch_settings()
+{
+    if (m_settings_file.has_settled_change())
+    {
+        reload();
+    }
+    m_settings_timer.expires_after(settings_look_interval);
+    m_settings_timer.async_wait(
+        [this](const boost::system::error_code& fault)
+        {
+            if (!fault)
+            {
+                watch_settings();
+            }
+        });
+}
+
 void entry_process::flush_log()
 {
     m_log.flush();
--- a/services/entry/entry_process.hpp
+++ b/services/entry/entry_process.hpp
@@ -6,6 +6,7 @@
 #include "libraries/adapters/asio/caller_server.hpp"
 #include "libraries/adapters/asio/upstream_pool.hpp"
 #include "libraries/adapters/fmt/buffered_logger.hpp"
+#include "libraries/adapters/settings/watched_file.hpp"
 #include "libraries/adapters/system/system_clock.hpp"
 #include "libraries/adapters/system/system_random.hpp"
 #include "libraries/core/metrics/registry.hpp"
@@ -36,8 +37,10 @@
     /// Reads the settings anew; nothing when they are not valid.
     using settings_reader = std::function<std::optional<entry_settings>()>;
 
-    /// No precondition. `reread` is called when the settings have changed.
-    entry_process(entry_settings settings, settings_reader reread);
+    /// No precondition. `reread` is called when a signal tells that the
+    /// settings have changed, or `settings_file` has without one.
+    entry_process(entry_settings settings, settings_reader reread,
+                  std::string settings_file);
     ~entry_process();
     entry_process(const entry_process&) = delete;
     entry_process& operator=(const entry_process&) = delete;
@@ -60,11 +63,13 @@
     void poll_stop();
     void finish_stop();
     void flush_log();
+    void watch_settings();
     void ask_peer(const std::string& address,
                   std::function<void(std::string)> done);
 
     entry_settings m_settings;
     settings_reader m_reread;
+    adapters::watched_file m_settings_file;
     adapters::system_clock m_clock;
     adapters::system_random m_random;
     adapters::buffered_logger m_log;
@@ -91,6 +96,7 @@
     adapters::caller_server m_internal;
     adapters::asio::signal_set m_signals;
     adapters::asio::steady_timer m_log_timer{m_control_loop};
+    adapters::asio::steady_timer m_settings_timer{m_control_loop};
     adapters::asio::steady_timer m_stop_timer{m_control_loop};
     ports::steady_time m_stop_began{};
     std::thread m_traffic_thread;
--- a/services/entry/main.cpp
+++ b/services/entry/main.cpp
@@ -1,5 +1,4 @@
 #include "libraries/adapters/settings/daemon_options.hpp"
-#include "libraries/core/json.hpp"
 #include "services/entry/entry_process.hpp"
 #include "services/entry/entry_settings.hpp"
 
@@ -10,12 +9,12 @@
 namespace
 {
 
-using turmeric::json;
+using turmeric::adapters::daemon_options;
 using turmeric::adapters::exit_code;
 using turmeric::entry::entry_process;
 using turmeric::entry::entry_settings;
 
-std::variant<json, exit_code> read_options(int argc, char** argv)
+std::variant<daemon_options, exit_code> read_options(int argc, char** argv)
 {
     return turmeric::adapters::read_daemon_options(
         argc, argv, "turmeric_entry",
@@ -27,22 +26,25 @@
 
 int main(int argc, char** argv)
 {
-    const std::variant<json, exit_code> options = read_options(argc, argv);
+    const std::variant<daemon_options, exit_code> options =
+        read_options(argc, argv);
     if (const exit_code* code = std::get_if<exit_code>(&options))
     {
         return static_cast<int>(*code);
     }
     const auto reread = [argc, argv]() -> std::optional<entry_settings>
     {
-        const std::variant<json, exit_code> changed = read_options(argc, argv);
-        if (const json* settings = std::get_if<json>(&changed))
+        const std::variant<daemon_options, exit_code> changed =
+            read_options(argc, argv);
+        if (const daemon_options* read = std::get_if<daemon_options>(&changed))
         {
-            return turmeric::entry::read_entry_settings(*settings);
+            return turmeric::entry::read_entry_settings(read->settings);
         }
         return std::nullopt;
     };
-    entry_process process(
-        turmeric::entry::read_entry_settings(std::get<json>(options)), reread);
+    const daemon_options& read = std::get<daemon_options>(options);
+    entry_process process(turmeric::entry::read_entry_settings(read.settings),
+                          reread, read.file);
     const turmeric::status opened = process.open();
     if (!opened)
     {
--- a/services/router/main.cpp
+++ b/services/router/main.cpp
@@ -55,7 +55,7 @@
 
 int main(int argc, char** argv)
 {
-    std::variant<json, exit_code> options =
+    std::variant<turmeric::adapters::daemon_options, exit_code> options =
         turmeric::adapters::read_daemon_options(
             argc, argv, "turmeric_router",
             "Routes callers' requests to upstreams within prepaid budgets.",
@@ -64,6 +64,6 @@
     {
         return static_cast<int>(*code);
     }
-    return static_cast<int>(
-        serve(turmeric::router::read_router_settings(std::get<json>(options))));
+    return static_cast<int>(serve(turmeric::router::read_router_settings(
+        std::get<turmeric::adapters::daemon_options>(options).settings)));
 }
--- a/tests/processes/entry_test.py
+++ b/tests/processes/entry_test.py
@@ -167,6 +167,15 @@
                          lambda: 'settings_rejected' in entry.log.read_text())
         self.assertEqual(entry.call('/pay/1', 'key-1', 'r-1')[0], 200)
 
+    def test_settings_are_read_again_without_a_signal(self):
+        entry = self.start_entry('vm-1')
+        settings = json.loads(entry.settings.read_text())
+        settings['retries'] = {'ratio': 0.3}
+        entry.settings.write_text(json.dumps(settings))
+        fleet.wait_until('the settings are read',
+                         lambda: 'retry_ratio=0.3' in entry.log.read_text())
+        self.assertEqual(entry.call('/pay/1', 'key-1', 'r-1')[0], 200)
+
     def test_metrics_are_served(self):
         entry = self.start_entry('vm-1')
         entry.call('/pay/1', 'key-1', 'r-1')
