--- a/tests/fleet/lending_test.cpp
+++ b/tests/fleet/lending_test.cpp
@@ -162,6 +162,19 @@
         shared.store.answer_watches();
         shared.timers.advance(time);
     }
+
+    /// Lets `two` lack some tokens and look for them, while datagrams to
+    /// `address` arrive `copies` times. Returns what both can spend less.
+    std::int64_t lost_by_lending(const std::string& address, int copies)
+    {
+        const std::int64_t had = one.traffic.free() + two.traffic.free();
+        shared.net.copies[address] = copies;
+        two.traffic.lacking = lent;
+        two.control.review_tokens();
+        return had - one.traffic.free() - two.traffic.free();
+    }
+
+    static constexpr std::int64_t lent = 100;
 };
 
 TEST(lending_group, a_peer_lends_before_a_slow_store_grants)
@@ -179,29 +192,17 @@
 
 TEST(lending_group, a_lost_loan_is_spent_by_nobody)
 {
-    const std::int64_t had = one.traffic.free() + two.traffic.free();
-    shared.net.copies["two"] = 0;
-    two.traffic.lacking = 100;
-    two.control.review_tokens();
-    LONGS_EQUAL(had - 100, one.traffic.free() + two.traffic.free());
+    LONGS_EQUAL(lent, lost_by_lending("two", 0));
 }
 
 TEST(lending_group, a_doubled_loan_is_spent_once)
 {
-    const std::int64_t had = one.traffic.free() + two.traffic.free();
-    shared.net.copies["two"] = 2;
-    two.traffic.lacking = 100;
-    two.control.review_tokens();
-    LONGS_EQUAL(had, one.traffic.free() + two.traffic.free());
+    LONGS_EQUAL(0, lost_by_lending("two", 2));
 }
 
 TEST(lending_group, a_doubled_request_strands_but_never_doubles)
 {
-    const std::int64_t had = one.traffic.free() + two.traffic.free();
-    shared.net.copies["one"] = 2;
-    two.traffic.lacking = 100;
-    two.control.review_tokens();
-    LONGS_EQUAL(had - 100, one.traffic.free() + two.traffic.free());
+    LONGS_EQUAL(lent, lost_by_lending("one", 2));
 }
 
 TEST(lending_group, a_lender_keeps_half)
