Entry: Refuse prompts whose size is missing or absurd

X-Token-Count with two numbers whose sum overflows made a size below zero: the ledger's assertion then ended the router, so that one caller could stop all VMs. Counts that were missing or no numbers passed on unmetered, also for an account with a prepaid total.

On a route whose requests carry prompts (Sticky on the wire), a request of a prepaid account without readable counts gets 400 before anything is sent. Numbers of documents are read within their range (a Slots of 1e300 or of 2^32+1 was cut down silently), a fault within Limits rejects the document, and a negative time left counts as none.

--- a/libraries/domain/callers/route_table.hpp
+++ b/libraries/domain/callers/route_table.hpp
@@ -66,6 +66,8 @@
     std::int32_t most_attempts = 1;
     /// Needs no key.
     bool is_public = false;
+    /// Its requests go to model engines and tell their prompts' sizes.
+    bool carries_prompts = false;
     /// A stream may go on elsewhere after its last event.
     bool is_resumable = false;
 
--- a/libraries/drivers/exchange/traffic_desk.cpp
+++ b/libraries/drivers/exchange/traffic_desk.cpp
@@ -66,12 +66,23 @@
                      "and path"};
     }
     const bool needs_key = !route->is_public && routes.has_accounts();
-    if (needs_key && routes.find_account(request.key) == nullptr)
+    if (!needs_key)
+    {
+        return std::nullopt;
+    }
+    const domain::caller_account* account = routes.find_account(request.key);
+    if (account == nullptr)
     {
         return error{request.key.empty() ? result_code::missing_key
                                          : result_code::wrong_key,
                      "key", "the key belongs to no client account"};
     }
+    if (route->carries_prompts && account->prepaid_tokens && !request.prompt)
+    {
+        return error{result_code::invalid_field, "prompt",
+                     "the request does not tell its tokens, so it cannot be "
+                     "counted against a prepaid total"};
+    }
     return std::nullopt;
 }
 
--- a/tests/exchange/exchange_test.cpp
+++ b/tests/exchange/exchange_test.cpp
@@ -263,6 +263,19 @@
     LONGS_EQUAL(402, answer->status);
 }
 
+TEST(prepaid_exchange_group, a_prompt_whose_size_is_not_told_is_refused)
+{
+    world.grant(100, 100);
+    for (const char* counts : {"", "many", "9223372036854775807,10"})
+    {
+        const auto answer = world.ask("prompt", counts);
+        LONGS_EQUAL(400, answer->status);
+    }
+    LONGS_EQUAL(0, world.calls());
+    world.ask("prompt", "10,5");
+    LONGS_EQUAL(1, world.calls());
+}
+
 TEST(prepaid_exchange_group, only_delivered_events_are_charged)
 {
     world.grant(100, 100);
--- a/tests/exchange/exchange_world.hpp
+++ b/tests/exchange/exchange_world.hpp
@@ -217,6 +217,8 @@
         add("pay", domain::request_kind::at_most_once, false, 2);
         add("ask", domain::request_kind::streaming, true, 2);
         add("once", domain::request_kind::streaming, false, 2);
+        add("prompt", domain::request_kind::streaming, false, 2);
+        made.routes.back().carries_prompts = true;
         made.services.push_back({"s", 64, domain::engine_shape{4, 1'000, 1}});
         made.accounts.push_back({"acme", {"key"}, std::nullopt, 1'000});
         return made;
--- a/tests/platform/dialect_test.cpp
+++ b/tests/platform/dialect_test.cpp
@@ -1,3 +1,5 @@
+#include <rapidcheck.h>
+
 #include "platform/platform_dialect.hpp"
 
 #include <CppUTest/TestHarness.h>
@@ -68,6 +70,54 @@
     }
 }
 
+TEST(platform_dialect_group, counts_that_no_prompt_has_give_no_prompt)
+{
+    // Their sum was below zero, which ended the process.
+    for (const char* counts :
+         {"9223372036854775807,10", "10,9223372036854775807",
+          "4611686018427387904,4611686018427387904", "10,80x"})
+    {
+        const ports::request_head head{
+            "GET", "/", {{"X-Request-Id", "r"}, {"X-Token-Count", counts}}};
+        CHECK_FALSE(dialect.read_request(head).value().prompt.has_value());
+    }
+}
+
+TEST(platform_dialect_group, no_counts_make_a_prompt_of_less_than_nothing)
+{
+    const std::string characters = "0123456789,- x";
+    CHECK(rc::check(
+        "any text may stand where the counts do",
+        [&characters]
+        {
+            const std::string counts = *rc::gen::container<std::string>(
+                rc::gen::elementOf(characters));
+            const ports::request_head head{
+                "GET", "/", {{"X-Request-Id", "r"}, {"X-Token-Count", counts}}};
+            const domain::caller_request read =
+                platform_dialect().read_request(head).value();
+            RC_ASSERT(!read.prompt || (read.prompt->input_tokens >= 0 &&
+                                       read.prompt->most_output_tokens >= 0 &&
+                                       read.prompt->most_tokens() >= 0));
+        }));
+}
+
+TEST(platform_dialect_group, parts_that_no_prompt_has_are_left_out)
+{
+    request.head.fields[5].value =
+        "1:9223372036854775807,2:9223372036854775807";
+    const domain::caller_request read =
+        dialect.read_request(request.head).value();
+    LONGS_EQUAL(0, read.prompt->parts.size());
+}
+
+TEST(platform_dialect_group, time_that_is_over_is_none_left)
+{
+    request.head.fields[2].value = "-9223372036854775808";
+    LONGS_EQUAL(0,
+                dialect.read_request(request.head).value().patience->count());
+}
+
 TEST(platform_dialect_group, the_upstream_gets_the_body_and_the_terms)
 {
     CHECK(writes("POST /ask/1?q=2 HTTP/1.1\r\n"));
--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -12,7 +12,7 @@
     {"Name":"r1","Host":"shop.example","Prefix":"/a/","Kind":"streaming",
      "TimeoutMs":5000,"SloMs":500,"Priority":1,"MaxAttempts":2,
      "TrafficSplit":[{"Service":"m","Weight":90},{"Service":"n","Weight":10}],
-     "Resumable":true,"Later":{"x":1}},
+     "Resumable":true,"Sticky":true,"Later":{"x":1}},
     {"Name":"r2","Host":"shop.example","Prefix":"/b/","Kind":"new-kind",
      "TimeoutMs":800,"Service":"n"}],
     "Services":[{"Name":"m","MaxConns":360,"Engine":
@@ -31,6 +31,8 @@
     LONGS_EQUAL(7, read.version);
     LONGS_EQUAL(2, read.routes[0].services.size());
     CHECK(read.routes[0].may_repeat());
+    CHECK(read.routes[0].carries_prompts);
+    CHECK_FALSE(read.routes[1].carries_prompts);
     LONGS_EQUAL(500, read.routes[0].objective.count());
     LONGS_EQUAL(5, read.services[0].engine->tokens_per_event);
     CHECK_FALSE(read.services[1].engine.has_value());
@@ -52,6 +54,10 @@
     const result<domain::route_declarations> missing =
         read_configuration(R"({"Version":1,"Routes":[{"Name":"r"}]})");
     STRCMP_EQUAL("Routes[0].Host", missing.failure().field.c_str());
+    const result<domain::route_declarations> limit = read_configuration(
+        R"({"Version":1,"Limits":{"IdleTimeoutMs":"soon"}})");
+    CHECK_FALSE(limit.has_value());
+    STRCMP_EQUAL("Limits.IdleTimeoutMs", limit.failure().field.c_str());
     CHECK_FALSE(read_configuration("{").has_value());
     CHECK_FALSE(read_configuration("[]").has_value());
 }
@@ -72,7 +78,11 @@
           R"({"Service":"m","Address":"a","Zone":"z","Version":"v1",)"
           R"("Slots":4,"State":"odd"})",
           R"({"Service":"m","Address":"a","Zone":"z","Version":"v1",)"
-          R"("Slots":0,"State":"ready"})"})
+          R"("Slots":0,"State":"ready"})",
+          R"({"Service":"m","Address":"a","Zone":"z","Version":"v1",)"
+          R"("Slots":1e300,"State":"ready"})",
+          R"({"Service":"m","Address":"a","Zone":"z","Version":"v1",)"
+          R"("Slots":4294967297,"State":"ready"})"})
     {
         CHECK_FALSE(read_upstream("servers/i-1", wrong).has_value());
     }
--- a/tests/processes/entry_fleet.py
+++ b/tests/processes/entry_fleet.py
@@ -21,7 +21,8 @@
         'Version': version,
         'Routes': [
             {**common, 'Name': 'ask', 'Prefix': '/ask/', 'Kind': 'streaming',
-             'Resumable': True, 'Service': services[0], **route_changes},
+             'Resumable': True, 'Sticky': True, 'Service': services[0],
+             **route_changes},
             {**common, 'Name': 'pay', 'Prefix': '/pay/', 'Kind': 'unsafe',
              'MaxAttempts': 1, 'Service': services[1]},
         ],
--- a/tests/processes/entry_test.py
+++ b/tests/processes/entry_test.py
@@ -176,6 +176,14 @@
                          lambda: 'retry_ratio=0.3' in entry.log.read_text())
         self.assertEqual(entry.call('/pay/1', 'key-1', 'r-1')[0], 200)
 
+    def test_an_absurd_prompt_size_ends_nothing(self):
+        entry = self.start_entry('vm-1')
+        for counts in ('9223372036854775807,10', 'many'):
+            status = entry.call('/ask/1', 'key-1', 'r-1', counts)[0]
+            self.assertEqual(status, 400)
+        status = entry.call('/ask/1', 'key-1', 'r-2', '10,5')[0]
+        self.assertEqual(status, 200)
+
     def test_metrics_are_served(self):
         entry = self.start_entry('vm-1')
         entry.call('/pay/1', 'key-1', 'r-1')
