Platform: Say so when an answer of the store lacks what it must have

An answer to a watch without its revision counted as one without events, a change without one as made at revision 0, and an end of a lease as done whatever the store answered.

--- a/libraries/drivers/fleet/member_registry.cpp
+++ b/libraries/drivers/fleet/member_registry.cpp
@@ -218,9 +218,22 @@
     m_state->timer.reset();
     if (m_state->lease != 0)
     {
-        m_state->store.end_lease(m_state->lease,
-                                 [](const result<std::monostate>& got)
-                                 { static_cast<void>(got); });
+        const std::shared_ptr<state> self = m_state;
+        self->store.end_lease(
+            self->lease,
+            [self](const result<std::monostate>& got)
+            {
+                if (got)
+                {
+                    return;
+                }
+                // The entry then goes when the lease runs out.
+                self->log.write(
+                    log_level::warning, log_event::platform_call_failed,
+                    {{"prefix", std::string(key_prefix)},
+                     {"code", static_cast<std::int64_t>(got.failure().code)},
+                     {"reason", got.failure().detail}});
+            });
     }
 }
 
