--- a/libraries/drivers/exchange/exchange.hpp
+++ b/libraries/drivers/exchange/exchange.hpp
@@ -89,6 +89,8 @@
 
     // exchange_start.cpp: tokens, place, deadline.
     void hold_tokens();
+    /// Returns why no tokens will come, or nothing when some may.
+    [[nodiscard]] std::optional<error> find_token_refusal(bool may_draw) const;
     void wait_for_tokens();
     void seek_place();
     void wait_in_line();
--- a/libraries/drivers/exchange/exchange_start.cpp
+++ b/libraries/drivers/exchange/exchange_start.cpp
@@ -72,37 +72,47 @@
         return;
     }
     const std::string& account = m_subject.account->name;
-    if (!m_state.pacer.allows(account, m_state.ledger.balance(account),
-                              m_state.parts.clock.steady_now()))
-    {
-        refuse({result_code::grant_unavailable, "account",
-                "the store is silent, and this router spreads its prepaid "
-                "tokens over the time until it may answer",
-                outcome::not_run, paced_retry_after});
-        return;
-    }
-    if (m_state.ledger.hold(account, tokens))
+    const bool may_draw =
+        m_state.pacer.allows(account, m_state.ledger.balance(account),
+                             m_state.parts.clock.steady_now());
+    if (may_draw && m_state.ledger.hold(account, tokens))
     {
         m_held = tokens;
         seek_place();
         return;
     }
-    if (!m_state.covers(account, tokens))
+    if (const std::optional<error> refusal = find_token_refusal(may_draw))
     {
-        refuse({result_code::budget_exhausted, "account",
-                "the rest of the prepaid tokens does not cover the request "
-                "at its largest"});
+        refuse(*refusal);
         return;
     }
-    if (!m_state.may_get(account, tokens))
+    wait_for_tokens();
+}
+
+std::optional<error> exchange::find_token_refusal(bool may_draw) const
+{
+    const std::string& account = m_subject.account->name;
+    if (!may_draw)
+    {
+        return error{result_code::grant_unavailable, "account",
+                     "the store is silent, and this router spreads its "
+                     "prepaid tokens over the time until it may answer",
+                     outcome::not_run, paced_retry_after};
+    }
+    if (!m_state.covers(account, needed_tokens()))
     {
-        refuse({result_code::grant_unavailable, "account",
-                "this router has no prepaid tokens left, and neither the "
-                "store nor a peer can give any now",
-                outcome::not_run, hopeless_retry_after});
-        return;
+        return error{result_code::budget_exhausted, "account",
+                     "the rest of the prepaid tokens does not cover the "
+                     "request at its largest"};
     }
-    wait_for_tokens();
+    if (!m_state.may_get(account, needed_tokens()))
+    {
+        return error{result_code::grant_unavailable, "account",
+                     "this router has no prepaid tokens left, and neither "
+                     "the store nor a peer can give any now",
+                     outcome::not_run, hopeless_retry_after};
+    }
+    return std::nullopt;
 }
 
 void exchange::wait_for_tokens()
