Token grants: Log refused changes and the age of records

Callers of large fleets were refused with 3002, and no line told why grants came late: a change that the store refuses left neither a line nor a counter.

Event 310 grant_conflict has the attempt, the number of records and their age; grant_changed has attempts and record_age_ms; turmeric_platform_calls_total counts calls by kind and outcome (conflict for refused changes).

--- a/libraries/core/log_event.cpp
+++ b/libraries/core/log_event.cpp
@@ -39,6 +39,7 @@
     event_row{log_event::incarnation_fenced, "incarnation_fenced"},
     event_row{log_event::claim_resolved, "claim_resolved"},
     event_row{log_event::tokens_lent, "tokens_lent"},
+    event_row{log_event::grant_conflict, "grant_conflict"},
     event_row{log_event::upstream_ejected, "upstream_ejected"},
     event_row{log_event::upstream_returned, "upstream_returned"},
     event_row{log_event::upstream_leaving, "upstream_leaving"},
--- a/libraries/core/log_event.hpp
+++ b/libraries/core/log_event.hpp
@@ -41,6 +41,7 @@
     incarnation_fenced = 307,
     claim_resolved = 308,
     tokens_lent = 309,
+    grant_conflict = 310,
 
     // 400: upstreams and moves.
     upstream_ejected = 401,
--- a/libraries/drivers/fleet/token_grant_client.cpp
+++ b/libraries/drivers/fleet/token_grant_client.cpp
@@ -53,6 +53,7 @@
                     const ports::change_conflict& refused);
     void on_applied(const std::vector<planned_grant>& changes,
                     ports::revision at);
+    [[nodiscard]] std::int64_t record_age_ms() const;
     /// Commits changes until all queued tokens are returned.
     void return_all_tokens();
     [[nodiscard]] bool is_too_soon(bool is_urgent) const;
@@ -74,6 +75,10 @@
     bool has_failed = false;
     std::optional<ports::steady_time> retry_at;
     std::optional<ports::steady_time> last_change_at;
+    /// When the records were last read or returned by a refused change.
+    ports::steady_time records_read_at;
+    /// Changes sent since the last one that was applied.
+    std::int64_t attempts = 0;
     /// Called when all queued tokens are returned; set while that is under
     /// way.
     std::function<void()> on_returned;
@@ -113,6 +118,7 @@
                        self->load_record(entry);
                    }
                    self->is_stale = false;
+                   self->records_read_at = self->clock.steady_now();
                    self->notify();
                    then();
                });
@@ -145,6 +151,7 @@
         change.writes.push_back(
             {key, codecs::write_prepaid_record(next.record), 0});
     }
+    ++attempts;
     record_call_start();
     const std::shared_ptr<state> self = shared_from_this();
     store.commit(change,
@@ -187,10 +194,15 @@
     const std::vector<planned_grant>& changes,
     const ports::change_conflict& refused)
 {
+    log.write(log_level::info, log_event::grant_conflict,
+              {{"attempt", attempts},
+               {"records", static_cast<std::int64_t>(changes.size())},
+               {"record_age_ms", record_age_ms()}});
     for (const ports::key_value& entry : refused.current)
     {
         load_record(entry);
     }
+    records_read_at = clock.steady_now();
     // A refusal does not list keys that do not exist, so the records must be
     // read again if some are missing.
     is_stale = refused.current.size() < changes.size();
@@ -208,11 +220,21 @@
                    {"tokens", planned.tokens},
                    {"granted", summary.cumulative_granted},
                    {"granted_in_all", summary.granted_in_all},
-                   {"revision", at}});
+                   {"revision", at},
+                   {"attempts", attempts},
+                   {"record_age_ms", record_age_ms()}});
     }
+    attempts = 0;
     notify();
 }
 
+std::int64_t token_grant_client::state::record_age_ms() const
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+               clock.steady_now() - records_read_at)
+        .count();
+}
+
 void token_grant_client::state::notify()
 {
     if (changed)
--- a/services/entry/entry_process.cpp
+++ b/services/entry/entry_process.cpp
@@ -54,8 +54,9 @@
     , m_log(m_clock, m_settings.min_log_level, m_settings.format, m_settings.vm,
             STDOUT_FILENO)
     , m_metrics(m_registry)
-    , m_store(m_control_pool, m_control_timers, m_clock,
-              m_settings.store_address)
+    , m_platform_store(m_control_pool, m_control_timers, m_clock,
+                       m_settings.store_address)
+    , m_store(m_platform_store, m_registry)
     , m_dispatcher({m_clock, m_traffic_timers, m_traffic_pool, m_random,
                     m_dialect, m_log, m_metrics},
                    m_settings.traffic)
--- a/services/entry/entry_process.hpp
+++ b/services/entry/entry_process.hpp
@@ -14,6 +14,7 @@
 #include "libraries/drivers/exchange/traffic_dispatcher.hpp"
 #include "libraries/drivers/exchange/traffic_metrics.hpp"
 #include "libraries/drivers/fleet/fleet_control.hpp"
+#include "libraries/drivers/platform/counted_asynchronous_store.hpp"
 #include "platform/directory_request_handler.hpp"
 #include "platform/platform_dialect.hpp"
 #include "platform/platform_store.hpp"
@@ -85,7 +86,8 @@
     adapters::asio_timer_queue m_traffic_timers{m_traffic_loop};
     adapters::upstream_connection_pool m_control_pool{m_control_loop, m_clock};
     adapters::upstream_connection_pool m_traffic_pool{m_traffic_loop, m_clock};
-    platform::platform_store m_store;
+    platform::platform_store m_platform_store;
+    drivers::counted_asynchronous_store m_store;
     adapters::asio_datagram_link m_peers{m_control_loop};
     thread_link m_link{m_control_loop, m_traffic_loop};
     drivers::traffic_dispatcher m_dispatcher;
