Fleet scale test: Reproduce SHORT with 87 simulated routers

Callers saw prompts refused although their account's total covered them, the more routers the more. The test runs the control planes of 6 to 87 routers over one simulated store and network, all else equal.

--- /dev/null
+++ b/tests/fleet_scale/short_with_many_routers_test.cpp
@@ -0,0 +1,47 @@
+#include "tests/fleet_scale/simulated_fleet.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace turmeric;
+using namespace turmeric::tests;
+using namespace std::chrono_literals;
+
+// Guards against requests refused for lack of tokens only since many routers
+// share an account whose total covers them.
+TEST_GROUP(short_with_many_routers_group)
+{
+    static constexpr int grown_fleet = 87;
+};
+
+TEST(short_with_many_routers_group, requests_are_served_while_the_total_lasts)
+{
+    for (const int routers : {6, 12, 25, 50, grown_fleet})
+    {
+        simulated_fleet fleet(routers);
+        fleet.start();
+        const served_requests outcome = fleet.play(6s);
+        CHECK(outcome.served_fraction() >= 0.97);
+    }
+}
+
+TEST(short_with_many_routers_group, a_cut_of_all_routers_is_bridged)
+{
+    simulated_fleet fleet(grown_fleet);
+    fleet.start();
+    fleet.play(6s);
+    fleet.set_cut(true);
+    const served_requests outcome = fleet.play(6s);
+    CHECK(outcome.served_fraction() >= 0.9);
+}
+
+TEST(short_with_many_routers_group, store_calls_do_not_grow_with_pairs)
+{
+    simulated_fleet fleet(grown_fleet);
+    fleet.start();
+    const std::int64_t before = fleet.store_calls();
+    fleet.play(6s);
+    const std::int64_t calls = fleet.store_calls() - before;
+    constexpr std::int64_t seconds = 7;
+    constexpr std::int64_t max_calls_per_router_second = 2;
+    CHECK(calls <= max_calls_per_router_second * fleet.size() * seconds);
+}
--- /dev/null
+++ b/tests/fleet_scale/simulated_fleet.cpp
@@ -0,0 +1,146 @@
+#include "tests/fleet_scale/simulated_fleet.hpp"
+
+#include "libraries/codecs/fleet/prepaid_record_codec.hpp"
+
+namespace turmeric::tests
+{
+
+using namespace std::chrono_literals;
+
+namespace
+{
+
+std::string account_name(int number)
+{
+    return "account-" + std::to_string(number);
+}
+
+result<domain::route_declarations> read_declarations(std::string_view)
+{
+    domain::route_declarations made;
+    made.version = 1;
+    for (int number = 0; number < simulated_fleet::account_count; ++number)
+    {
+        made.accounts.push_back({account_name(number),
+                                 {"key-" + std::to_string(number)},
+                                 std::nullopt,
+                                 simulated_fleet::prepaid_tokens});
+    }
+    return made;
+}
+
+result<domain::upstream_entry> reject_upstream(std::string_view,
+                                               std::string_view)
+{
+    return error{result_code::bad_argument, "", ""};
+}
+
+} // namespace
+
+simulated_fleet::router::router(simulated_fleet& fleet, const std::string& name)
+    : store(fleet.m_store, fleet.m_events)
+    , traffic(fleet.m_events)
+    , link(fleet.m_network, name)
+    , control(
+          {store, fleet.m_events, fleet.m_clock, link, traffic, fleet.m_log,
+           [](const auto&, const auto& done) { done(""); }},
+          {"configuration", "upstreams/", &read_declarations, &reject_upstream},
+          {name, name, "east", name, name})
+{
+}
+
+simulated_fleet::simulated_fleet(int routers)
+{
+    m_store.put("configuration", "any");
+    for (int number = 0; number < routers; ++number)
+    {
+        m_routers.push_back(std::make_unique<router>(
+            *this, "router-" + std::to_string(number)));
+    }
+}
+
+void simulated_fleet::start()
+{
+    answer_watches();
+    for (const auto& one : m_routers)
+    {
+        m_events.run_after(std::chrono::milliseconds(m_random.next() % 300),
+                           [&one] { one->control.start(); });
+    }
+    m_events.run_for(6s);
+}
+
+void simulated_fleet::answer_watches()
+{
+    m_store.respond_to_watches();
+    m_events.run_after(200ms, [this] { answer_watches(); });
+}
+
+served_requests simulated_fleet::play(std::chrono::milliseconds duration)
+{
+    m_is_playing = true;
+    start_requests();
+    m_events.run_for(duration);
+    m_is_playing = false;
+    m_events.run_for(1s);
+    served_requests sum;
+    for (const auto& one : m_routers)
+    {
+        sum.served += one->traffic.outcome.served;
+        sum.refused += one->traffic.outcome.refused;
+        one->traffic.outcome = {};
+    }
+    return sum;
+}
+
+void simulated_fleet::start_requests()
+{
+    if (!m_is_playing)
+    {
+        return;
+    }
+    router& chosen = *m_routers[m_random.next() % m_routers.size()];
+    const int account = static_cast<int>(m_random.next() % account_count);
+    const std::int64_t tokens =
+        1'000 + static_cast<std::int64_t>(m_random.next() % 8'000);
+    chosen.traffic.start_request(account_name(account), tokens,
+                                 [&chosen]
+                                 { chosen.control.adjust_token_grants(); });
+    constexpr std::chrono::nanoseconds interval =
+        std::chrono::nanoseconds(1s) / requests_per_second;
+    m_events.run_after(interval, [this] { start_requests(); });
+}
+
+void simulated_fleet::set_cut(bool is_cut)
+{
+    for (const auto& one : m_routers)
+    {
+        one->store.is_cut = is_cut;
+    }
+}
+
+std::int64_t simulated_fleet::store_calls() const
+{
+    std::int64_t calls = 0;
+    for (const auto& one : m_routers)
+    {
+        calls += one->store.read_count + one->store.commit_count;
+    }
+    return calls;
+}
+
+std::int64_t simulated_fleet::granted_in_all() const
+{
+    std::int64_t granted = 0;
+    for (int number = 0; number < account_count; ++number)
+    {
+        granted +=
+            codecs::read_prepaid_record(
+                m_store.value("turmericfront/tokens/" + account_name(number)))
+                .value()
+                .granted_in_all;
+    }
+    return granted;
+}
+
+} // namespace turmeric::tests
