Token grants: Let few routers hold an account and lend to the others

What was granted lay in fragments smaller than a request. A refused change waited for the next second, a loan that arrived after 150 ms was lost, and nothing asked again when a loan failed.

Now at most 8 routers, by rendezvous hashing of those with a recent report, hold an account (domain/prepaid/account_holders). The others borrow what a request lacks from three of them in turn and are told at once if none can lend; they go to the store only if none responds. A refused change is planned again at once from the records in the refusal. Fleets of up to 8 routers hold all accounts as before.

Not overspent: a loan is taken from the lender before it is sent and accepted once; grants stay under the store's condition.

--- a/libraries/domain/prepaid/outage_pacer.cpp
+++ b/libraries/domain/prepaid/outage_pacer.cpp
@@ -27,7 +27,7 @@
     m_spent_at_start.clear();
     for (const auto& [account, balance] : balances)
     {
-        m_spent_at_start[account] = balance.used + balance.held;
+        m_spent_at_start[account] = balance.spent();
     }
 }
 
@@ -48,7 +48,7 @@
     const std::int64_t before =
         found == m_spent_at_start.end() ? 0 : found->second;
     const std::int64_t paced_tokens = balance.granted - before;
-    const std::int64_t spent = balance.used + balance.held - before;
+    const std::int64_t spent = balance.spent() - before;
     const std::chrono::duration<double> passed =
         now + advance_time - *m_started_at;
     const std::chrono::duration<double> duration =
--- a/libraries/domain/prepaid/prepaid_ledger.cpp
+++ b/libraries/domain/prepaid/prepaid_ledger.cpp
@@ -1,5 +1,6 @@
 #include "libraries/domain/prepaid/prepaid_ledger.hpp"
 
+#include <algorithm>
 #include <cassert>
 
 namespace turmeric::domain
@@ -35,6 +36,17 @@
     balance.used += used;
 }
 
+std::int64_t prepaid_ledger::lend(const std::string& account,
+                                  std::int64_t requested)
+{
+    assert(requested >= 0);
+    prepaid_balance& balance = m_balances[account];
+    const std::int64_t lent =
+        std::min(requested, std::max<std::int64_t>(0, balance.free()));
+    balance.lent += lent;
+    return lent;
+}
+
 prepaid_balance prepaid_ledger::balance(const std::string& account) const
 {
     const auto found = m_balances.find(account);
--- a/libraries/domain/prepaid/prepaid_ledger.hpp
+++ b/libraries/domain/prepaid/prepaid_ledger.hpp
@@ -19,13 +19,21 @@
     std::int64_t used = 0;
     /// Tokens that requests in flight may still consume.
     std::int64_t held = 0;
+    /// Tokens that were lent to routers that hold none of the account.
+    std::int64_t lent = 0;
     /// Running mean of the tokens held for one request.
     std::int64_t typical_hold = 0;
 
     /// Returns the tokens that new requests can hold. Thread safe.
     [[nodiscard]] std::int64_t free() const
     {
-        return granted - used - held;
+        return granted - spent();
+    }
+
+    /// Returns the tokens that are consumed, held or lent. Thread safe.
+    [[nodiscard]] std::int64_t spent() const
+    {
+        return used + held + lent;
     }
 };
 
@@ -49,6 +57,10 @@
     void settle(const std::string& account, std::int64_t held,
                 std::int64_t used);
 
+    /// Lends up to `requested` of the free tokens. Returns how many.
+    /// Precondition: `requested` is not negative.
+    std::int64_t lend(const std::string& account, std::int64_t requested);
+
     /// Returns an account's balance.
     [[nodiscard]] prepaid_balance balance(const std::string& account) const;
 
--- a/libraries/domain/prepaid/prepaid_record.cpp
+++ b/libraries/domain/prepaid/prepaid_record.cpp
@@ -13,6 +13,10 @@
 constexpr double outage_seconds = 10.0;
 /// The same for a router that is stopping.
 constexpr double outage_seconds_leaving = 3.0;
+/// A router that does not hold the account keeps tokens for this duration or
+/// this number of requests.
+constexpr double borrower_seconds = 1.0;
+constexpr std::int64_t borrower_holds = 4;
 /// Number of standard deviations above the mean consumption that are covered.
 constexpr double covered_deviations = 1.0;
 /// A router that is not stopping gets at least its even share divided by this,
@@ -43,6 +47,32 @@
     return max_held_fraction * fill * fill;
 }
 
+/// Returns what the router consumes in `seconds`, with the covered deviation.
+std::int64_t consumption_in(const grant_demand& demand, double seconds)
+{
+    const double mean = demand.tokens_per_second * seconds;
+    // The standard deviation of what the requests consume grows with the
+    // square root of their number.
+    const double deviation =
+        covered_deviations *
+        std::sqrt(mean * static_cast<double>(demand.typical_hold));
+    return static_cast<std::int64_t>(mean + deviation);
+}
+
+/// Returns the change for a router that does not hold the account: it asks the
+/// store only for what it cannot borrow, and returns what it had as a holder.
+std::int64_t compute_borrower_change(const grant_demand& demand,
+                                     std::int64_t ungranted, std::int64_t free)
+{
+    if (demand.lacking > 0)
+    {
+        return demand.can_borrow ? 0 : std::min(ungranted, demand.lacking);
+    }
+    const std::int64_t kept = std::max(consumption_in(demand, borrower_seconds),
+                                       borrower_holds * demand.typical_hold);
+    return std::min<std::int64_t>(0, kept - free);
+}
+
 } // namespace
 
 prepaid_record apply_grant_change(prepaid_record record,
@@ -65,27 +95,24 @@
     const std::int64_t ungranted = std::max<std::int64_t>(
         0, demand.prepaid_tokens - demand.granted_in_all);
     const std::int64_t free = std::max<std::int64_t>(0, demand.free);
-    const std::int64_t routers = std::max<std::int64_t>(1, demand.routers);
+    if (!demand.is_holder)
+    {
+        return compute_borrower_change(demand, ungranted, free);
+    }
+    const std::int64_t holders = std::max<std::int64_t>(1, demand.holders);
     const std::int64_t pool = ungranted + demand.peers_free + free;
-    const std::int64_t even_share = pool / routers;
+    const std::int64_t even_share = pool / holders;
     const double all_rates =
         demand.tokens_per_second + demand.peers_tokens_per_second;
     const double rate_share = all_rates < 1.0
-                                  ? 1.0 / static_cast<double>(routers)
+                                  ? 1.0 / static_cast<double>(holders)
                                   : demand.tokens_per_second / all_rates;
     const std::int64_t max_grant = static_cast<std::int64_t>(
         max_held_fraction_of(pool, demand.prepaid_tokens) * rate_share *
         static_cast<double>(pool));
     const double seconds =
         demand.is_leaving ? outage_seconds_leaving : outage_seconds;
-    const double mean = demand.tokens_per_second * seconds;
-    // The standard deviation of what the requests consume grows with the
-    // square root of their number.
-    const double deviation =
-        covered_deviations *
-        std::sqrt(mean * static_cast<double>(demand.typical_hold));
-    const std::int64_t outage_need =
-        static_cast<std::int64_t>(mean + deviation);
+    const std::int64_t outage_need = consumption_in(demand, seconds);
     const std::int64_t min_grant =
         demand.is_leaving ? 0 : even_share / min_grant_divisor;
     const std::int64_t target =
--- a/libraries/domain/prepaid/prepaid_record.hpp
+++ b/libraries/domain/prepaid/prepaid_record.hpp
@@ -34,8 +34,12 @@
 {
     std::int64_t prepaid_tokens = 0;
     std::int64_t granted_in_all = 0;
-    /// Routers that draw on the account, including this one.
-    std::int64_t routers = 1;
+    /// Routers that hold tokens of the account, including this one.
+    std::int64_t holders = 1;
+    /// Whether this router is one of them.
+    bool is_holder = true;
+    /// Whether a router that is not one of them can borrow what it lacks.
+    bool can_borrow = false;
     /// Tokens that this router can hold now.
     std::int64_t free = 0;
     /// Tokens that the other routers can hold.
--- a/libraries/drivers/exchange/exchange.hpp
+++ b/libraries/drivers/exchange/exchange.hpp
@@ -86,6 +86,9 @@
     /// the request still waits for tokens.
     bool retry_hold();
 
+    /// Refuses the request if it waits for tokens.
+    void refuse_for_tokens();
+
     /// Tries to place the request on an upstream. Returns false if no upstream
     /// has a free slot. Returns true if the request was sent, or was ended
     /// because no upstream can serve it.
--- a/libraries/drivers/exchange/exchange_admission.cpp
+++ b/libraries/drivers/exchange/exchange_admission.cpp
@@ -76,7 +76,10 @@
         return;
     }
     const std::string& account = m_context.account->name;
+    // The holders of the account spread its tokens over an outage; what they
+    // have lent is meant for the requests that wait here.
     const bool may_hold =
+        !m_state.is_holder(account) ||
         m_state.pacer.allows(account, m_state.ledger.balance(account),
                              m_state.dependencies.clock.steady_now());
     if (may_hold && m_state.ledger.hold(account, tokens))
@@ -144,6 +147,16 @@
     return m_phase != exchange_phase::waiting_for_tokens;
 }
 
+void exchange::refuse_for_tokens()
+{
+    if (m_phase == exchange_phase::waiting_for_tokens)
+    {
+        refuse({result_code::grant_unavailable, "account",
+                "the routers that hold the account's tokens lend too few now",
+                outcome::not_run, tokens_retry_after});
+    }
+}
+
 const std::string& exchange::pick_service() const
 {
     const std::vector<domain::service_share>& services =
--- a/libraries/drivers/exchange/fleet_view.hpp
+++ b/libraries/drivers/exchange/fleet_view.hpp
@@ -26,6 +26,8 @@
     std::int64_t peers_free = 0;
     /// Tokens that peers consume per second, by their recent reports.
     std::int64_t peers_tokens_per_second = 0;
+    /// As in `account_token_demand`.
+    bool is_holder = true;
 };
 
 /// The state of the fleet, which the control thread passes to the traffic
@@ -60,9 +62,18 @@
     std::int64_t granted = 0;
     /// Tokens that waiting requests need in addition to `free`.
     std::int64_t lacking = 0;
-    /// As in `account_token_state`; filled in by the control thread.
+    /// As in `account_token_state`; filled in by the control thread, as are the
+    /// following fields.
     std::int64_t peers_free = 0;
     std::int64_t peers_tokens_per_second = 0;
+    /// Tokens lent to routers that hold none of the account, in all.
+    std::int64_t lent = 0;
+    /// Whether this router obtains grants of the account to spend and to lend;
+    /// otherwise it borrows what its requests lack.
+    bool is_holder = true;
+    /// Whether peers may lend tokens of the account, so that a router that does
+    /// not hold it need not ask the store.
+    bool can_borrow = false;
 };
 
 /// The state of the traffic, which the traffic thread passes to the control
--- a/libraries/drivers/exchange/traffic_dispatcher.cpp
+++ b/libraries/drivers/exchange/traffic_dispatcher.cpp
@@ -270,4 +270,27 @@
     return released_tokens;
 }
 
+std::int64_t traffic_dispatcher::lend(const std::string& account,
+                                      std::int64_t requested)
+{
+    const bool may_lend =
+        m_state.pacer.allows(account, m_state.ledger.balance(account),
+                             m_state.dependencies.clock.steady_now());
+    return may_lend ? m_state.ledger.lend(account, requested) : 0;
+}
+
+void traffic_dispatcher::refuse_pending_holds(const std::string& account)
+{
+    const auto found = m_state.pending_holds.find(account);
+    if (found == m_state.pending_holds.end())
+    {
+        return;
+    }
+    // Each refusal removes the request from the list.
+    for (const pending_hold& waiting : std::vector<pending_hold>(found->second))
+    {
+        waiting.owner->refuse_for_tokens();
+    }
+}
+
 } // namespace turmeric::drivers
--- a/libraries/drivers/exchange/traffic_dispatcher.hpp
+++ b/libraries/drivers/exchange/traffic_dispatcher.hpp
@@ -59,6 +59,14 @@
     /// this router. Returns how many were removed.
     std::int64_t release(const std::string& account, std::int64_t requested);
 
+    /// Lends up to `requested` free tokens of an account to a peer that holds
+    /// none of it; none if the tokens are spread over an outage of the store
+    /// and too many are spent. Returns how many were lent.
+    std::int64_t lend(const std::string& account, std::int64_t requested);
+
+    /// Refuses the requests that wait for tokens of an account.
+    void refuse_pending_holds(const std::string& account);
+
 private:
     /// Starts or stops the pacing of prepaid tokens during a store outage.
     void update_outage_pacing();
--- a/libraries/drivers/exchange/traffic_state.cpp
+++ b/libraries/drivers/exchange/traffic_state.cpp
@@ -124,12 +124,23 @@
     {
         return true;
     }
+    if (!account_state->second.is_holder)
+    {
+        return account_state->second.peers_free >= tokens ||
+               fleet.can_peer_reach_store;
+    }
     const std::int64_t ungranted =
         prepaid_total->second - account_state->second.granted_in_all;
     return (!fleet.store_unavailable_since && ungranted >= tokens) ||
            account_state->second.peers_free / 2 >= tokens;
 }
 
+bool traffic_state::is_holder(const std::string& account) const
+{
+    const auto found = fleet.accounts.find(account);
+    return found == fleet.accounts.end() || found->second.is_holder;
+}
+
 void traffic_state::request_tokens()
 {
     const ports::steady_time now = dependencies.clock.steady_now();
--- a/libraries/drivers/exchange/traffic_state.hpp
+++ b/libraries/drivers/exchange/traffic_state.hpp
@@ -87,6 +87,10 @@
     [[nodiscard]] bool may_obtain_tokens(const std::string& account,
                                          std::int64_t tokens) const;
 
+    /// Returns whether this router obtains grants of an account from the store;
+    /// otherwise it borrows what its requests lack.
+    [[nodiscard]] bool is_holder(const std::string& account) const;
+
     /// Notifies the control thread that tokens are lacking, at most once in
     /// each short interval.
     void request_tokens();
--- a/libraries/drivers/fleet/fleet_control.cpp
+++ b/libraries/drivers/fleet/fleet_control.cpp
@@ -1,5 +1,7 @@
 #include "libraries/drivers/fleet/fleet_control.hpp"
 
+#include "libraries/domain/digest.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -14,6 +16,11 @@
 constexpr std::chrono::milliseconds min_tick_interval{200};
 constexpr std::chrono::milliseconds tick_interval_per_router{10};
 constexpr std::chrono::milliseconds watch_wait{2'200};
+/// How many holders of an account a router asks for a loan, one after the
+/// other. More of them rarely have what the first ones lack.
+constexpr std::size_t max_lenders = 3;
+/// Time in which routers that start together register.
+constexpr std::chrono::milliseconds membership_settling_time{500};
 /// An upstream that is running registers again within two seconds of the end
 /// of a store outage in which its entry expired.
 constexpr std::chrono::milliseconds upstream_deletion_grace{2'100};
@@ -38,16 +45,20 @@
     , m_grant_client(m_dependencies.store, m_dependencies.clock,
                      m_dependencies.log, m_self.incarnation)
     , m_peers(m_self)
-    , m_token_exchange(
-          m_dependencies.peers, m_peers, m_dependencies.clock,
-          m_dependencies.log, m_self.incarnation,
+    , m_borrower(m_dependencies.peers, m_peers, m_dependencies.clock,
+                 m_dependencies.log, m_self.incarnation)
+    , m_lender(
+          m_dependencies.peers, m_dependencies.clock, m_dependencies.timers,
+          m_self.incarnation,
           [this](const std::string& account, std::int64_t requested,
-                 std::function<void(std::int64_t)> done)
+                 bool is_borrower, std::function<void(std::int64_t)> done)
           {
-              m_dependencies.traffic.release(
-                  account, std::min(requested, m_free_tokens[account] / 2),
-                  std::move(done));
-          })
+              const auto take =
+                  is_borrower ? &traffic_link::lend : &traffic_link::release;
+              (m_dependencies.traffic.*take)(account, requested,
+                                             std::move(done));
+          },
+          [this] { adjust_token_grants(); })
 {
 }
 
@@ -61,8 +72,14 @@
                       { on_upstreams(items); });
     m_registry.start([this](const std::vector<fleet_member>& members)
                      { on_members(members); });
-    m_grant_client.on_change([this] { update_traffic(); });
+    m_grant_client.on_change(
+        [this]
+        {
+            update_traffic();
+            m_lender.continue_loans();
+        });
     m_peers.set_members({m_self}, m_dependencies.clock.steady_now());
+    update_holders();
     m_grant_client.set_members({m_self.incarnation});
     m_dependencies.peers.receive([this](std::string_view bytes)
                                  { on_datagram(bytes); });
@@ -83,6 +100,7 @@
 
 void fleet_control::on_traffic_digest(const traffic_digest& traffic)
 {
+    update_holders();
     codecs::peer_digest digest;
     digest.incarnation = m_self.incarnation;
     digest.sequence = ++m_sequence;
@@ -96,8 +114,10 @@
     for (const auto& [name, token_demand] : traffic.accounts)
     {
         const auto grants = summaries.find(name);
-        const double rate =
-            grants == summaries.end() ? 0 : grants->second.tokens_per_second;
+        // What other routers borrow counts as the consumption of the lender.
+        const bool has_rate = grants != summaries.end() &&
+                              m_holders.is_holder(name, m_self.incarnation);
+        const double rate = has_rate ? grants->second.tokens_per_second : 0;
         digest.accounts[name] = {token_demand.used, token_demand.held,
                                  token_demand.free,
                                  static_cast<std::int64_t>(rate)};
@@ -123,25 +143,53 @@
 {
     std::map<std::string, grant_summary> summaries =
         m_grant_client.grant_summaries();
-    for (const auto& [name, tokens] : m_token_exchange.borrowed())
+    for (const auto& [name, tokens] : m_borrower.borrowed())
     {
         summaries[name].cumulative_granted += tokens;
     }
     return summaries;
 }
 
+void fleet_control::update_holders()
+{
+    std::set<std::string> routers =
+        m_peers.live_peers(m_dependencies.clock.steady_now());
+    routers.insert(m_self.incarnation);
+    m_holders.set_routers(routers);
+}
+
+std::vector<std::string> fleet_control::list_lenders(const std::string& account)
+{
+    // Each router prefers another holder, so that the loans of an account are
+    // spread over its holders.
+    std::vector<std::string> lenders = m_holders.list(account);
+    const std::size_t first =
+        domain::digest_of(m_self.incarnation) % lenders.size();
+    std::rotate(lenders.begin(),
+                lenders.begin() + static_cast<std::ptrdiff_t>(first),
+                lenders.end());
+    lenders.resize(std::min(max_lenders, lenders.size()));
+    return lenders;
+}
+
 std::map<std::string, account_token_demand>
-fleet_control::current_token_demands(const traffic_digest& traffic) const
+fleet_control::current_token_demands(const traffic_digest& traffic)
 {
     std::map<std::string, account_token_demand> token_demands =
         traffic.accounts;
+    if (m_routes != nullptr)
+    {
+        for (const domain::caller_account& account : m_routes->accounts())
+        {
+            token_demands.try_emplace(account.name);
+        }
+    }
+    const fleet_view view = m_peers.view(m_dependencies.clock.steady_now());
     const std::map<std::string, grant_summary> summaries =
         current_grant_summaries();
-    const fleet_view view = m_peers.view(m_dependencies.clock.steady_now());
     for (auto& [name, token_demand] : token_demands)
     {
         const auto granted = summaries.find(name);
-        const auto peers = view.accounts.find(name);
         if (granted != summaries.end())
         {
             // The traffic thread has not received the latest grants yet.
@@ -149,18 +197,35 @@
                 granted->second.cumulative_granted - token_demand.granted;
             token_demand.granted = granted->second.cumulative_granted;
         }
-        if (peers != view.accounts.end())
-        {
-            token_demand.peers_free = peers->second.peers_free;
-            token_demand.peers_tokens_per_second =
-                peers->second.peers_tokens_per_second;
-        }
+        complete_demand(name, view, token_demand);
     }
     return token_demands;
 }
 
+void fleet_control::complete_demand(const std::string& account,
+                                    const fleet_view& view,
+                                    account_token_demand& demand)
+{
+    const auto peers = view.accounts.find(account);
+    if (peers != view.accounts.end())
+    {
+        demand.peers_free = peers->second.peers_free;
+        demand.peers_tokens_per_second = peers->second.peers_tokens_per_second;
+    }
+    const auto lent = m_lender.lent().find(account);
+    demand.lent = lent == m_lender.lent().end() ? 0 : lent->second;
+    demand.lacking += m_lender.lacking(account);
+    demand.is_holder = m_holders.is_holder(account, m_self.incarnation);
+    demand.can_borrow = !demand.is_holder &&
+                        m_borrower.is_any_responsive(list_lenders(account));
+}
+
 void fleet_control::adjust_grants(const traffic_digest& traffic)
 {
+    if (!is_membership_settled())
+    {
+        return;
+    }
     const std::map<std::string, account_token_demand> token_demands =
         current_token_demands(traffic);
     for (const auto& [account, token_demand] : token_demands)
@@ -172,13 +237,54 @@
     {
         release_to_store(account, tokens, [] {});
     }
+    borrow_lacking(token_demands);
+}
+
+bool fleet_control::is_membership_settled() const
+{
+    if (!m_members_read_at)
+    {
+        return false;
+    }
+    const ports::steady_time now = m_dependencies.clock.steady_now();
+    // While many routers start at once, the first ones would take themselves
+    // for the holders of all accounts.
+    return m_peers.live_peers(now).size() < domain::max_account_holders ||
+           now - *m_members_read_at >= membership_settling_time;
+}
+
+void fleet_control::borrow_lacking(
+    const std::map<std::string, account_token_demand>& token_demands)
+{
+    bool has_requested = false;
     for (const auto& [account, token_demand] : token_demands)
     {
-        const std::int64_t lacking = token_demand.lacking;
-        if (lacking > 0)
+        // What loans to others lack is for the store to grant.
+        const std::int64_t lacking =
+            token_demand.lacking - m_lender.lacking(account);
+        if (lacking <= 0)
+        {
+            continue;
+        }
+        const std::string lender =
+            token_demand.is_holder
+                ? m_peers.find_lender(account,
+                                      m_dependencies.clock.steady_now())
+                : m_borrower.select_lender(account, list_lenders(account));
+        if (lender.empty() && token_demand.can_borrow)
         {
-            m_token_exchange.borrow(account, lacking);
+            m_dependencies.traffic.refuse_pending_holds(account);
+            continue;
         }
+        m_borrower.borrow(account, lacking, lender);
+        has_requested = true;
+    }
+    if (has_requested)
+    {
+        m_loan_timer =
+            m_dependencies.timers.schedule(m_dependencies.clock.steady_now() +
+                                               token_borrower::response_timeout,
+                                           [this] { adjust_token_grants(); });
     }
 }
 
@@ -193,10 +299,47 @@
     }
     const result<codecs::token_message> message =
         codecs::read_token_message(bytes);
-    if (message && m_token_exchange.handle_message(message.value()))
+    if (message)
+    {
+        on_token_message(message.value());
+    }
+}
+
+void fleet_control::on_token_message(const codecs::token_message& message)
+{
+    if (message.kind == codecs::token_message_kind::request)
+    {
+        lend(message);
+        return;
+    }
+    if (m_borrower.accept_loan(message))
     {
         update_traffic();
     }
+    if (!m_holders.is_holder(message.account, m_self.incarnation))
+    {
+        adjust_token_grants();
+    }
+}
+
+void fleet_control::lend(const codecs::token_message& request)
+{
+    const std::optional<std::string> address =
+        m_peers.address_of(request.sender);
+    if (!address)
+    {
+        return;
+    }
+    loan_request loan{request, *address};
+    loan.is_borrower = !m_holders.is_holder(request.account, request.sender);
+    loan.may_wait = loan.is_borrower && !store_unavailable_since();
+    if (!loan.is_borrower)
+    {
+        // Another holder can obtain grants itself.
+        loan.message.tokens =
+            std::min(request.tokens, m_free_tokens[request.account] / 2);
+    }
+    m_lender.lend(std::move(loan));
 }
 
 void fleet_control::on_configuration(const followed_items& items)
@@ -310,7 +453,10 @@
     {
         incarnations.insert(member.incarnation);
     }
-    m_peers.set_members(members, m_dependencies.clock.steady_now());
+    const ports::steady_time now = m_dependencies.clock.steady_now();
+    m_peers.set_members(members, now);
+    m_members_read_at = m_members_read_at.value_or(now);
+    update_holders();
     m_dependencies.log.write(
         log_level::info, log_event::member_joined,
         {{"members", static_cast<std::int64_t>(incarnations.size())}});
@@ -328,6 +474,14 @@
 {
     fleet_view view = m_peers.view(m_dependencies.clock.steady_now());
     view.store_unavailable_since = store_unavailable_since();
+    if (m_routes != nullptr)
+    {
+        for (const domain::caller_account& account : m_routes->accounts())
+        {
+            view.accounts[account.name].is_holder =
+                m_holders.is_holder(account.name, m_self.incarnation);
+        }
+    }
     for (const auto& [name, grants] : current_grant_summaries())
     {
         account_token_state& account = view.accounts[name];
--- a/libraries/drivers/fleet/fleet_control.hpp
+++ b/libraries/drivers/fleet/fleet_control.hpp
@@ -2,14 +2,16 @@
 
 #include "libraries/core/logger.hpp"
 #include "libraries/domain/callers/route_table.hpp"
+#include "libraries/domain/prepaid/account_holders.hpp"
 #include "libraries/drivers/exchange/fleet_view.hpp"
 #include "libraries/drivers/fleet/document_formats.hpp"
 #include "libraries/drivers/fleet/fleet_member.hpp"
 #include "libraries/drivers/fleet/member_registry.hpp"
 #include "libraries/drivers/fleet/peer_table.hpp"
 #include "libraries/drivers/fleet/prefix_follower.hpp"
-#include "libraries/drivers/fleet/token_exchange.hpp"
+#include "libraries/drivers/fleet/token_borrower.hpp"
 #include "libraries/drivers/fleet/token_grant_client.hpp"
+#include "libraries/drivers/fleet/token_lender.hpp"
 #include "libraries/ports/asynchronous_store.hpp"
 #include "libraries/ports/clock.hpp"
 #include "libraries/ports/datagram_link.hpp"
@@ -53,6 +55,14 @@
     /// released.
     virtual void release(const std::string& account, std::int64_t requested,
                          std::function<void(std::int64_t)> done) = 0;
+
+    /// Lends up to `requested` free tokens to a peer that holds none of the
+    /// account. Calls `done` on the control thread with the number lent.
+    virtual void lend(const std::string& account, std::int64_t requested,
+                      std::function<void(std::int64_t)> done) = 0;
+
+    /// Refuses the requests that wait for tokens of an account.
+    virtual void refuse_pending_holds(const std::string& account) = 0;
 };
 
 /// The objects and functions that `fleet_control` uses. All of them outlive
@@ -143,7 +153,24 @@
     /// Returns what accounts need, including grants that are not in the
     /// traffic digest yet and the state of the peers.
     [[nodiscard]] std::map<std::string, account_token_demand>
-    current_token_demands(const traffic_digest& traffic) const;
+    current_token_demands(const traffic_digest& traffic);
+    /// Adds the part of an account's demand that the control thread knows.
+    void complete_demand(const std::string& account, const fleet_view& view,
+                         account_token_demand& demand);
+    /// Selects the routers that can hold tokens by the latest reports.
+    void update_holders();
+    /// Returns the peers from which tokens of an account can be borrowed, the
+    /// preferred one first.
+    [[nodiscard]] std::vector<std::string>
+    list_lenders(const std::string& account);
+    /// Requests from peers what the accounts lack.
+    void borrow_lacking(
+        const std::map<std::string, account_token_demand>& token_demands);
+    void on_token_message(const codecs::token_message& message);
+    void lend(const codecs::token_message& request);
+    /// Returns whether the registered routers are known well enough to select
+    /// the holders of accounts.
+    [[nodiscard]] bool is_membership_settled() const;
     /// Returns the tokens granted and borrowed, by account.
     [[nodiscard]] std::map<std::string, grant_summary>
     current_grant_summaries() const;
@@ -156,7 +183,12 @@
     member_registry m_registry;
     token_grant_client m_grant_client;
     peer_table m_peers;
-    token_exchange m_token_exchange;
+    domain::account_holders m_holders;
+    token_borrower m_borrower;
+    token_lender m_lender;
+    /// Adjusts the grants when a request for a loan has timed out.
+    std::unique_ptr<ports::timer> m_loan_timer;
+    std::optional<ports::steady_time> m_members_read_at;
     std::shared_ptr<const domain::route_table> m_routes;
     std::string m_configuration_text;
     std::unique_ptr<ports::timer> m_timer;
--- a/libraries/drivers/fleet/grant_planner.cpp
+++ b/libraries/drivers/fleet/grant_planner.cpp
@@ -1,5 +1,7 @@
 #include "libraries/drivers/fleet/grant_planner.hpp"
 
+#include "libraries/domain/prepaid/account_holders.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -77,9 +79,9 @@
     for (const auto& [name, token_demand] : token_demands)
     {
         account_state& state = m_accounts[name];
-        state.rate.add(token_demand.used - state.last_used,
-                       m_clock.steady_now());
-        state.last_used = token_demand.used;
+        const std::int64_t drawn = token_demand.used + token_demand.lent;
+        state.rate.add(drawn - state.last_drawn, m_clock.steady_now());
+        state.last_drawn = drawn;
     }
 }
 
@@ -96,7 +98,10 @@
 {
     domain::grant_demand demand;
     demand.granted_in_all = state.record.granted_in_all;
-    demand.routers = static_cast<std::int64_t>(m_members.size());
+    demand.holders = static_cast<std::int64_t>(
+        std::min(m_members.size(), domain::max_account_holders));
+    demand.is_holder = token_demand.is_holder;
+    demand.can_borrow = token_demand.can_borrow;
     demand.free = token_demand.free;
     demand.peers_free = token_demand.peers_free;
     demand.peers_tokens_per_second =
--- a/libraries/drivers/fleet/grant_planner.hpp
+++ b/libraries/drivers/fleet/grant_planner.hpp
@@ -67,7 +67,8 @@
     void update_record(const std::string& account, ports::revision revision,
                        domain::prepaid_record record);
 
-    /// Measures the consumption. Precondition: `used` never decreases.
+    /// Measures the consumption. Precondition: `used` and `lent` never
+    /// decrease.
     void record_usage(
         const std::map<std::string, account_token_demand>& token_demands);
 
@@ -121,7 +122,8 @@
         /// The part of `pending_return` that was sent to the store in a change
         /// whose outcome is unknown.
         std::int64_t uncertain_return = 0;
-        std::int64_t last_used = 0;
+        /// Total of the tokens consumed and lent at the last measurement.
+        std::int64_t last_drawn = 0;
         domain::spend_rate rate{rate_window};
     };
 
--- a/libraries/drivers/fleet/peer_table.cpp
+++ b/libraries/drivers/fleet/peer_table.cpp
@@ -149,10 +149,27 @@
     return all;
 }
 
-std::optional<std::string> peer_table::find_lender(const std::string& account,
-                                                   ports::steady_time now) const
+std::set<std::string> peer_table::live_peers(ports::steady_time now) const
 {
-    std::optional<std::string> best;
+    std::set<std::string> live;
+    for (const auto& [incarnation, member] : m_members)
+    {
+        const auto peer = m_peers.find(incarnation);
+        const bool is_leaving =
+            peer != m_peers.end() && peer->second.digest.is_leaving;
+        if (incarnation != m_self.incarnation && !is_leaving &&
+            has_recent_report(incarnation, now))
+        {
+            live.insert(incarnation);
+        }
+    }
+    return live;
+}
+
+std::string peer_table::find_lender(const std::string& account,
+                                    ports::steady_time now) const
+{
+    std::string best;
     std::int64_t most_free = 0;
     for (const auto& [incarnation, peer] : m_peers)
     {
@@ -165,7 +182,7 @@
             continue;
         }
         most_free = reported->second.free;
-        best = member->second.peer_address;
+        best = incarnation;
     }
     return best;
 }
--- a/libraries/drivers/fleet/peer_table.hpp
+++ b/libraries/drivers/fleet/peer_table.hpp
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -47,10 +48,16 @@
     [[nodiscard]] std::vector<domain::entry_candidate>
     entry_candidates(bool is_self_leaving, ports::steady_time now) const;
 
-    /// Returns the address of the peer with the most free tokens of an
-    /// account; nothing if no registered peer with a recent digest has any.
-    [[nodiscard]] std::optional<std::string>
-    find_lender(const std::string& account, ports::steady_time now) const;
+    /// Returns the incarnations of the registered routers with a recent report
+    /// that are not leaving, without this one.
+    [[nodiscard]] std::set<std::string>
+    live_peers(ports::steady_time now) const;
+
+    /// Returns the incarnation of the peer with the most free tokens of an
+    /// account; the empty text if no registered peer with a recent digest has
+    /// any.
+    [[nodiscard]] std::string find_lender(const std::string& account,
+                                          ports::steady_time now) const;
 
     /// Returns a router's address for datagrams if it is registered.
     [[nodiscard]] std::optional<std::string>
--- a/libraries/drivers/fleet/token_grant_client.cpp
+++ b/libraries/drivers/fleet/token_grant_client.cpp
@@ -19,15 +19,23 @@
 constexpr std::chrono::milliseconds change_interval{1'000};
 /// The minimum interval while requests wait for tokens or this router leaves.
 constexpr std::chrono::milliseconds urgent_interval{100};
+/// How often a refused change is planned again from the records that the
+/// refusal returned, before the next adjustment of grants.
+constexpr int max_immediate_retries = 4;
 /// The store counts as unavailable while a call is pending for longer.
 constexpr std::chrono::milliseconds max_response_time{600};
 
+/// Returns whether requests wait for tokens that only the store can provide.
 bool is_any_request_waiting(
     const std::map<std::string, account_token_demand>& token_demands)
 {
     return std::any_of(token_demands.begin(), token_demands.end(),
                        [](const auto& entry)
-                       { return entry.second.lacking > 0; });
+                       {
+                           const account_token_demand& demand = entry.second;
+                           return demand.lacking > 0 &&
+                                  (demand.is_holder || !demand.can_borrow);
+                       });
 }
 
 } // namespace
@@ -51,6 +59,13 @@
                       result<ports::change_outcome> response);
     void on_refused(const std::vector<planned_grant>& changes,
                     const ports::change_conflict& refused);
+    /// Plans the changes for the demands of the present adjustment and commits
+    /// them.
+    void commit_planned_changes();
+    /// Returns the demands of the present adjustment, less what was granted
+    /// since its start.
+    [[nodiscard]] std::map<std::string, account_token_demand>
+    remaining_demands() const;
     void on_applied(const std::vector<planned_grant>& changes,
                     ports::revision at);
     [[nodiscard]] std::int64_t record_age_ms() const;
@@ -79,6 +94,12 @@
     ports::steady_time records_read_at;
     /// Changes sent since the last one that was applied.
     std::int64_t attempts = 0;
+    /// The demands of the present adjustment, and the grants at its start.
+    std::map<std::string, account_token_demand> demands;
+    std::map<std::string, grant_summary> grants_at_start;
+    bool is_leaving = false;
+    /// Changes of the present adjustment that the store refused.
+    int conflicts = 0;
     /// Called when all queued tokens are returned; set while that is under
     /// way.
     std::function<void()> on_returned;
@@ -207,6 +228,44 @@
     // read again if some are missing.
     is_stale = refused.current.size() < changes.size();
     notify();
+    ++conflicts;
+    if (!is_stale && !on_returned && conflicts <= max_immediate_retries)
+    {
+        commit_planned_changes();
+    }
+}
+
+std::map<std::string, account_token_demand>
+token_grant_client::state::remaining_demands() const
+{
+    std::map<std::string, account_token_demand> remaining = demands;
+    const std::map<std::string, grant_summary> now = planner.grant_summaries();
+    for (auto& [account, demand] : remaining)
+    {
+        const auto before = grants_at_start.find(account);
+        const auto granted = now.find(account);
+        if (before == grants_at_start.end() || granted == now.end())
+        {
+            continue;
+        }
+        const std::int64_t newly_granted = granted->second.cumulative_granted -
+                                           before->second.cumulative_granted;
+        demand.free += newly_granted;
+        demand.lacking =
+            std::max<std::int64_t>(0, demand.lacking - newly_granted);
+    }
+    return remaining;
+}
+
+void token_grant_client::state::commit_planned_changes()
+{
+    std::map<std::string, std::int64_t> ignored;
+    std::vector<planned_grant> changes =
+        planner.plan_changes(remaining_demands(), is_leaving, ignored);
+    if (!changes.empty())
+    {
+        commit(std::move(changes));
+    }
 }
 
 void token_grant_client::state::on_applied(
@@ -302,21 +361,15 @@
         return surplus;
     }
     self.last_change_at = self.clock.steady_now();
+    self.demands = token_demands;
+    self.grants_at_start = self.planner.grant_summaries();
+    self.is_leaving = is_leaving;
+    self.conflicts = 0;
     // Other routers change the same records, and the store refuses a change
     // that is based on an outdated record. The records are therefore read and
     // the changes are planned again.
     const std::shared_ptr<state> shared = m_state;
-    self.read_all(
-        [shared, token_demands, is_leaving]
-        {
-            std::map<std::string, std::int64_t> ignored;
-            std::vector<planned_grant> changes = shared->planner.plan_changes(
-                token_demands, is_leaving, ignored);
-            if (!changes.empty())
-            {
-                shared->commit(std::move(changes));
-            }
-        });
+    self.read_all([shared] { shared->commit_planned_changes(); });
     return surplus;
 }
 
--- a/services/entry/thread_link.cpp
+++ b/services/entry/thread_link.cpp
@@ -52,14 +52,39 @@
 void thread_link::release(const std::string& account, std::int64_t requested,
                           std::function<void(std::int64_t)> done)
 {
-    asio::post(m_traffic_loop,
-               [this, account, requested, done = std::move(done)]() mutable
-               {
-                   const std::int64_t released =
-                       m_dispatcher->release(account, requested);
-                   asio::post(m_control_loop, [released, done = std::move(done)]
-                              { done(released); });
-               });
+    take_tokens(&drivers::traffic_dispatcher::release, account, requested,
+                std::move(done));
+}
+
+void thread_link::lend(const std::string& account, std::int64_t requested,
+                       std::function<void(std::int64_t)> done)
+{
+    take_tokens(&drivers::traffic_dispatcher::lend, account, requested,
+                std::move(done));
+}
+
+void thread_link::take_tokens(std::int64_t (drivers::traffic_dispatcher::*take)(
+                                  const std::string& account,
+                                  std::int64_t requested),
+                              const std::string& account,
+                              std::int64_t requested,
+                              std::function<void(std::int64_t)> done)
+{
+    asio::post(
+        m_traffic_loop,
+        [this, take, account, requested, done = std::move(done)]() mutable
+        {
+            const std::int64_t taken =
+                (m_dispatcher->*take)(account, requested);
+            asio::post(m_control_loop,
+                       [taken, done = std::move(done)] { done(taken); });
+        });
+}
+
+void thread_link::refuse_pending_holds(const std::string& account)
+{
+    asio::post(m_traffic_loop, [this, account]
+               { m_dispatcher->refuse_pending_holds(account); });
 }
 
 void thread_link::schedule_delivery()
--- a/services/entry/thread_link.hpp
+++ b/services/entry/thread_link.hpp
@@ -36,6 +36,9 @@
     request_digest(std::function<void(drivers::traffic_digest)> done) override;
     void release(const std::string& account, std::int64_t requested,
                  std::function<void(std::int64_t)> done) override;
+    void lend(const std::string& account, std::int64_t requested,
+              std::function<void(std::int64_t)> done) override;
+    void refuse_pending_holds(const std::string& account) override;
 
 private:
     /// The updates and requests that are not delivered to the traffic thread
@@ -49,6 +52,13 @@
             digest_callbacks;
     };
 
+    /// Calls a function of the dispatcher on the traffic thread and passes its
+    /// result to `done` on the control thread.
+    void take_tokens(std::int64_t (drivers::traffic_dispatcher::*take)(
+                         const std::string& account, std::int64_t requested),
+                     const std::string& account, std::int64_t requested,
+                     std::function<void(std::int64_t)> done);
+
     /// Posts a delivery to the traffic thread unless one is posted already.
     /// Precondition: the mutex is locked.
     void schedule_delivery();
--- a/tests/fleet/lending_test.cpp
+++ b/tests/fleet/lending_test.cpp
@@ -80,6 +80,14 @@
         done(digest);
     }
 
+    void lend(const std::string& account, std::int64_t requested,
+              std::function<void(std::int64_t)> done) override
+    {
+        release(account, requested, std::move(done));
+    }
+
+    void refuse_pending_holds(const std::string&) override {}
+
     void release(const std::string&, std::int64_t requested,
                  std::function<void(std::int64_t)> done) override
     {
--- a/tests/fleet_scale/simulated_fleet.hpp
+++ b/tests/fleet_scale/simulated_fleet.hpp
@@ -127,6 +127,14 @@
                            [done = std::move(done), digest] { done(digest); });
     }
 
+    void lend(const std::string& account, std::int64_t requested,
+              std::function<void(std::int64_t)> done) override
+    {
+        release(account, requested, std::move(done));
+    }
+
+    void refuse_pending_holds(const std::string&) override {}
+
     void release(const std::string& account, std::int64_t requested,
                  std::function<void(std::int64_t)> done) override
     {
