Fleet codecs: Reject datagrams that announce huge sizes

A datagram whose damaged byte announces an array of more elements than can exist ended the router: the JSON library throws for such sizes although it is told not to throw, and the control thread does not catch it. Callers would have lost their streams.

read_cbor decodes for both codecs and returns a discarded value instead.

--- a/libraries/codecs/fleet/digest_codec.cpp
+++ b/libraries/codecs/fleet/digest_codec.cpp
@@ -1,5 +1,6 @@
 #include "libraries/codecs/fleet/digest_codec.hpp"
 
+#include "libraries/codecs/common/cbor_reader.hpp"
 #include "libraries/core/json.hpp"
 
 #include <utility>
@@ -58,8 +59,7 @@
 result<peer_digest> read_digest(std::string_view bytes)
 {
     constexpr std::size_t element_count = 8;
-    const json encoded =
-        json::from_cbor(bytes.begin(), bytes.end(), true, false);
+    const json encoded = read_cbor(bytes);
     std::int64_t received_version = 0;
     if (!encoded.is_array() || encoded.size() != element_count ||
         !read_number(encoded, 0, received_version) ||
--- a/libraries/codecs/fleet/token_message.cpp
+++ b/libraries/codecs/fleet/token_message.cpp
@@ -1,5 +1,6 @@
 #include "libraries/codecs/fleet/token_message.hpp"
 
+#include "libraries/codecs/common/cbor_reader.hpp"
 #include "libraries/core/json.hpp"
 
 namespace turmeric::codecs
@@ -19,8 +20,7 @@
     constexpr std::size_t element_count = 5;
     const error unreadable{result_code::peer_protocol, "token message",
                            "the token message of a peer is malformed"};
-    const json encoded =
-        json::from_cbor(bytes.begin(), bytes.end(), true, false);
+    const json encoded = read_cbor(bytes);
     if (!encoded.is_array() || encoded.size() != element_count ||
         !encoded[0].is_number_integer() || !encoded[1].is_string() ||
         !encoded[2].is_number_integer() || !encoded[3].is_string() ||
--- a/tests/fleet/peer_table_test.cpp
+++ b/tests/fleet/peer_table_test.cpp
@@ -1,6 +1,7 @@
 #include <rapidcheck.h>
 
 #include "libraries/codecs/fleet/digest_codec.hpp"
+#include "libraries/codecs/fleet/token_message.hpp"
 #include "libraries/drivers/fleet/peer_table.hpp"
 
 #include <CppUTest/TestHarness.h>
@@ -73,6 +74,15 @@
         }));
 }
 
+TEST(peer_table_group, a_datagram_that_announces_a_huge_array_is_rejected)
+{
+    // An array whose length is a number of 8 bytes, as a damaged byte makes it.
+    const std::string bytes = "\x9b"
+                              "abcdefgh";
+    CHECK_FALSE(codecs::read_digest(bytes));
+    CHECK_FALSE(codecs::read_token_message(bytes));
+}
+
 TEST(peer_table_group, only_a_peer_whose_store_responds_counts_as_in_touch)
 {
     CHECK_FALSE(peers.view(now).can_peer_reach_store);
