Prefix follower: Pause after a watch that brought events

A watch that brought events is followed by the next after 200 ms, so a series of changes costs one more call.

Test: a_series_of_changes_costs_one_more_watch.

--- a/libraries/drivers/fleet/prefix_follower.cpp
+++ b/libraries/drivers/fleet/prefix_follower.cpp
@@ -12,6 +12,9 @@
 
 constexpr std::chrono::milliseconds initial_backoff{100};
 constexpr std::chrono::milliseconds max_backoff{600};
+/// The pause after a watch that brought events. Changes often come in series,
+/// and each would otherwise cost a call of every router.
+constexpr std::chrono::milliseconds event_gathering_time{200};
 
 } // namespace
 
@@ -56,6 +59,7 @@
     std::optional<ports::steady_time> recovered_at;
     std::chrono::milliseconds backoff = initial_backoff;
     std::unique_ptr<ports::timer> retry_timer;
+    std::unique_ptr<ports::timer> watch_timer;
     std::unique_ptr<ports::timer> deletion_timer;
     bool is_stopped = false;
 };
@@ -143,11 +147,22 @@
         apply(event);
     }
     revision = std::max(revision, response.value().store_revision);
-    if (!response.value().events.empty())
+    if (response.value().events.empty())
     {
-        notify();
+        watch();
+        return;
     }
-    watch();
+    notify();
+    const std::weak_ptr<state> weak = weak_from_this();
+    watch_timer = timers.schedule(clock.steady_now() + event_gathering_time,
+                                  [weak]
+                                  {
+                                      const auto self = weak.lock();
+                                      if (self && !self->is_stopped)
+                                      {
+                                          self->watch();
+                                      }
+                                  });
 }
 
 void prefix_follower::state::apply(const ports::key_event& event)
@@ -252,6 +267,7 @@
     m_state->is_stopped = true;
     m_state->changed = nullptr;
     m_state->retry_timer.reset();
+    m_state->watch_timer.reset();
     m_state->deletion_timer.reset();
 }
 
--- a/tests/fleet/prefix_follower_test.cpp
+++ b/tests/fleet/prefix_follower_test.cpp
@@ -46,6 +46,25 @@
     LONGS_EQUAL(1, latest_items.count("servers/c"));
 }
 
+TEST(prefix_follower_group, a_series_of_changes_costs_one_more_watch)
+{
+    follow(0ms);
+    store.put("servers/a", "1");
+    store.respond_to_watches();
+    LONGS_EQUAL(1, change_count - 1);
+    for (const char* key : {"servers/b", "servers/c", "servers/d"})
+    {
+        store.put(key, "1");
+        store.respond_to_watches();
+        timers.advance(50ms);
+    }
+    LONGS_EQUAL(2, change_count);
+    timers.advance(50ms);
+    store.respond_to_watches();
+    LONGS_EQUAL(3, change_count);
+    LONGS_EQUAL(4, latest_items.size());
+}
+
 TEST(prefix_follower_group, reads_again_when_the_history_is_compacted)
 {
     store.put("servers/a", "1");
