--- a/tests/fleet_scale/short_with_many_routers_test.cpp
+++ b/tests/fleet_scale/short_with_many_routers_test.cpp
@@ -59,3 +59,21 @@
     constexpr std::int64_t max_calls_per_router_second = 2;
     CHECK(calls <= max_calls_per_router_second * fleet.size() * seconds);
 }
+
+TEST(short_with_many_routers_group, loans_create_no_tokens)
+{
+    simulated_fleet fleet(25);
+    fleet.start();
+    constexpr std::uint64_t lost_percent = 5;
+    constexpr std::uint64_t doubled_percent = 5;
+    fleet.damage_network(lost_percent, doubled_percent);
+    for (const bool is_cut : {false, true, false})
+    {
+        fleet.set_cut(is_cut);
+        const served_requests outcome = fleet.play(3s);
+        CHECK(outcome.served > 0);
+        CHECK(fleet.usable_tokens() <= fleet.granted_in_all());
+        CHECK(fleet.granted_in_all() <=
+              simulated_fleet::account_count * simulated_fleet::prepaid_tokens);
+    }
+}
--- a/tests/fleet_scale/simulated_fleet.cpp
+++ b/tests/fleet_scale/simulated_fleet.cpp
@@ -119,6 +119,23 @@
     }
 }
 
+void simulated_fleet::damage_network(std::uint64_t lost_percent,
+                                     std::uint64_t doubled_percent)
+{
+    m_network.lost_percent = lost_percent;
+    m_network.doubled_percent = doubled_percent;
+}
+
+std::int64_t simulated_fleet::usable_tokens() const
+{
+    std::int64_t sum = 0;
+    for (const auto& one : m_routers)
+    {
+        sum += one->traffic.usable_tokens();
+    }
+    return sum;
+}
+
 std::int64_t simulated_fleet::store_calls() const
 {
     std::int64_t calls = 0;
--- a/tests/fleet_scale/simulated_fleet.hpp
+++ b/tests/fleet_scale/simulated_fleet.hpp
@@ -18,17 +18,24 @@
 class delayed_network
 {
 public:
-    explicit delayed_network(event_queue& events)
+    delayed_network(event_queue& events, fakes::seeded_random& random)
         : m_events(events)
+        , m_random(random)
     {
     }
 
     void send(const std::string& address, const std::string& bytes)
     {
         const auto receiver = m_receivers.find(address);
-        if (receiver != m_receivers.end())
+        if (receiver == m_receivers.end() || is_drawn(lost_percent))
         {
-            m_events.run_after(one_way,
+            return;
+        }
+        const int copies = is_drawn(doubled_percent) ? 2 : 1;
+        for (int copy = 1; copy <= copies; ++copy)
+        {
+            // A second copy arrives late, behind other datagrams.
+            m_events.run_after(copy * copy * one_way,
                                [receiver, bytes] { receiver->second(bytes); });
         }
     }
@@ -39,10 +46,20 @@
         m_receivers[address] = std::move(received);
     }
 
+    /// Of 100 datagrams, how many are lost and how many delivered twice.
+    std::uint64_t lost_percent = 0;
+    std::uint64_t doubled_percent = 0;
+
 private:
     static constexpr std::chrono::microseconds one_way{1'500};
 
+    bool is_drawn(std::uint64_t percent)
+    {
+        return percent > 0 && m_random.next() % 100 < percent;
+    }
+
     event_queue& m_events;
+    fakes::seeded_random& m_random;
     std::map<std::string, std::function<void(std::string_view)>> m_receivers;
 };
 
@@ -168,6 +185,18 @@
                            });
     }
 
+    /// Returns the tokens that requests have consumed or hold, or that this
+    /// router can still hold or lend.
+    std::int64_t usable_tokens() const
+    {
+        std::int64_t sum = 0;
+        for (const auto& [account, balance] : m_ledger.balances())
+        {
+            sum += balance.granted;
+        }
+        return sum;
+    }
+
     served_requests outcome;
 
 private:
@@ -234,6 +263,14 @@
     /// Cuts all routers from the store, but not from each other, or ends that.
     void set_cut(bool is_cut);
 
+    /// Loses and doubles datagrams from now on.
+    void damage_network(std::uint64_t lost_percent,
+                        std::uint64_t doubled_percent);
+
+    /// Returns the tokens that requests have consumed or hold, or that routers
+    /// can still hold or lend, of all accounts.
+    std::int64_t usable_tokens() const;
+
     /// Returns the calls to the store so far: reads and changes.
     std::int64_t store_calls() const;
 
@@ -272,7 +309,7 @@
     fakes::counting_logger m_log;
     fakes::seeded_random m_random{20261204};
     fake_asynchronous_store m_store;
-    delayed_network m_network{m_events};
+    delayed_network m_network{m_events, m_random};
     std::vector<std::unique_ptr<router>> m_routers;
     bool m_is_playing = false;
 };
