--- a/libraries/codecs/common/cbor_reader.cpp
+++ b/libraries/codecs/common/cbor_reader.cpp
@@ -11,7 +11,7 @@
     }
     catch (const json::exception&)
     {
-        // The library throws for excessive sizes even if told not to throw.
+        // The library throws for excessive sizes even with exceptions disabled.
         return json(json::value_t::discarded);
     }
 }
