Upstream attempts: Log the prompt parts of calls that were cut off

Cause: a line told the request and its upstream when a call broke, not which prompt parts were in flight, nor whether a response had begun.

Change: event 410 names the upstream, whether a head and output had come and how long ago, and up to eight digests of the parts that other requests share. The attempt keeps the time of its first output in place of a flag.

--- a/libraries/core/log_event.hpp
+++ b/libraries/core/log_event.hpp
@@ -53,6 +53,7 @@
     move_finished = 407,
     order_sent = 408,
     order_refused = 409,
+    upstream_call_broken = 410,
 
     // 500: the platform.
     platform_call_failed = 501,
--- a/libraries/drivers/exchange/upstream_attempt.cpp
+++ b/libraries/drivers/exchange/upstream_attempt.cpp
@@ -1,11 +1,33 @@
 #include "libraries/drivers/exchange/upstream_attempt.hpp"
 
 #include <cassert>
+#include <fmt/format.h>
 #include <utility>
 
 namespace turmeric::drivers
 {
 
+namespace
+{
+
+/// Returns digests of the prompt's first parts without its last one, which is
+/// the request's own.
+std::string describe_shared_parts(const domain::prompt_description& prompt)
+{
+    constexpr std::size_t max_parts = 8;
+    constexpr std::size_t own_parts = 1;
+    std::string text;
+    for (std::size_t part = 0;
+         part < max_parts && part + own_parts < prompt.parts.size(); ++part)
+    {
+        text += text.empty() ? "" : ",";
+        text += fmt::format("{:x}", prompt.parts[part].id);
+    }
+    return text;
+}
+
+} // namespace
+
 const upstream_attempt::body_handler upstream_attempt::not_executed_handler = {
     &upstream_attempt::discard_part, &upstream_attempt::finish_not_executed};
 const upstream_attempt::body_handler upstream_attempt::error_handler = {
@@ -79,7 +101,8 @@
         return;
     }
     m_has_slot = false;
-    m_state.load_balancer.note_ended(m_chosen_placement, m_has_output);
+    m_state.load_balancer.note_ended(m_chosen_placement,
+                                     m_output_since.has_value());
     m_state.place_queued_requests(m_chosen_placement.upstream.service);
 }
 
@@ -169,9 +192,34 @@
         owner->on_not_connected();
         return;
     }
+    log_broken_call(*owner, failure);
     owner->on_transport_failure(failure);
 }
 
+void upstream_attempt::log_broken_call(const exchange& owner,
+                                       ports::transport_failure failure) const
+{
+    std::int64_t ms_since_output = -1;
+    if (m_output_since)
+    {
+        ms_since_output =
+            std::chrono::duration_cast<std::chrono::milliseconds>(
+                m_state.dependencies.clock.steady_now() - *m_output_since)
+                .count();
+    }
+    const domain::caller_request& request = owner.m_context.parsed_request;
+    m_state.dependencies.log.write(
+        log_level::warning, log_event::upstream_call_broken,
+        {{"request_id", request.id},
+         {"upstream", m_chosen_placement.upstream.id},
+         {"result", std::string(name_of(failure))},
+         {"has_head", m_head.has_value()},
+         {"ms_since_output", ms_since_output},
+         {"shared_parts", request.prompt
+                              ? describe_shared_parts(*request.prompt)
+                              : std::string()}});
+}
+
 void upstream_attempt::discard_part(exchange& owner, std::string&& part)
 {
     m_discarded_bytes += part.size();
@@ -237,13 +285,13 @@
         m_call->read_more();
         return;
     }
-    if (!m_has_output)
+    if (!m_output_since)
     {
-        m_has_output = true;
+        m_output_since = m_state.dependencies.clock.steady_now();
         m_state.load_balancer.note_first_output(
             m_chosen_placement,
             std::chrono::duration_cast<std::chrono::milliseconds>(
-                m_state.dependencies.clock.steady_now() - m_sent_at));
+                *m_output_since - m_sent_at));
     }
     owner.on_body_part(*m_head, std::move(events));
 }
--- a/libraries/drivers/exchange/upstream_attempt.hpp
+++ b/libraries/drivers/exchange/upstream_attempt.hpp
@@ -79,6 +79,9 @@
     /// the upstream. `is_success` is true also if the upstream states that it
     /// did not run the request.
     void record_outcome(bool is_success, std::string_view result);
+    /// Logs how far the response was when the connection ended.
+    void log_broken_call(const exchange& owner,
+                         ports::transport_failure failure) const;
     [[nodiscard]] std::shared_ptr<exchange> current_owner();
 
     traffic_state& m_state;
@@ -91,7 +94,8 @@
     /// Bytes of the body of a response that did not run the request.
     std::size_t m_discarded_bytes = 0;
     std::string m_buffered_body;
-    bool m_has_output = false;
+    /// When the first output arrived.
+    std::optional<ports::steady_time> m_output_since;
     bool m_has_slot = true;
     bool m_is_finished = false;
 };
