--- /dev/null
+++ b/tests/simulation/simulated_upstreams.cpp
@@ -0,0 +1,220 @@
+#include "tests/simulation/simulated_upstreams.hpp"
+
+#include <utility>
+
+namespace turmeric::tests
+{
+
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr std::chrono::milliseconds one_way{1};
+constexpr std::chrono::milliseconds event_interval{60};
+constexpr int events_of_response = 4;
+constexpr std::chrono::milliseconds restart_time{2'500};
+/// An entry expires after three heartbeats that are missing.
+constexpr std::chrono::milliseconds entry_expiry{3'600};
+constexpr std::string_view key_prefix = "upstreams/";
+
+/// Returns the value of a header field of a request, or an empty text.
+std::string field_of(const std::string& request, const std::string& name)
+{
+    const std::string start = "\r\n" + name + ": ";
+    const std::size_t found = request.find(start);
+    if (found == std::string::npos)
+    {
+        return std::string();
+    }
+    const std::size_t begin = found + start.size();
+    return request.substr(begin, request.find("\r\n", begin) - begin);
+}
+
+} // namespace
+
+/// A call in progress. It ends when it is cancelled or its upstream ends.
+class simulated_upstreams::running_call final : public ports::upstream_call
+{
+public:
+    running_call(int router, ports::outgoing_call call,
+                 std::shared_ptr<ports::call_listener> listener)
+        : router(router)
+        , sent(std::move(call))
+        , listener(std::move(listener))
+    {
+    }
+
+    void read_more() override {}
+
+    void cancel() override
+    {
+        listener.reset();
+    }
+
+    void fail(ports::transport_failure failure)
+    {
+        if (const std::shared_ptr<ports::call_listener> receiver =
+                std::exchange(listener, nullptr))
+        {
+            receiver->on_failure(failure);
+        }
+    }
+
+    int router;
+    ports::outgoing_call sent;
+    std::shared_ptr<ports::call_listener> listener;
+    std::size_t upstream = 0;
+    std::string incarnation;
+};
+
+simulated_upstreams::simulated_upstreams(event_queue& events,
+                                         fakes::manual_clock& clock,
+                                         fake_asynchronous_store& store,
+                                         fakes::seeded_random& random,
+                                         std::size_t count)
+    : m_events(events)
+    , m_clock(clock)
+    , m_store(store)
+    , m_random(random)
+    , m_upstreams(count)
+{
+    for (std::size_t number = 0; number < count; ++number)
+    {
+        m_upstreams[number].number = number;
+        register_upstream(number);
+    }
+}
+
+void simulated_upstreams::register_upstream(std::size_t number)
+{
+    upstream& started = m_upstreams[number];
+    started.id = "i-" + std::to_string(++m_incarnations);
+    started.is_up = true;
+    started.limit.reset();
+    m_store.put(std::string(key_prefix) + started.id, std::to_string(number));
+}
+
+simulated_upstreams::upstream&
+simulated_upstreams::upstream_at(const std::string& address)
+{
+    return m_upstreams.at(std::stoul(address.substr(address.find(':') + 1)));
+}
+
+std::shared_ptr<ports::upstream_call>
+simulated_upstreams::start_call(int router, ports::outgoing_call call,
+                                std::shared_ptr<ports::call_listener> listener)
+{
+    const std::shared_ptr<running_call> started =
+        std::make_shared<running_call>(router, std::move(call),
+                                       std::move(listener));
+    m_events.run_after(one_way, [this, started] { answer(started); });
+    return started;
+}
+
+void simulated_upstreams::answer(const std::shared_ptr<running_call>& call)
+{
+    upstream& called = upstream_at(call->sent.address);
+    const bool is_expected =
+        field_of(call->sent.bytes, "X-Expect-Instance") == called.id;
+    if (!called.is_up || !is_expected)
+    {
+        call->fail(ports::transport_failure::not_connected);
+        return;
+    }
+    const std::string parts = field_of(call->sent.bytes, "X-Prompt-Prefix");
+    const bool is_crashing =
+        parts.find(std::string(crashing_part) + ":") != std::string::npos;
+    arrivals.push_back(
+        {m_clock.steady_now(), call->router, called.number, is_crashing});
+    call->upstream = called.number;
+    call->incarnation = called.id;
+    called.calls.push_back(call);
+    const std::chrono::milliseconds reading_time(50 + m_random.next() % 150);
+    m_events.run_after(reading_time,
+                       [this, call, is_crashing]
+                       {
+                           if (is_crashing && call->listener != nullptr)
+                           {
+                               crashes.push_back(m_clock.steady_now());
+                               crash(call->upstream);
+                               return;
+                           }
+                           send_event(call, 1);
+                       });
+}
+
+void simulated_upstreams::send_event(const std::shared_ptr<running_call>& call,
+                                     int event)
+{
+    if (call->listener == nullptr)
+    {
+        return;
+    }
+    const upstream& sender = m_upstreams[call->upstream];
+    if (event == 1)
+    {
+        ports::response_head head{200, "OK", {{"X-Server-Stamp", "s"}}};
+        if (sender.limit)
+        {
+            head.fields.push_back({"Server-Limit", *sender.limit});
+            passed_on_limits.push_back(
+                {m_clock.steady_now(), call->router, call->upstream});
+        }
+        call->listener->on_head(head);
+    }
+    if (event > events_of_response)
+    {
+        std::exchange(call->listener, nullptr)->on_end();
+        return;
+    }
+    const std::shared_ptr<ports::call_listener> listener = call->listener;
+    listener->on_part("id: " + std::to_string(event) + "\ndata: x\n\n");
+    m_events.run_after(event_interval,
+                       [this, call, event] { send_event(call, event + 1); });
+}
+
+void simulated_upstreams::crash(std::size_t number)
+{
+    upstream& ended = m_upstreams[number];
+    if (!ended.is_up)
+    {
+        return;
+    }
+    ended.is_up = false;
+    for (const std::weak_ptr<running_call>& one :
+         std::exchange(ended.calls, {}))
+    {
+        if (const std::shared_ptr<running_call> call = one.lock())
+        {
+            m_events.run_after(
+                one_way,
+                [call] { call->fail(ports::transport_failure::broken); });
+        }
+    }
+    const std::string key = std::string(key_prefix) + ended.id;
+    m_events.run_after(entry_expiry, [this, key] { m_store.erase(key); });
+    m_events.run_after(restart_time,
+                       [this, number] { register_upstream(number); });
+}
+
+void simulated_upstreams::name_limit(std::size_t number,
+                                     std::optional<std::string> limit)
+{
+    m_upstreams[number].limit = std::move(limit);
+}
+
+result<domain::upstream_entry> read_simulated_upstream(std::string_view key,
+                                                       std::string_view value)
+{
+    constexpr std::int32_t slots = 48;
+    domain::upstream_entry entry;
+    entry.id = std::string(key.substr(key_prefix.size()));
+    entry.service = "s";
+    entry.address = "10.0.0.1:" + std::string(value);
+    entry.data_centre = "east";
+    entry.slots = slots;
+    return entry;
+}
+
+} // namespace turmeric::tests
--- /dev/null
+++ b/tests/simulation/simulated_upstreams.hpp
@@ -0,0 +1,124 @@
+#pragma once
+
+#include "libraries/core/result.hpp"
+#include "libraries/domain/placement/upstream_entry.hpp"
+#include "libraries/fakes/seeded_random.hpp"
+#include "libraries/ports/upstream_transport.hpp"
+#include "tests/fleet/fake_asynchronous_store.hpp"
+#include "tests/fleet_scale/event_queue.hpp"
+
+#include <chrono>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace turmeric::tests
+{
+
+/// A request that reached an upstream.
+struct upstream_arrival
+{
+    ports::steady_time at;
+    int router = 0;
+    /// The position of the upstream, which its restarts keep.
+    std::size_t upstream = 0;
+    /// Whether its prompt has the part that crashes upstreams.
+    bool is_crashing = false;
+};
+
+/// When a router passed on a response of an upstream that named its limit.
+struct passed_on_limit
+{
+    ports::steady_time at;
+    int router = 0;
+    std::size_t upstream = 0;
+};
+
+/// The upstreams of one service. They register in the store, stream responses
+/// of a few events, end when they begin a response to a prompt that has the
+/// part `crashing_part`, restart some seconds later as another incarnation,
+/// and may name a limit in their responses.
+class simulated_upstreams
+{
+public:
+    simulated_upstreams(event_queue& events, fakes::manual_clock& clock,
+                        fake_asynchronous_store& store,
+                        fakes::seeded_random& random, std::size_t count);
+
+    /// Handles a call of the router with the given number.
+    std::shared_ptr<ports::upstream_call>
+    start_call(int router, ports::outgoing_call call,
+               std::shared_ptr<ports::call_listener> listener);
+
+    /// Ends the incarnation of an upstream. It restarts later.
+    void crash(std::size_t upstream);
+
+    /// Sets the value of the limit that an upstream names in its responses;
+    /// nothing if it names none.
+    void name_limit(std::size_t upstream, std::optional<std::string> limit);
+
+    /// The prompt part that crashes upstreams, as written on the wire.
+    static constexpr const char* crashing_part = "dead";
+
+    std::vector<upstream_arrival> arrivals;
+    std::vector<passed_on_limit> passed_on_limits;
+    /// When upstreams ended because of the crashing part.
+    std::vector<ports::steady_time> crashes;
+
+private:
+    class running_call;
+
+    struct upstream
+    {
+        std::size_t number = 0;
+        std::string id;
+        bool is_up = true;
+        std::optional<std::string> limit;
+        std::vector<std::weak_ptr<running_call>> calls;
+    };
+
+    void register_upstream(std::size_t number);
+    void answer(const std::shared_ptr<running_call>& call);
+    void send_event(const std::shared_ptr<running_call>& call, int event);
+    upstream& upstream_at(const std::string& address);
+
+    event_queue& m_events;
+    fakes::manual_clock& m_clock;
+    fake_asynchronous_store& m_store;
+    fakes::seeded_random& m_random;
+    std::vector<upstream> m_upstreams;
+    int m_incarnations = 0;
+};
+
+/// One router's connections to the upstreams of a simulation.
+class simulated_transport final : public ports::upstream_transport
+{
+public:
+    simulated_transport(simulated_upstreams& upstreams, int router)
+        : m_upstreams(upstreams)
+        , m_router(router)
+    {
+    }
+
+    std::shared_ptr<ports::upstream_call>
+    start(ports::outgoing_call call,
+          std::shared_ptr<ports::call_listener> listener) override
+    {
+        return m_upstreams.start_call(m_router, std::move(call),
+                                      std::move(listener));
+    }
+
+    void close_idle_connections(const std::string&) override {}
+
+private:
+    simulated_upstreams& m_upstreams;
+    int m_router;
+};
+
+/// Reads the registration of a simulated upstream.
+result<domain::upstream_entry> read_simulated_upstream(std::string_view key,
+                                                       std::string_view value);
+
+} // namespace turmeric::tests
--- /dev/null
+++ b/tests/simulation/traffic_fleet.cpp
@@ -0,0 +1,291 @@
+#include "tests/simulation/traffic_fleet.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace turmeric::tests
+{
+
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr std::uint64_t first_parts = 8;
+constexpr std::uint64_t second_parts = 60;
+constexpr const char* configuration_key = "configuration";
+
+result<domain::route_declarations> read_declarations(std::string_view)
+{
+    constexpr std::int32_t max_connections = 2'000;
+    domain::route_declarations made;
+    made.version = 1;
+    domain::caller_route route;
+    route.name = "ask";
+    route.host = "shop.example";
+    route.prefix = "/ask/";
+    route.kind = domain::request_kind::streaming;
+    route.timeout = 3'000ms;
+    route.objective = 600ms;
+    route.services.push_back({"s", 1});
+    route.max_attempts = 2;
+    route.carries_prompts = true;
+    route.is_resumable = true;
+    made.routes.push_back(route);
+    made.services.push_back(
+        {"s", max_connections, domain::engine_properties{48, 400'000, 3}});
+    return made;
+}
+
+/// Counts the request as complete when its response is.
+class counting_channel final : public ports::caller_channel
+{
+public:
+    explicit counting_channel(std::shared_ptr<caller_outcomes> outcomes)
+        : m_outcomes(std::move(outcomes))
+    {
+    }
+
+    void send_response(const ports::response_head&, std::string) override {}
+
+    void start_response(const ports::response_head&) override {}
+
+    void send_part(std::string, std::function<void()> written) override
+    {
+        written();
+    }
+
+    void finish_response() override
+    {
+        ++m_outcomes->complete;
+    }
+
+    void abort_response() override {}
+
+private:
+    std::shared_ptr<caller_outcomes> m_outcomes;
+};
+
+/// Connects the control of a router to its traffic.
+class direct_traffic_link final : public drivers::traffic_link
+{
+public:
+    direct_traffic_link(event_queue& events,
+                        drivers::traffic_dispatcher& dispatcher)
+        : m_events(events)
+        , m_dispatcher(dispatcher)
+    {
+    }
+
+    void set_routes(std::shared_ptr<const domain::route_table> routes) override
+    {
+        m_dispatcher.set_routes(std::move(routes));
+    }
+
+    void set_upstreams(std::vector<domain::upstream_entry> entries) override
+    {
+        m_dispatcher.set_upstreams(entries);
+    }
+
+    void set_fleet(drivers::fleet_view view) override
+    {
+        m_dispatcher.set_fleet(std::move(view));
+    }
+
+    void
+    request_digest(std::function<void(drivers::traffic_digest)> done) override
+    {
+        m_events.run_after(0ns, [this, done = std::move(done)]
+                           { done(m_dispatcher.digest()); });
+    }
+
+    void release(const std::string& account, std::int64_t requested,
+                 std::function<void(std::int64_t)> done) override
+    {
+        done(m_dispatcher.release(account, requested));
+    }
+
+    void lend(const std::string& account, std::int64_t requested,
+              std::function<void(std::int64_t)> done) override
+    {
+        done(m_dispatcher.lend(account, requested));
+    }
+
+    void refuse_pending_holds(const std::string& account) override
+    {
+        m_dispatcher.refuse_pending_holds(account);
+    }
+
+private:
+    event_queue& m_events;
+    drivers::traffic_dispatcher& m_dispatcher;
+};
+
+} // namespace
+
+double caller_outcomes::complete_fraction() const
+{
+    return static_cast<double>(complete) /
+           static_cast<double>(std::max<std::int64_t>(1, started));
+}
+
+class traffic_fleet::router
+{
+public:
+    router(traffic_fleet& fleet, const std::string& name, int number)
+        : store(fleet.m_store, fleet.m_events)
+        , transport(fleet.m_upstreams, number)
+        , traffic_metrics(registry)
+        , dispatcher({fleet.m_clock, fleet.m_events, transport, fleet.m_random,
+                      dialect, fleet.m_log, traffic_metrics},
+                     settings())
+        , traffic(fleet.m_events, dispatcher)
+        , link(fleet.m_network, name)
+        , control({store, fleet.m_events, fleet.m_clock, link, traffic,
+                   fleet.m_log,
+                   [](const auto&, const auto& done) { done(""); }},
+                  {configuration_key, "upstreams/", &read_declarations,
+                   &read_simulated_upstream},
+                  {name, name, "east", name, name})
+    {
+    }
+
+    static drivers::traffic_settings settings()
+    {
+        drivers::traffic_settings made;
+        made.data_centre = "east";
+        made.retries = {0.2, 52};
+        return made;
+    }
+
+    delayed_store store;
+    simulated_transport transport;
+    platform::platform_dialect dialect;
+    metrics::registry registry;
+    drivers::traffic_metrics traffic_metrics;
+    drivers::traffic_dispatcher dispatcher;
+    direct_traffic_link traffic;
+    delayed_link link;
+    drivers::fleet_control control;
+};
+
+traffic_fleet::traffic_fleet(const traffic_fleet_size& size)
+    : m_size(size)
+    , m_upstreams(m_events, m_clock, m_store, m_random, size.upstreams)
+{
+    m_store.put(configuration_key, "any");
+    for (int number = 0; number < size.routers; ++number)
+    {
+        add_router("router-" + std::to_string(number), number);
+    }
+}
+
+traffic_fleet::~traffic_fleet() = default;
+
+void traffic_fleet::add_router(const std::string& name, int number)
+{
+    m_routers.push_back(std::make_unique<router>(*this, name, number));
+}
+
+void traffic_fleet::start()
+{
+    answer_watches();
+    for (const auto& one : m_routers)
+    {
+        m_events.run_after(std::chrono::milliseconds(m_random.next() % 300),
+                           [&one] { one->control.start(); });
+    }
+    m_events.run_for(3s);
+}
+
+void traffic_fleet::answer_watches()
+{
+    m_store.respond_to_watches();
+    m_events.run_after(100ms, [this] { answer_watches(); });
+}
+
+caller_outcomes traffic_fleet::play(std::chrono::milliseconds duration,
+                                    std::uint64_t crashing_percent)
+{
+    m_crashing_percent = crashing_percent;
+    m_outcomes = std::make_shared<caller_outcomes>();
+    m_is_playing = true;
+    start_requests();
+    m_events.run_for(duration);
+    m_is_playing = false;
+    m_events.run_for(1s);
+    return *m_outcomes;
+}
+
+void traffic_fleet::start_requests()
+{
+    if (!m_is_playing)
+    {
+        return;
+    }
+    send_request();
+    m_events.run_after(std::chrono::nanoseconds(1s) /
+                           m_size.requests_per_second,
+                       [this] { start_requests(); });
+}
+
+void traffic_fleet::send_request()
+{
+    const bool is_crashing = m_random.next() % 100 < m_crashing_percent;
+    const std::string first = std::to_string(m_random.next() % first_parts);
+    const std::string second =
+        is_crashing ? std::string(simulated_upstreams::crashing_part)
+                    : "a" + std::to_string(m_random.next() % second_parts);
+    const std::string id = std::to_string(++m_last_request);
+    ports::received_request request;
+    request.head = {"POST",
+                    "/ask/x",
+                    {{"Host", "shop.example"},
+                     {"X-Request-Id", id},
+                     {"X-Token-Count", "2400,20"},
+                     {"X-Prompt-Prefix", "f" + first + ":500," + second +
+                                             ":1500,b" + id + ":400"}}};
+    request.arrived_at = m_clock.steady_now();
+    // The outcomes of requests that crash upstreams do not count.
+    const std::shared_ptr<caller_outcomes> outcomes =
+        is_crashing ? std::make_shared<caller_outcomes>() : m_outcomes;
+    ++outcomes->started;
+    router& chosen = *m_routers[m_random.next() % m_routers.size()];
+    chosen.dispatcher.accept(std::move(request),
+                             std::make_shared<counting_channel>(outcomes));
+}
+
+void traffic_fleet::restart_router(std::size_t number)
+{
+    const std::string name = "router-" + std::to_string(number) + "-" +
+                             std::to_string(m_stopped_routers.size() + 1);
+    m_stopped_routers.push_back(std::move(m_routers[number]));
+    m_stopped_routers.back()->control.leave();
+    m_routers[number] =
+        std::make_unique<router>(*this, name, static_cast<int>(number));
+    m_routers[number]->control.start();
+    // The directory lists a router only once it is ready.
+    m_events.run_for(1s);
+}
+
+void traffic_fleet::lose_datagrams(std::uint64_t percent)
+{
+    m_network.lost_percent = percent;
+}
+
+std::int64_t traffic_fleet::datagrams() const
+{
+    return m_network.sent;
+}
+
+ports::steady_time traffic_fleet::now() const
+{
+    return m_clock.steady_now();
+}
+
+simulated_upstreams& traffic_fleet::upstreams()
+{
+    return m_upstreams;
+}
+
+} // namespace turmeric::tests
--- /dev/null
+++ b/tests/simulation/traffic_fleet.hpp
@@ -0,0 +1,97 @@
+#pragma once
+
+#include "libraries/core/metrics/registry.hpp"
+#include "libraries/drivers/exchange/traffic_dispatcher.hpp"
+#include "libraries/drivers/fleet/fleet_control.hpp"
+#include "libraries/fakes/counting_logger.hpp"
+#include "platform/platform_dialect.hpp"
+#include "tests/fleet_scale/delayed_network.hpp"
+#include "tests/fleet_scale/delayed_store.hpp"
+#include "tests/simulation/simulated_upstreams.hpp"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace turmeric::tests
+{
+
+/// What the callers of one kind of request saw.
+struct caller_outcomes
+{
+    std::int64_t started = 0;
+    std::int64_t complete = 0;
+
+    /// Returns which fraction of the requests got a complete response.
+    [[nodiscard]] double complete_fraction() const;
+};
+
+/// Size and traffic of a simulation.
+struct traffic_fleet_size
+{
+    int routers = 6;
+    std::size_t upstreams = 9;
+    std::int64_t requests_per_second = 50;
+};
+
+/// A fleet of routers, control and traffic, before simulated upstreams.
+/// Callers send prompts of three parts to routers at random: one of a few
+/// first parts, one of many second parts, and a part of their own.
+class traffic_fleet
+{
+public:
+    explicit traffic_fleet(const traffic_fleet_size& size);
+    ~traffic_fleet();
+
+    /// Starts all routers and lets them meet.
+    void start();
+
+    /// Plays callers' requests for `duration`. Of 100 requests,
+    /// `crashing_percent` have the part that crashes upstreams instead of
+    /// their second part. Returns the outcomes of the others.
+    caller_outcomes play(std::chrono::milliseconds duration,
+                         std::uint64_t crashing_percent = 0);
+
+    /// Replaces a router by one that has just started.
+    void restart_router(std::size_t number);
+
+    /// Loses datagrams from now on.
+    void lose_datagrams(std::uint64_t percent);
+
+    /// Returns the number of datagrams sent so far.
+    [[nodiscard]] std::int64_t datagrams() const;
+
+    /// Returns the time of the simulation.
+    [[nodiscard]] ports::steady_time now() const;
+
+    /// Returns the upstreams.
+    simulated_upstreams& upstreams();
+
+private:
+    class router;
+
+    void add_router(const std::string& name, int number);
+    void answer_watches();
+    void start_requests();
+    void send_request();
+
+    traffic_fleet_size m_size;
+    fakes::manual_clock m_clock;
+    event_queue m_events{m_clock};
+    fakes::counting_logger m_log;
+    fakes::seeded_random m_random{20261204};
+    fake_asynchronous_store m_store;
+    delayed_network m_network{m_events, m_random};
+    simulated_upstreams m_upstreams;
+    std::vector<std::unique_ptr<router>> m_routers;
+    /// Routers that were replaced; their pending events may still refer to
+    /// them.
+    std::vector<std::unique_ptr<router>> m_stopped_routers;
+    std::uint64_t m_crashing_percent = 0;
+    std::int64_t m_last_request = 0;
+    bool m_is_playing = false;
+    std::shared_ptr<caller_outcomes> m_outcomes;
+};
+
+} // namespace turmeric::tests
