Crashing parts: Block prompt parts under which upstreams end, fleet-wide

Cause: a router that lost a connection blamed the upstream and forgot the request. Nothing remembered what the upstream was beginning, so each new request with the part, and each retry, was placed on the next upstream; and of the ends each router sees only its own few. The class: a failure that belongs to the request is booked to whoever serves it.

Change: domain/crashing_parts. An upstream that ends makes suspects of all parts but the last of the requests that were beginning there. Digests carry what a router saw, with ages; an end counts once whoever saw it. A part is blocked after ends at three times at least 0.5 s apart with no response in between that went on. Requests with it are refused at once: code 2009, not run, without Retry-After, holds released, those in queues too. From the second end on no such request is retried. One router, by rendezvous hashing, makes at most two trials, 10 and 20 minutes after the last end. Memory, parts a prompt and parts a digest are bounded.

Why it works: state is merged as a set, so lost datagrams only delay it, and all routers reach the same verdict from the same ends. Upstreams that end at once have one time, and a part that sound requests share is cleared by their responses, so neither blocks.

A stream without a length that ends before its first event counts as broken: an upstream that crashes there looks like one that is done.

--- a/libraries/codecs/fleet/digest_codec.cpp
+++ b/libraries/codecs/fleet/digest_codec.cpp
@@ -1,6 +1,7 @@
 #include "libraries/codecs/fleet/digest_codec.hpp"
 
 #include "libraries/codecs/common/cbor_reader.hpp"
+#include "libraries/codecs/fleet/suspect_part_codec.hpp"
 #include "libraries/core/json.hpp"
 
 #include <utility>
@@ -12,7 +13,7 @@
 {
 
 /// The version of the digest format. Digests of other versions are rejected.
-constexpr std::int64_t format_version = 5;
+constexpr std::int64_t format_version = 6;
 
 error unreadable_digest(const char* field)
 {
@@ -35,7 +36,7 @@
 
 } // namespace
 
-std::string write_digest(const peer_digest& digest)
+std::string write_digest(const peer_digest& digest, ports::steady_time now)
 {
     json load = json::object();
     for (const auto& [id, reported_load] : digest.load)
@@ -48,17 +49,22 @@
         accounts[name] = {account.used, account.held, account.free,
                           account.rate};
     }
-    const json encoded = {format_version,    digest.incarnation,
-                          digest.sequence,   digest.configuration_version,
-                          digest.is_leaving, digest.is_store_unavailable,
-                          std::move(load),   std::move(accounts)};
+    const json encoded = {format_version,
+                          digest.incarnation,
+                          digest.sequence,
+                          digest.configuration_version,
+                          digest.is_leaving,
+                          digest.is_store_unavailable,
+                          std::move(load),
+                          std::move(accounts),
+                          write_suspect_parts(digest.suspect_parts, now)};
     const std::vector<std::uint8_t> bytes = json::to_cbor(encoded);
     return std::string(bytes.begin(), bytes.end());
 }
 
-result<peer_digest> read_digest(std::string_view bytes)
+result<peer_digest> read_digest(std::string_view bytes, ports::steady_time now)
 {
-    constexpr std::size_t element_count = 8;
+    constexpr std::size_t element_count = 9;
     const json encoded = read_cbor(bytes);
     std::int64_t received_version = 0;
     if (!encoded.is_array() || encoded.size() != element_count ||
@@ -100,6 +106,13 @@
         }
         digest.accounts.emplace(name, account);
     }
+    result<std::vector<domain::suspect_part>> suspect_parts =
+        read_suspect_parts(encoded[8], now);
+    if (!suspect_parts)
+    {
+        return suspect_parts.failure();
+    }
+    digest.suspect_parts = std::move(suspect_parts.value());
     return digest;
 }
 
--- a/libraries/codecs/fleet/digest_codec.hpp
+++ b/libraries/codecs/fleet/digest_codec.hpp
@@ -1,12 +1,14 @@
 #pragma once
 
 #include "libraries/core/result.hpp"
+#include "libraries/domain/crashing_parts/suspect_part.hpp"
 #include "libraries/domain/placement/upstream_load_balancer.hpp"
 
 #include <cstdint>
 #include <map>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace turmeric::codecs
 {
@@ -34,13 +36,17 @@
     bool is_store_unavailable = false;
     std::map<std::string, domain::upstream_load> load;
     std::map<std::string, peer_account_tokens> accounts;
+    std::vector<domain::suspect_part> suspect_parts;
 };
 
-/// Encodes a digest as CBOR. Thread safe.
-[[nodiscard]] std::string write_digest(const peer_digest& digest);
+/// Encodes a digest as CBOR. Times are written as their ages at `now`, since
+/// the clocks of routers differ. Thread safe.
+[[nodiscard]] std::string write_digest(const peer_digest& digest,
+                                       ports::steady_time now);
 
-/// Decodes a digest. Errors: `peer_protocol`, also for another version of the
-/// format. Thread safe.
-[[nodiscard]] result<peer_digest> read_digest(std::string_view bytes);
+/// Decodes a digest that was received at `now`. Errors: `peer_protocol`, also
+/// for another version of the format. Thread safe.
+[[nodiscard]] result<peer_digest> read_digest(std::string_view bytes,
+                                              ports::steady_time now);
 
 } // namespace turmeric::codecs
--- a/libraries/core/log_event.hpp
+++ b/libraries/core/log_event.hpp
@@ -54,6 +54,7 @@
     order_sent = 408,
     order_refused = 409,
     upstream_call_broken = 410,
+    prompt_parts_blocked = 411,
 
     // 500: the platform.
     platform_call_failed = 501,
--- a/libraries/drivers/exchange/exchange.hpp
+++ b/libraries/drivers/exchange/exchange.hpp
@@ -102,6 +102,9 @@
     friend class upstream_attempt;
 
     // exchange_admission.cpp: holding tokens, waiting for a slot, deadlines.
+    /// Refuses the request, or ends its response, if its prompt has a part that
+    /// crashes upstreams. Returns whether it did.
+    bool refuse_blocked_prompt();
     void hold_tokens();
     /// Returns why the request cannot get tokens, or nothing if it may wait
     /// for them. `may_hold` is whether the pacing of a store outage permits a
@@ -162,6 +165,8 @@
     bool m_may_have_run_before_attempt = false;
     bool m_is_response_started = false;
     bool m_has_caller_left = false;
+    /// Whether the request tries out a blocked prompt part.
+    bool m_is_trial = false;
     std::optional<std::chrono::milliseconds> m_time_to_first_byte;
     domain::event_splitter m_events;
 };
--- a/libraries/drivers/exchange/exchange_admission.cpp
+++ b/libraries/drivers/exchange/exchange_admission.cpp
@@ -53,7 +53,38 @@
     m_service = pick_service();
     m_state.retry_limiter.record_request(
         m_service, m_state.dependencies.clock.steady_now());
-    hold_tokens();
+    if (m_context.parsed_request.prompt)
+    {
+        m_is_trial = m_state.crashing_parts.judge(
+                         *m_context.parsed_request.prompt,
+                         m_state.dependencies.clock.steady_now()) ==
+                     domain::part_verdict::trial;
+    }
+    if (!refuse_blocked_prompt())
+    {
+        hold_tokens();
+    }
+}
+
+bool exchange::refuse_blocked_prompt()
+{
+    if (!m_context.parsed_request.prompt || m_is_trial ||
+        !m_state.crashing_parts.is_blocked(*m_context.parsed_request.prompt))
+    {
+        return false;
+    }
+    const std::string detail =
+        "upstreams ended as they began responses to prompts with one of this "
+        "prompt's parts";
+    if (m_is_response_started)
+    {
+        abort_response(detail);
+        return true;
+    }
+    // No Retry-After: a retry of the same prompt gets the same response.
+    refuse({result_code::prompt_blocked, "prompt", detail,
+            m_may_have_run ? outcome::outcome_unknown : outcome::not_run});
+    return true;
 }
 
 std::int64_t exchange::needed_tokens() const
@@ -211,6 +242,10 @@
 
 bool exchange::try_place()
 {
+    if (refuse_blocked_prompt())
+    {
+        return true;
+    }
     const domain::upstream_service* service =
         m_context.routes->find_service(m_service);
     if (service == nullptr)
--- a/libraries/drivers/exchange/exchange_attempts.cpp
+++ b/libraries/drivers/exchange/exchange_attempts.cpp
@@ -71,7 +71,11 @@
 bool exchange::may_retry() const
 {
     const ports::steady_time now = m_state.dependencies.clock.steady_now();
-    return m_attempt_count < m_context.route->max_attempts &&
+    const bool is_suspect =
+        m_context.parsed_request.prompt &&
+        !m_state.crashing_parts.may_retry(*m_context.parsed_request.prompt);
+    return !m_is_trial && !is_suspect &&
+           m_attempt_count < m_context.route->max_attempts &&
            now + min_time_for_retry < m_deadline && !m_has_caller_left;
 }
 
--- a/libraries/drivers/exchange/fleet_view.hpp
+++ b/libraries/drivers/exchange/fleet_view.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "libraries/domain/crashing_parts/suspect_part.hpp"
+#include "libraries/domain/membership/router_ranking.hpp"
 #include "libraries/domain/placement/upstream_load_balancer.hpp"
 #include "libraries/ports/clock.hpp"
 
@@ -7,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace turmeric::drivers
 {
@@ -36,6 +39,8 @@
 {
     /// Number of routers that serve, including this one; at least 1.
     std::int64_t routers = 1;
+    /// The routers with a recent report that are not leaving.
+    domain::router_ranking ranking;
     /// Load placed by peers, by upstream id.
     std::map<std::string, domain::upstream_load> peer_load;
     /// By account name.
@@ -86,6 +91,8 @@
     std::map<std::string, account_token_demand> accounts;
     /// Number of requests in flight.
     std::int64_t in_flight = 0;
+    /// Prompt parts under which upstreams have ended.
+    std::vector<domain::suspect_part> suspect_parts;
 };
 
 } // namespace turmeric::drivers
--- a/libraries/drivers/exchange/traffic_dispatcher.cpp
+++ b/libraries/drivers/exchange/traffic_dispatcher.cpp
@@ -175,6 +175,9 @@
                                         m_state.fleet.routers);
     m_state.retry_limiter.set_routers(
         std::max<std::int64_t>(1, m_state.fleet.routers));
+    m_state.crashing_parts.set_routers(m_state.fleet.ranking);
+    m_state.crashing_parts.forget_unseen(
+        m_state.dependencies.clock.steady_now());
     for (const auto& [account, account_state] : m_state.fleet.accounts)
     {
         const std::int64_t granted =
@@ -190,6 +193,14 @@
     m_state.place_all_queued_requests();
 }
 
+void traffic_dispatcher::merge_suspect_parts(
+    const std::vector<domain::suspect_part>& parts)
+{
+    const std::size_t blocked = m_state.crashing_parts.blocked_count();
+    m_state.crashing_parts.merge(parts);
+    m_state.log_blocked_parts(blocked);
+}
+
 void traffic_dispatcher::update_outage_pacing()
 {
     const std::optional<ports::steady_time> since =
@@ -222,11 +233,13 @@
                                  m_state.settings.stop_accepting_after;
 }
 
-traffic_digest traffic_dispatcher::digest() const
+traffic_digest traffic_dispatcher::digest()
 {
     traffic_digest current;
     current.load = m_state.load_balancer.own_load();
     current.in_flight = static_cast<std::int64_t>(m_state.exchanges.size());
+    current.suspect_parts =
+        m_state.crashing_parts.report(m_state.dependencies.clock.steady_now());
     for (const auto& [account, balance] : m_state.ledger.balances())
     {
         const auto released_tokens = m_state.released_tokens.find(account);
@@ -258,6 +271,11 @@
     m_state.token_demand_handler = std::move(action);
 }
 
+void traffic_dispatcher::set_suspicion_handler(std::function<void()> action)
+{
+    m_state.suspicion_handler = std::move(action);
+}
+
 std::int64_t traffic_dispatcher::release(const std::string& account,
                                          std::int64_t requested)
 {
--- a/libraries/drivers/exchange/traffic_dispatcher.hpp
+++ b/libraries/drivers/exchange/traffic_dispatcher.hpp
@@ -40,6 +40,9 @@
     /// Updates the state of the other routers, the store and the grants.
     void set_fleet(fleet_view view);
 
+    /// Adds the prompt parts that a peer suspects to crash upstreams.
+    void merge_suspect_parts(const std::vector<domain::suspect_part>& parts);
+
     /// Sets the rate limits of retries. The counts start from zero if the
     /// limits have changed.
     void set_retry_limits(const domain::retry_rate_limits& limits);
@@ -49,11 +52,15 @@
     void stop();
 
     /// Returns the state of the traffic for the peers and the store.
-    [[nodiscard]] traffic_digest digest() const;
+    [[nodiscard]] traffic_digest digest();
 
     /// Sets an action that is called when a request lacks prepaid tokens.
     void set_token_demand_handler(std::function<void()> action);
 
+    /// Sets an action that is called when peers should soon learn of prompt
+    /// parts that crash upstreams.
+    void set_suspicion_handler(std::function<void()> action);
+
     /// Removes up to `requested` free tokens of an account, to lend them to a
     /// peer or to return them to the store; they no longer count as granted to
     /// this router. Returns how many were removed.
--- a/libraries/drivers/exchange/traffic_state.cpp
+++ b/libraries/drivers/exchange/traffic_state.cpp
@@ -1,5 +1,6 @@
 #include "libraries/drivers/exchange/traffic_state.hpp"
 
+#include "libraries/domain/digest.hpp"
 #include "libraries/drivers/exchange/exchange.hpp"
 
 #include <utility>
@@ -141,6 +142,34 @@
     return found == fleet.accounts.end() || found->second.is_holder;
 }
 
+void traffic_state::record_upstream_end(
+    const domain::prompt_description& prompt,
+    const domain::upstream_entry& ended)
+{
+    const std::size_t blocked = crashing_parts.blocked_count();
+    const std::uint64_t incarnation =
+        domain::digest_of(ended.id, static_cast<std::uint64_t>(ended.born));
+    const bool is_repeated = crashing_parts.record_end(
+        prompt, incarnation, dependencies.clock.steady_now());
+    log_blocked_parts(blocked);
+    if (is_repeated && suspicion_handler)
+    {
+        suspicion_handler();
+    }
+}
+
+void traffic_state::log_blocked_parts(std::size_t previous) const
+{
+    const std::size_t blocked = crashing_parts.blocked_count();
+    if (blocked != previous)
+    {
+        dependencies.log.write(
+            log_level::warning, log_event::prompt_parts_blocked,
+            {{"blocked", static_cast<std::int64_t>(blocked)},
+             {"previous", static_cast<std::int64_t>(previous)}});
+    }
+}
+
 void traffic_state::request_tokens()
 {
     const ports::steady_time now = dependencies.clock.steady_now();
--- a/libraries/drivers/exchange/traffic_state.hpp
+++ b/libraries/drivers/exchange/traffic_state.hpp
@@ -3,6 +3,7 @@
 #include "libraries/core/logger.hpp"
 #include "libraries/domain/admission/slot_queue.hpp"
 #include "libraries/domain/callers/route_table.hpp"
+#include "libraries/domain/crashing_parts/crashing_part_detector.hpp"
 #include "libraries/domain/placement/upstream_load_balancer.hpp"
 #include "libraries/domain/prepaid/outage_pacer.hpp"
 #include "libraries/domain/prepaid/prepaid_ledger.hpp"
@@ -91,6 +92,14 @@
     /// otherwise it borrows what its requests lack.
     [[nodiscard]] bool is_holder(const std::string& account) const;
 
+    /// Records that an upstream ended while it began its response to a prompt,
+    /// and makes the peers learn of it if it is not the first time.
+    void record_upstream_end(const domain::prompt_description& prompt,
+                             const domain::upstream_entry& ended);
+
+    /// Logs the number of blocked prompt parts if it is not `previous`.
+    void log_blocked_parts(std::size_t previous) const;
+
     /// Notifies the control thread that tokens are lacking, at most once in
     /// each short interval.
     void request_tokens();
@@ -103,6 +112,7 @@
     domain::outage_pacer pacer;
     domain::slot_queue queue;
     domain::retry_rate_limiter retry_limiter;
+    domain::crashing_part_detector crashing_parts;
     fleet_view fleet;
     /// By exchange id.
     std::map<std::uint64_t, std::shared_ptr<exchange>> exchanges;
@@ -114,6 +124,9 @@
     std::map<std::string, std::int64_t> prepaid_totals;
     /// Notifies the control thread; may be empty.
     std::function<void()> token_demand_handler;
+    /// Makes the control thread send the suspect parts to the peers; may be
+    /// empty.
+    std::function<void()> suspicion_handler;
     std::optional<ports::steady_time> tokens_requested_at;
     /// Set when the router stops.
     std::optional<ports::steady_time> refuse_requests_at;
--- a/libraries/drivers/exchange/upstream_attempt.cpp
+++ b/libraries/drivers/exchange/upstream_attempt.cpp
@@ -10,6 +10,10 @@
 namespace
 {
 
+/// An upstream that crashes at a prompt does so within this time after the
+/// first output of its response.
+constexpr std::chrono::milliseconds beginning_time{250};
+
 /// Returns digests of the prompt's first parts without its last one, which is
 /// the request's own.
 std::string describe_shared_parts(const domain::prompt_description& prompt)
@@ -193,9 +197,42 @@
         return;
     }
     log_broken_call(*owner, failure);
+    if (failure == ports::transport_failure::broken)
+    {
+        record_upstream_end(*owner);
+    }
     owner->on_transport_failure(failure);
 }
 
+bool upstream_attempt::is_beginning() const
+{
+    return !m_output_since ||
+           m_state.dependencies.clock.steady_now() - *m_output_since <
+               beginning_time;
+}
+
+void upstream_attempt::record_upstream_end(const exchange& owner)
+{
+    const std::optional<domain::prompt_description>& prompt =
+        owner.m_context.parsed_request.prompt;
+    if (prompt && is_beginning())
+    {
+        m_state.record_upstream_end(*prompt, m_chosen_placement.upstream);
+    }
+}
+
+void upstream_attempt::record_survived_beginning(const exchange& owner)
+{
+    const std::optional<domain::prompt_description>& prompt =
+        owner.m_context.parsed_request.prompt;
+    if (prompt && m_output_since && !m_has_survived_beginning)
+    {
+        m_has_survived_beginning = true;
+        m_state.crashing_parts.record_success(
+            *prompt, *m_output_since, m_state.dependencies.clock.steady_now());
+    }
+}
+
 void upstream_attempt::log_broken_call(const exchange& owner,
                                        ports::transport_failure failure) const
 {
@@ -293,6 +330,10 @@
             std::chrono::duration_cast<std::chrono::milliseconds>(
                 *m_output_since - m_sent_at));
     }
+    if (!is_beginning())
+    {
+        record_survived_beginning(owner);
+    }
     owner.on_body_part(*m_head, std::move(events));
 }
 
@@ -326,15 +367,20 @@
 
 void upstream_attempt::finish_events(exchange& owner)
 {
-    if (owner.m_events.has_partial())
+    // If the end of the connection marks the end of the body, a failing
+    // upstream can look like a complete body that ends within an event, or
+    // before the first one.
+    const bool is_empty = !m_output_since && !owner.m_is_response_started;
+    if (owner.m_events.has_partial() || is_empty)
     {
-        // If the end of the connection marks the end of the body, a failing
-        // upstream can look like a complete body that ends within an event.
-        record_outcome(false, "partial_event");
+        record_outcome(false, is_empty ? "empty_stream" : "partial_event");
         release_slot();
+        log_broken_call(owner, ports::transport_failure::broken);
+        record_upstream_end(owner);
         owner.on_transport_failure(ports::transport_failure::broken);
         return;
     }
+    record_survived_beginning(owner);
     record_outcome(true, "ok");
     release_slot();
     owner.on_stream_end();
--- a/libraries/drivers/exchange/upstream_attempt.hpp
+++ b/libraries/drivers/exchange/upstream_attempt.hpp
@@ -79,6 +79,13 @@
     /// the upstream. `is_success` is true also if the upstream states that it
     /// did not run the request.
     void record_outcome(bool is_success, std::string_view result);
+    /// Records the parts of the prompt as suspects if the upstream ended as it
+    /// began this response.
+    void record_upstream_end(const exchange& owner);
+    /// Records that the upstream began this response and has not ended.
+    void record_survived_beginning(const exchange& owner);
+    /// Returns whether the response has not begun, or only just.
+    [[nodiscard]] bool is_beginning() const;
     /// Logs how far the response was when the connection ended.
     void log_broken_call(const exchange& owner,
                          ports::transport_failure failure) const;
@@ -96,6 +103,7 @@
     std::string m_buffered_body;
     /// When the first output arrived.
     std::optional<ports::steady_time> m_output_since;
+    bool m_has_survived_beginning = false;
     bool m_has_slot = true;
     bool m_is_finished = false;
 };
--- a/libraries/drivers/fleet/fleet_control.cpp
+++ b/libraries/drivers/fleet/fleet_control.cpp
@@ -63,8 +63,7 @@
 
 void fleet_control::tick()
 {
-    m_dependencies.traffic.request_digest([this](const traffic_digest& traffic)
-                                          { on_traffic_digest(traffic); });
+    request_traffic_digest();
     const std::chrono::milliseconds interval =
         std::max(min_tick_interval,
                  tick_interval_per_router *
@@ -73,6 +72,22 @@
         m_dependencies.clock.steady_now() + interval, [this] { tick(); });
 }
 
+void fleet_control::request_traffic_digest()
+{
+    m_last_report_at = m_dependencies.clock.steady_now();
+    m_dependencies.traffic.request_digest([this](const traffic_digest& traffic)
+                                          { on_traffic_digest(traffic); });
+}
+
+void fleet_control::report_early()
+{
+    const ports::steady_time now = m_dependencies.clock.steady_now();
+    if (now - m_last_report_at >= min_tick_interval)
+    {
+        request_traffic_digest();
+    }
+}
+
 void fleet_control::on_traffic_digest(const traffic_digest& traffic)
 {
     m_tokens.update_holders();
@@ -85,7 +100,9 @@
     digest.is_store_unavailable = store_unavailable_since().has_value();
     digest.load = traffic.load;
     digest.accounts = m_tokens.report(traffic);
-    const std::string bytes = codecs::write_digest(digest);
+    digest.suspect_parts = traffic.suspect_parts;
+    const std::string bytes =
+        codecs::write_digest(digest, m_dependencies.clock.steady_now());
     for (const std::string& address : m_peers.peer_addresses())
     {
         m_dependencies.peers.send(address, bytes);
@@ -97,11 +114,16 @@
 
 void fleet_control::on_datagram(std::string_view bytes)
 {
-    result<codecs::peer_digest> digest = codecs::read_digest(bytes);
+    const ports::steady_time now = m_dependencies.clock.steady_now();
+    result<codecs::peer_digest> digest = codecs::read_digest(bytes, now);
     if (digest)
     {
-        m_peers.apply_digest(std::move(digest.value()),
-                             m_dependencies.clock.steady_now());
+        if (!digest.value().suspect_parts.empty())
+        {
+            m_dependencies.traffic.merge_suspect_parts(
+                std::move(digest.value().suspect_parts));
+        }
+        m_peers.apply_digest(std::move(digest.value()), now);
         return;
     }
     const result<codecs::token_message> message =
@@ -230,7 +252,10 @@
 
 void fleet_control::update_traffic()
 {
-    fleet_view view = m_peers.view(m_dependencies.clock.steady_now());
+    const ports::steady_time now = m_dependencies.clock.steady_now();
+    fleet_view view = m_peers.view(now);
+    view.ranking =
+        domain::router_ranking(m_self.incarnation, m_peers.live_peers(now));
     view.store_unavailable_since = store_unavailable_since();
     m_tokens.add_accounts(view);
     m_dependencies.traffic.set_fleet(std::move(view));
--- a/libraries/drivers/fleet/fleet_control.hpp
+++ b/libraries/drivers/fleet/fleet_control.hpp
@@ -71,6 +71,10 @@
     /// next interval, for example because a request lacks tokens.
     void adjust_token_grants();
 
+    /// Sends a digest to the peers without waiting for the next interval,
+    /// unless the last one was sent just before.
+    void report_early();
+
     /// Returns whether callers' requests can be served.
     [[nodiscard]] bool is_ready() const;
 
@@ -85,6 +89,7 @@
 private:
     /// Requests a traffic digest now and then at regular intervals.
     void tick();
+    void request_traffic_digest();
     void on_traffic_digest(const traffic_digest& traffic);
     void on_datagram(std::string_view bytes);
     void on_configuration(const followed_items& items);
@@ -115,6 +120,7 @@
     std::string m_configuration_text;
     std::unique_ptr<ports::timer> m_timer;
     std::int64_t m_sequence = 0;
+    ports::steady_time m_last_report_at{};
     bool m_is_requesting_configuration = false;
     bool m_is_leaving = false;
 };
--- a/libraries/drivers/fleet/traffic_link.hpp
+++ b/libraries/drivers/fleet/traffic_link.hpp
@@ -33,6 +33,10 @@
     /// Sets the latest state of the store's grants and of the other routers.
     virtual void set_fleet(fleet_view view) = 0;
 
+    /// Adds the prompt parts that a peer suspects to crash upstreams.
+    virtual void
+    merge_suspect_parts(std::vector<domain::suspect_part> parts) = 0;
+
     /// Calls `done` on the control thread with a digest of the traffic thread's
     /// state.
     virtual void request_digest(std::function<void(traffic_digest)> done) = 0;
--- a/services/entry/entry_process.cpp
+++ b/services/entry/entry_process.cpp
@@ -91,6 +91,9 @@
             asio::post(m_control_loop,
                        [this] { m_control.adjust_token_grants(); });
         });
+    m_dispatcher.set_suspicion_handler(
+        [this]
+        { asio::post(m_control_loop, [this] { m_control.report_early(); }); });
 }
 
 entry_process::~entry_process()
--- a/services/entry/thread_link.cpp
+++ b/services/entry/thread_link.cpp
@@ -7,6 +7,13 @@
 
 namespace asio = adapters::asio;
 
+namespace
+{
+
+constexpr std::size_t max_pending_suspects = 1'024;
+
+} // namespace
+
 thread_link::thread_link(asio::io_context& control, asio::io_context& traffic)
     : m_control_loop(control)
     , m_traffic_loop(traffic)
@@ -41,6 +48,18 @@
     schedule_delivery();
 }
 
+void thread_link::merge_suspect_parts(std::vector<domain::suspect_part> parts)
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    // Peers repeat their suspects, so those that do not fit come again.
+    if (m_pending.suspect_parts.size() < max_pending_suspects)
+    {
+        m_pending.suspect_parts.insert(m_pending.suspect_parts.end(),
+                                       parts.begin(), parts.end());
+        schedule_delivery();
+    }
+}
+
 void thread_link::request_digest(
     std::function<void(drivers::traffic_digest)> done)
 {
@@ -118,6 +137,10 @@
     {
         m_dispatcher->set_fleet(std::move(*updates.fleet));
     }
+    if (!updates.suspect_parts.empty())
+    {
+        m_dispatcher->merge_suspect_parts(updates.suspect_parts);
+    }
     if (updates.digest_callbacks.empty())
     {
         return;
--- a/tests/exchange/exchange_test.cpp
+++ b/tests/exchange/exchange_test.cpp
@@ -164,6 +164,23 @@
     CHECK(response->is_aborted);
 }
 
+TEST(exchange_group, a_stream_that_ends_before_its_first_event_is_broken)
+{
+    // A body that its connection's end delimits looks complete when it is cut.
+    const auto once = fixture.send_request("once");
+    fixture.call(0).success();
+    fixture.call(0).end();
+    LONGS_EQUAL(502, once->status);
+    const auto resumed = fixture.send_request("ask");
+    fixture.call(1).success();
+    fixture.call(1).end();
+    LONGS_EQUAL(3, fixture.call_count());
+    fixture.call(2).success();
+    fixture.call(2).part(event(1));
+    fixture.call(2).end();
+    CHECK(resumed->is_complete);
+}
+
 TEST(exchange_group, an_event_that_never_ends_aborts_the_stream)
 {
     const auto response = fixture.send_request("once");
@@ -277,6 +294,91 @@
     LONGS_EQUAL(0, waiting->status);
 }
 
+TEST_GROUP(blocked_prompt_group)
+{
+    exchange_fixture fixture;
+    int requests = 0;
+
+    std::shared_ptr<recorded_response> send_prompt(const std::string& route)
+    {
+        return fixture.send_request(
+            route, "10,20",
+            {{"X-Prompt-Prefix",
+              "f1:4,dead:3,b" + std::to_string(++requests) + ":3"}});
+    }
+
+    /// Ends an upstream under the last request.
+    void end_upstream()
+    {
+        fixture.call(fixture.call_count() - 1).fail(broken);
+        fixture.timers.advance(1s);
+    }
+
+    void block_part()
+    {
+        fixture.grant(1'000, 1'000);
+        for (const char* const upstream : {"v1", "v2", "v3"})
+        {
+            fixture.set_upstreams({upstream});
+            send_prompt("once");
+            end_upstream();
+        }
+        fixture.set_upstreams({"u1", "u2", "u3"});
+    }
+};
+
+TEST(blocked_prompt_group, a_blocked_prompt_is_refused_at_once)
+{
+    block_part();
+    const std::size_t calls = fixture.call_count();
+    const auto response = send_prompt("once");
+    LONGS_EQUAL(503, response->status);
+    CHECK(response->body.find("\"code\":2009") != std::string::npos);
+    CHECK(response->body.find("not_run") != std::string::npos);
+    CHECK_FALSE(response->has("Retry-After"));
+    LONGS_EQUAL(calls, fixture.call_count());
+    LONGS_EQUAL(0, fixture.dispatcher.digest().accounts["acme"].held);
+}
+
+TEST(blocked_prompt_group, requests_that_wait_for_a_slot_are_refused_too)
+{
+    fixture.grant(1'000, 1'000);
+    fixture.set_upstreams({"v1"});
+    for (int slot = 0; slot < 4; ++slot)
+    {
+        send_prompt("once");
+    }
+    const auto waiting = send_prompt("once");
+    LONGS_EQUAL(4, fixture.call_count());
+    const ports::steady_time now = fixture.clock.steady_now();
+    domain::suspect_part blocked;
+    blocked.id = 0xdead;
+    blocked.ends = {{1, now - 3s}, {2, now - 2s}, {3, now - 1s}};
+    blocked.last_seen = now;
+    fixture.dispatcher.merge_suspect_parts({blocked});
+    fixture.call(0).fail(broken);
+    LONGS_EQUAL(503, waiting->status);
+    LONGS_EQUAL(4, fixture.call_count());
+    LONGS_EQUAL(90, fixture.dispatcher.digest().accounts["acme"].held);
+}
+
+TEST(blocked_prompt_group, a_request_under_which_upstreams_end_is_sent_twice)
+{
+    // The second end under the part permits no further attempt.
+    fixture.grant(1'000, 1'000);
+    const auto first = send_prompt("ask");
+    fixture.call(0).fail(broken);
+    LONGS_EQUAL(2, fixture.call_count());
+    fixture.timers.advance(1s);
+    fixture.call(1).fail(broken);
+    LONGS_EQUAL(502, first->status);
+    fixture.timers.advance(1s);
+    const auto second = send_prompt("ask");
+    LONGS_EQUAL(3, fixture.call_count());
+    fixture.call(2).fail(broken);
+    LONGS_EQUAL(3, fixture.call_count());
+}
+
 TEST_GROUP(prepaid_exchange_group)
 {
     exchange_fixture fixture;
--- a/tests/fleet/lending_test.cpp
+++ b/tests/fleet/lending_test.cpp
@@ -64,6 +64,8 @@
 
     void set_upstreams(std::vector<domain::upstream_entry>) override {}
 
+    void merge_suspect_parts(std::vector<domain::suspect_part>) override {}
+
     void set_fleet(drivers::fleet_view view) override
     {
         granted = view.accounts["acme"].own_granted;
--- a/tests/fleet/peer_table_test.cpp
+++ b/tests/fleet/peer_table_test.cpp
@@ -21,6 +21,12 @@
     digest.is_store_unavailable = true;
     digest.load["u1"] = {2, 900};
     digest.accounts["acme"] = {10, 20, 30, 4};
+    digest.suspect_parts.push_back(
+        {0xdead,
+         {{17, ports::steady_time(97s)}, {18, ports::steady_time(98s)}},
+         ports::steady_time(96s),
+         ports::steady_time(99s),
+         1});
     return digest;
 }
 
@@ -43,7 +49,7 @@
 TEST(peer_table_group, a_written_digest_is_read_back_unchanged)
 {
     const result<codecs::peer_digest> read =
-        codecs::read_digest(codecs::write_digest(sample_digest()));
+        codecs::read_digest(codecs::write_digest(sample_digest(), now), now);
     CHECK(bool(read));
     const codecs::peer_digest& digest = read.value();
     CHECK(digest.incarnation == "b");
@@ -54,14 +60,21 @@
     LONGS_EQUAL(900, digest.load.at("u1").unread_tokens);
     LONGS_EQUAL(30, digest.accounts.at("acme").free);
     LONGS_EQUAL(4, digest.accounts.at("acme").rate);
+    const domain::suspect_part& suspect = digest.suspect_parts.at(0);
+    LONGS_EQUAL(0xdead, suspect.id);
+    LONGS_EQUAL(18, suspect.ends.at(1).incarnation);
+    CHECK(suspect.ends.at(1).at == ports::steady_time(98s));
+    CHECK(suspect.cleared_at == ports::steady_time(96s));
+    CHECK(suspect.last_seen == ports::steady_time(99s));
+    LONGS_EQUAL(1, suspect.trials);
 }
 
 TEST(peer_table_group, a_damaged_digest_is_rejected)
 {
-    const std::string complete = codecs::write_digest(sample_digest());
+    const std::string complete = codecs::write_digest(sample_digest(), now);
     CHECK(rc::check(
         "a truncated digest with one random byte is rejected",
-        [&complete]
+        [&complete, this]
         {
             std::string bytes = complete.substr(
                 0, *rc::gen::inRange<std::size_t>(0, complete.size()));
@@ -70,7 +83,7 @@
                 bytes[*rc::gen::inRange<std::size_t>(0, bytes.size())] =
                     *rc::gen::arbitrary<char>();
             }
-            RC_ASSERT(!codecs::read_digest(bytes));
+            RC_ASSERT(!codecs::read_digest(bytes, now));
         }));
 }
 
@@ -79,7 +92,7 @@
     // An array whose length is a number of 8 bytes, as a damaged byte makes it.
     const std::string bytes = "\x9b"
                               "abcdefgh";
-    CHECK_FALSE(codecs::read_digest(bytes));
+    CHECK_FALSE(codecs::read_digest(bytes, now));
     CHECK_FALSE(codecs::read_token_message(bytes));
 }
 
--- a/tests/simulation/traffic_fleet.cpp
+++ b/tests/simulation/traffic_fleet.cpp
@@ -92,6 +92,11 @@
         m_dispatcher.set_fleet(std::move(view));
     }
 
+    void merge_suspect_parts(std::vector<domain::suspect_part> parts) override
+    {
+        m_dispatcher.merge_suspect_parts(parts);
+    }
+
     void
     request_digest(std::function<void(drivers::traffic_digest)> done) override
     {
@@ -148,6 +153,11 @@
                    &read_simulated_upstream},
                   {name, name, "east", name, name})
     {
+        dispatcher.set_suspicion_handler(
+            [this, &fleet] {
+                fleet.m_events.run_after(0ns,
+                                         [this] { control.report_early(); });
+            });
     }
 
     static drivers::traffic_settings settings()
