Upstream attempts: Read and log the limits that upstreams name

Change: the dialect reads the field as one decimal number that is not negative; anything else is a typed error (invalid_field), counted and logged as event 413, and the response is forwarded all the same. A limit is logged as event 412 and counted in turmeric_entry_named_limits_total.

--- a/libraries/core/log_event.hpp
+++ b/libraries/core/log_event.hpp
@@ -55,6 +55,8 @@
     order_refused = 409,
     upstream_call_broken = 410,
     prompt_parts_blocked = 411,
+    rate_limit_named = 412,
+    rate_limit_rejected = 413,
 
     // 500: the platform.
     platform_call_failed = 501,
--- a/libraries/drivers/exchange/traffic_dialect.hpp
+++ b/libraries/drivers/exchange/traffic_dialect.hpp
@@ -65,6 +65,12 @@
     [[nodiscard]] virtual response_classification
     classify_response(const ports::response_head& head) const = 0;
 
+    /// Returns the requests per second that the upstream takes from all routers
+    /// together, or nothing if its response names no limit. Errors:
+    /// `invalid_field` if the limit is no decimal number or is named twice.
+    [[nodiscard]] virtual result<std::optional<double>>
+    read_rate_limit(const ports::response_head& head) const = 0;
+
     /// Returns the head that is forwarded to the caller for an upstream's
     /// response.
     [[nodiscard]] virtual ports::response_head
--- a/libraries/drivers/exchange/traffic_metrics.cpp
+++ b/libraries/drivers/exchange/traffic_metrics.cpp
@@ -16,6 +16,12 @@
            {"service", "result"},
            512,
            {}}))
+    , rate_limits(registry.make<metrics::counter>(
+          {"turmeric_entry_named_limits_total",
+           "Rate limits that upstreams named by service and result.",
+           {"service", "result"},
+           256,
+           {}}))
     , time_to_first_byte(registry.make<metrics::histogram>(
           {"turmeric_entry_first_byte_seconds",
            "From the arrival of a request to the first byte of its response.",
--- a/libraries/drivers/exchange/traffic_metrics.hpp
+++ b/libraries/drivers/exchange/traffic_metrics.hpp
@@ -20,6 +20,8 @@
     metrics::family<metrics::counter>& responses;
     /// Attempts by service and result.
     metrics::family<metrics::counter>& attempts;
+    /// Rate limits that upstreams named, by service and result.
+    metrics::family<metrics::counter>& rate_limits;
     /// From the arrival of a request to the first byte of its response.
     metrics::family<metrics::histogram>& time_to_first_byte;
     /// From the arrival of a request to the end of its response.
--- a/libraries/drivers/exchange/upstream_attempt.cpp
+++ b/libraries/drivers/exchange/upstream_attempt.cpp
@@ -136,6 +136,7 @@
         return;
     }
     m_head = head;
+    record_rate_limit(head);
     const response_classification classification =
         m_state.dependencies.dialect.classify_response(head);
     const bool is_stream =
@@ -154,6 +155,34 @@
     }
 }
 
+void upstream_attempt::record_rate_limit(const ports::response_head& head)
+{
+    const result<std::optional<double>> limit =
+        m_state.dependencies.dialect.read_rate_limit(head);
+    const domain::upstream_entry& upstream = m_chosen_placement.upstream;
+    if (!limit)
+    {
+        m_state.dependencies.metrics.rate_limits
+            .with_labels({upstream.service, "rejected"})
+            .add();
+        m_state.dependencies.log.write(log_level::warning,
+                                       log_event::rate_limit_rejected,
+                                       {{"upstream", upstream.id},
+                                        {"field", limit.failure().field},
+                                        {"reason", limit.failure().detail}});
+        return;
+    }
+    if (limit.value())
+    {
+        m_state.dependencies.metrics.rate_limits
+            .with_labels({upstream.service, "read"})
+            .add();
+        m_state.dependencies.log.write(
+            log_level::info, log_event::rate_limit_named,
+            {{"upstream", upstream.id}, {"limit", *limit.value()}});
+    }
+}
+
 void upstream_attempt::on_part(std::string part)
 {
     const std::shared_ptr<exchange> owner = current_owner();
--- a/libraries/drivers/exchange/upstream_attempt.hpp
+++ b/libraries/drivers/exchange/upstream_attempt.hpp
@@ -86,6 +86,8 @@
     void record_survived_beginning(const exchange& owner);
     /// Returns whether the response has not begun, or only just.
     [[nodiscard]] bool is_beginning() const;
+    /// Reads the limit that the upstream names in its response, if any.
+    void record_rate_limit(const ports::response_head& head);
     /// Logs how far the response was when the connection ended.
     void log_broken_call(const exchange& owner,
                          ports::transport_failure failure) const;
--- a/meta/check_sources.py
+++ b/meta/check_sources.py
@@ -17,7 +17,7 @@
 # the platform read and write them.
 WIRE_NAMES = re.compile(
     r'"(X-(Prompt-Prefix|Token-Count|Server-Stamp|Not-Executed'
-    r'|Expect-Instance|Request-Deadline|Length-Hint|Tenant)'
+    r'|Expect-Instance|Request-Deadline|Length-Hint|Tenant)|Server-Limit'
     r'|op/|servers/|/api/(kv|resolve|ready|report))')
 FORBIDDEN_CALLS = re.compile(
     r'(^|[^_a-z:.>])(fork|vfork|posix_spawn|system|popen|shm_[a-z]+'
--- a/tests/exchange/exchange_test.cpp
+++ b/tests/exchange/exchange_test.cpp
@@ -26,6 +26,14 @@
     }
 }
 
+/// Answers the last call with a success that names a limit.
+void answer_with_limit(exchange_fixture& fixture, const std::string& limit)
+{
+    fake_upstream_call& call = fixture.call(fixture.call_count() - 1);
+    call.head(200, {{"X-Server-Stamp", "s"}, {"Server-Limit", limit}});
+    call.end();
+}
+
 constexpr ports::transport_failure broken = ports::transport_failure::broken;
 
 } // namespace
@@ -294,6 +302,16 @@
     LONGS_EQUAL(0, waiting->status);
 }
 
+TEST(exchange_group, a_malformed_limit_does_not_keep_the_response_back)
+{
+    for (const char* const limit : {"-1", "nan", "1e9", ""})
+    {
+        const auto response = fixture.send_request("read");
+        answer_with_limit(fixture, limit);
+        LONGS_EQUAL(200, response->status);
+    }
+}
+
 TEST_GROUP(blocked_prompt_group)
 {
     exchange_fixture fixture;
--- a/tests/platform/dialect_test.cpp
+++ b/tests/platform/dialect_test.cpp
@@ -160,6 +160,32 @@
     CHECK(dialect.classify_response({500, "", {}}).is_forwardable);
 }
 
+TEST(platform_dialect_group, a_named_rate_limit_is_one_decimal_number)
+{
+    const auto read = [this](const std::vector<std::string>& values)
+    {
+        ports::response_head head{200, "OK", {}};
+        for (const std::string& value : values)
+        {
+            head.fields.push_back({"server-limit", value});
+        }
+        return dialect.read_rate_limit(head);
+    };
+    CHECK(read({}).value() == std::nullopt);
+    CHECK(read({"2.4"}).value() == 2.4);
+    CHECK(read({"0"}).value() == 0.0);
+    CHECK(read({"0.05"}).value() == 0.05);
+    CHECK(read({"1000000000"}).value() == 1e9);
+    for (const char* const malformed :
+         {"", "-1", "nan", "inf", "1e9", "2,4", "2.4/s", " "})
+    {
+        CHECK_FALSE(read({malformed}));
+        CHECK(read({malformed}).failure().code == result_code::invalid_field);
+        STRCMP_EQUAL("Server-Limit", read({malformed}).failure().field.c_str());
+    }
+    CHECK_FALSE(read({"2.4", "2.4"}));
+}
+
 TEST(platform_dialect_group, failures_carry_a_code_and_a_retry_after)
 {
     std::string body;
