Rate limits: Keep to the limits that upstreams name, as a fleet

An engine that asked for 2.9 requests a second got 32 in 4 s; one in need that is not spared fails next.

Cause: nothing read the limit. Each router chose an upstream by load, prefix and its own failures, and the answer of an upstream had no say. The class: a limit of one upstream that many routers share, known to none of them.

Change: domain/placement/named_rate_limits. The routers that rank highest for the upstream send, so many that each share is at least half a request a second; the others leave the upstream alone. A share is kept by the time between sends. A response to a later request that names no limit ends it; digests carry what a router saw itself, the newest observation counts, and the first of the senders sends a request if none was seen for a second. What finds no room goes to other upstreams; where all name limits and the queue would not get there in time, the request is refused at once (4004, not run). peer observations of upstreams now travel together (domain/placement/upstream_observations), and the ages in digests have one codec.

Why it works: the shares add up to the limit whatever the number of routers (property test, 1 to 120 routers), a router knows its share from its own answer without a message, and no share is below one request.

--- a/libraries/codecs/fleet/digest_codec.cpp
+++ b/libraries/codecs/fleet/digest_codec.cpp
@@ -1,6 +1,7 @@
 #include "libraries/codecs/fleet/digest_codec.hpp"
 
 #include "libraries/codecs/common/cbor_reader.hpp"
+#include "libraries/codecs/fleet/rate_limit_codec.hpp"
 #include "libraries/codecs/fleet/suspect_part_codec.hpp"
 #include "libraries/core/json.hpp"
 
@@ -13,7 +14,7 @@
 {
 
 /// The version of the digest format. Digests of other versions are rejected.
-constexpr std::int64_t format_version = 6;
+constexpr std::int64_t format_version = 7;
 
 error unreadable_digest(const char* field)
 {
@@ -49,22 +50,24 @@
         accounts[name] = {account.used, account.held, account.free,
                           account.rate};
     }
-    const json encoded = {format_version,
-                          digest.incarnation,
-                          digest.sequence,
-                          digest.configuration_version,
-                          digest.is_leaving,
-                          digest.is_store_unavailable,
-                          std::move(load),
-                          std::move(accounts),
-                          write_suspect_parts(digest.suspect_parts, now)};
+    const json encoded = {
+        format_version,
+        digest.incarnation,
+        digest.sequence,
+        digest.configuration_version,
+        digest.is_leaving,
+        digest.is_store_unavailable,
+        std::move(load),
+        std::move(accounts),
+        write_suspect_parts(digest.observations.suspect_parts, now),
+        write_rate_limits(digest.observations.rate_limits, now)};
     const std::vector<std::uint8_t> bytes = json::to_cbor(encoded);
     return std::string(bytes.begin(), bytes.end());
 }
 
 result<peer_digest> read_digest(std::string_view bytes, ports::steady_time now)
 {
-    constexpr std::size_t element_count = 9;
+    constexpr std::size_t element_count = 10;
     const json encoded = read_cbor(bytes);
     std::int64_t received_version = 0;
     if (!encoded.is_array() || encoded.size() != element_count ||
@@ -112,7 +115,14 @@
     {
         return suspect_parts.failure();
     }
-    digest.suspect_parts = std::move(suspect_parts.value());
+    result<std::vector<domain::named_rate_limit>> rate_limits =
+        read_rate_limits(encoded[9], now);
+    if (!rate_limits)
+    {
+        return rate_limits.failure();
+    }
+    digest.observations.suspect_parts = std::move(suspect_parts.value());
+    digest.observations.rate_limits = std::move(rate_limits.value());
     return digest;
 }
 
--- a/libraries/codecs/fleet/digest_codec.hpp
+++ b/libraries/codecs/fleet/digest_codec.hpp
@@ -1,14 +1,13 @@
 #pragma once
 
 #include "libraries/core/result.hpp"
-#include "libraries/domain/crashing_parts/suspect_part.hpp"
 #include "libraries/domain/placement/upstream_load_balancer.hpp"
+#include "libraries/domain/placement/upstream_observations.hpp"
 
 #include <cstdint>
 #include <map>
 #include <string>
 #include <string_view>
-#include <vector>
 
 namespace turmeric::codecs
 {
@@ -36,7 +35,7 @@
     bool is_store_unavailable = false;
     std::map<std::string, domain::upstream_load> load;
     std::map<std::string, peer_account_tokens> accounts;
-    std::vector<domain::suspect_part> suspect_parts;
+    domain::upstream_observations observations;
 };
 
 /// Encodes a digest as CBOR. Times are written as their ages at `now`, since
--- a/libraries/codecs/fleet/suspect_part_codec.cpp
+++ b/libraries/codecs/fleet/suspect_part_codec.cpp
@@ -1,7 +1,8 @@
 #include "libraries/codecs/fleet/suspect_part_codec.hpp"
 
+#include "libraries/codecs/fleet/time_age.hpp"
+
 #include <algorithm>
-#include <chrono>
 #include <optional>
 #include <utility>
 
@@ -14,36 +15,11 @@
 /// Peers never report more.
 constexpr std::size_t max_parts = 256;
 constexpr std::size_t max_ends = 64;
-/// Older times than this are never reported.
-constexpr std::chrono::hours max_age{48};
 /// Higher counts are cut to this one.
 constexpr std::int64_t max_trials = 1'000;
 /// The age of a time that is not set.
 constexpr std::int64_t no_age = -1;
 
-using std::chrono::milliseconds;
-
-std::int64_t age_of(ports::steady_time at, ports::steady_time now)
-{
-    const milliseconds age = std::chrono::duration_cast<milliseconds>(now - at);
-    return std::max(age, milliseconds(0)).count();
-}
-
-std::optional<ports::steady_time> read_time(const json& encoded,
-                                            ports::steady_time now)
-{
-    if (!encoded.is_number_integer())
-    {
-        return std::nullopt;
-    }
-    const std::int64_t age = encoded.get<std::int64_t>();
-    if (age < 0 || age > milliseconds(max_age).count())
-    {
-        return std::nullopt;
-    }
-    return now - milliseconds(age);
-}
-
 bool read_ends(const json& encoded, ports::steady_time now,
                std::vector<domain::observed_end>& ends)
 {
@@ -57,7 +33,7 @@
         {
             return false;
         }
-        const std::optional<ports::steady_time> at = read_time(row[1], now);
+        const std::optional<ports::steady_time> at = read_age(row[1], now);
         if (!at)
         {
             return false;
@@ -79,10 +55,10 @@
     }
     domain::suspect_part part;
     part.id = row[0].get<std::uint64_t>();
-    part.cleared_at = read_time(row[2], now);
+    part.cleared_at = read_age(row[2], now);
     part.trials = static_cast<std::int32_t>(
         std::clamp<std::int64_t>(row[4].get<std::int64_t>(), 0, max_trials));
-    const std::optional<ports::steady_time> last_seen = read_time(row[3], now);
+    const std::optional<ports::steady_time> last_seen = read_age(row[3], now);
     const bool is_clearance_valid =
         part.cleared_at || row[2].get<std::int64_t>() == no_age;
     if (!last_seen || !is_clearance_valid || !read_ends(row[1], now, part.ends))
--- a/libraries/core/log_event.cpp
+++ b/libraries/core/log_event.cpp
@@ -51,7 +51,7 @@
     event_row{log_event::order_refused, "order_refused"},
     event_row{log_event::upstream_call_broken, "upstream_call_broken"},
     event_row{log_event::prompt_parts_blocked, "prompt_parts_blocked"},
-    event_row{log_event::rate_limit_named, "rate_limit_named"},
+    event_row{log_event::rate_limit_changed, "rate_limit_changed"},
     event_row{log_event::rate_limit_rejected, "rate_limit_rejected"},
     event_row{log_event::platform_call_failed, "platform_call_failed"},
     event_row{log_event::platform_recovered, "platform_recovered"},
--- a/libraries/core/log_event.hpp
+++ b/libraries/core/log_event.hpp
@@ -55,7 +55,7 @@
     order_refused = 409,
     upstream_call_broken = 410,
     prompt_parts_blocked = 411,
-    rate_limit_named = 412,
+    rate_limit_changed = 412,
     rate_limit_rejected = 413,
 
     // 500: the platform.
--- a/libraries/domain/admission/slot_queue.cpp
+++ b/libraries/domain/admission/slot_queue.cpp
@@ -50,6 +50,12 @@
     return names;
 }
 
+std::size_t slot_queue::size_of(const std::string& service) const
+{
+    const auto found = m_queues.find(service);
+    return found == m_queues.end() ? 0 : found->second.size();
+}
+
 std::size_t slot_queue::size() const
 {
     return m_requests.size();
--- a/libraries/domain/admission/slot_queue.hpp
+++ b/libraries/domain/admission/slot_queue.hpp
@@ -46,6 +46,9 @@
     /// Returns the services for which requests are queued.
     [[nodiscard]] std::vector<std::string> services() const;
 
+    /// Returns the number of queued requests of a service.
+    [[nodiscard]] std::size_t size_of(const std::string& service) const;
+
     /// Returns the number of queued requests over all services.
     [[nodiscard]] std::size_t size() const;
 
--- a/libraries/domain/placement/upstream_entry.hpp
+++ b/libraries/domain/placement/upstream_entry.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "libraries/domain/configuration/declarations.hpp"
+#include "libraries/domain/digest.hpp"
 
 #include <cstdint>
 #include <string>
@@ -28,4 +29,11 @@
     bool operator==(const upstream_entry&) const = default;
 };
 
+/// Returns a digest that distinguishes the starts of all upstreams. Thread
+/// safe.
+[[nodiscard]] inline std::uint64_t incarnation_of(const upstream_entry& entry)
+{
+    return digest_of(entry.id, static_cast<std::uint64_t>(entry.born));
+}
+
 } // namespace turmeric::domain
--- a/libraries/domain/placement/upstream_load_balancer.cpp
+++ b/libraries/domain/placement/upstream_load_balancer.cpp
@@ -60,6 +60,7 @@
             record = found->second;
         }
         record.entry = entry;
+        record.incarnation = incarnation_of(entry);
         next.emplace(entry.id, std::move(record));
     }
     std::vector<upstream_entry> removed;
@@ -142,6 +143,14 @@
     return std::max<std::int64_t>(1, prompt.input_tokens - cached);
 }
 
+bool upstream_load_balancer::is_candidate(const upstream_record& record,
+                                          const placement_request& request)
+{
+    return record.entry.service == request.service &&
+           record.entry.state == upstream_state::serving &&
+           request.tried.count(record.entry.id) == 0;
+}
+
 bool upstream_load_balancer::has_capacity(const upstream_record& record,
                                           const upstream_service& service) const
 {
@@ -210,10 +219,11 @@
     {
         const bool is_ejected =
             record.ejected_until && now < *record.ejected_until;
-        if (record.entry.service != request.service ||
-            record.entry.state != upstream_state::serving ||
-            request.tried.count(id) != 0 || is_ejected != is_among_ejected ||
-            !has_capacity(record, service))
+        const bool is_within_limit =
+            request.limits == nullptr ||
+            request.limits->may_send(record.incarnation, now);
+        if (!is_candidate(record, request) || is_ejected != is_among_ejected ||
+            !is_within_limit || !has_capacity(record, service))
         {
             continue;
         }
@@ -222,9 +232,14 @@
                 ? 1
                 : tokens_to_read(record, *request.prompt, preferred, now);
         const double work = estimate_work(record, service, tokens);
+        const bool is_observation_due =
+            request.limits != nullptr &&
+            request.limits->is_observation_due(record.incarnation, now);
         const double cost =
-            estimate_cost(record, service, work,
-                          std::max<std::int64_t>(0, tokens - own_tokens));
+            is_observation_due
+                ? 0.0
+                : estimate_cost(record, service, work,
+                                std::max<std::int64_t>(0, tokens - own_tokens));
         if (best == nullptr || cost < chosen.cost)
         {
             best = &record;
@@ -279,6 +294,29 @@
     return refusal;
 }
 
+std::optional<double>
+upstream_load_balancer::limited_rate(const placement_request& request) const
+{
+    double sum = 0;
+    for (const auto& [id, record] : m_upstreams)
+    {
+        if (!is_candidate(record, request))
+        {
+            continue;
+        }
+        const std::optional<double> rate =
+            request.limits == nullptr
+                ? std::nullopt
+                : request.limits->own_rate(record.incarnation);
+        if (!rate)
+        {
+            return std::nullopt;
+        }
+        sum += *rate;
+    }
+    return sum;
+}
+
 void upstream_load_balancer::note_sent(const placement& chosen,
                                        const prompt_description* prompt,
                                        ports::steady_time now)
--- a/libraries/domain/placement/upstream_load_balancer.hpp
+++ b/libraries/domain/placement/upstream_load_balancer.hpp
@@ -3,6 +3,7 @@
 #include "libraries/domain/callers/caller_request.hpp"
 #include "libraries/domain/callers/route_table.hpp"
 #include "libraries/domain/placement/first_token_model.hpp"
+#include "libraries/domain/placement/named_rate_limits.hpp"
 #include "libraries/domain/placement/prefix_cache_index.hpp"
 #include "libraries/domain/placement/upstream_entry.hpp"
 #include "libraries/ports/clock.hpp"
@@ -37,6 +38,8 @@
     const prompt_description* prompt = nullptr;
     /// Ids of upstreams to which this request was already sent.
     std::set<std::string> tried;
+    /// The limits that upstreams have named; null if there are none.
+    const named_rate_limits* limits = nullptr;
 };
 
 /// The chosen upstream and the estimates that led to the choice.
@@ -113,6 +116,12 @@
                                           const upstream_service& service,
                                           ports::steady_time now) const;
 
+    /// Returns how many requests per second this router may send to the
+    /// upstreams that `request` was not sent to, if all of these name limits;
+    /// nothing if one names none.
+    [[nodiscard]] std::optional<double>
+    limited_rate(const placement_request& request) const;
+
     /// Records that a request was sent. Precondition: `chosen` came from
     /// `choose`.
     void note_sent(const placement& chosen, const prompt_description* prompt,
@@ -144,6 +153,7 @@
     struct upstream_record
     {
         upstream_entry entry;
+        std::uint64_t incarnation = 0;
         upstream_load own_load;
         upstream_load peer_load;
         prefix_cache_index prefixes;
@@ -173,6 +183,10 @@
     find_cheapest(const placement_request& request,
                   const upstream_service& service, ports::steady_time now,
                   bool is_among_ejected) const;
+    /// Returns whether the request may go to an upstream, by its service, its
+    /// state and the earlier attempts.
+    [[nodiscard]] static bool is_candidate(const upstream_record& record,
+                                           const placement_request& request);
     [[nodiscard]] bool has_capacity(const upstream_record& record,
                                     const upstream_service& service) const;
     /// Returns the digest of the id of the upstream to which rendezvous
--- a/libraries/drivers/exchange/exchange.hpp
+++ b/libraries/drivers/exchange/exchange.hpp
@@ -111,8 +111,11 @@
     /// hold now.
     [[nodiscard]] std::optional<error> find_token_refusal(bool may_hold) const;
     void wait_for_tokens();
-    void place_or_enqueue();
-    void enqueue();
+    void place_or_wait();
+    /// Adds the request to the queue, or fails it if all upstreams limit their
+    /// requests so much that it would not be sent in time.
+    void wait_for_place();
+    [[nodiscard]] bool is_limited_beyond_deadline() const;
     void on_deadline();
     void schedule(ports::steady_time at);
     [[nodiscard]] ports::steady_time queue_deadline() const;
--- a/libraries/drivers/exchange/exchange_admission.cpp
+++ b/libraries/drivers/exchange/exchange_admission.cpp
@@ -103,7 +103,7 @@
     const std::int64_t tokens = needed_tokens();
     if (tokens == 0)
     {
-        place_or_enqueue();
+        place_or_wait();
         return;
     }
     const std::string& account = m_context.account->name;
@@ -116,7 +116,7 @@
     if (may_hold && m_state.ledger.hold(account, tokens))
     {
         m_held_tokens = tokens;
-        place_or_enqueue();
+        place_or_wait();
         return;
     }
     if (const std::optional<error> refusal = find_token_refusal(may_hold))
@@ -228,18 +228,30 @@
                          ? &*m_context.parsed_request.prompt
                          : nullptr;
     request.tried = m_tried_upstreams;
+    request.limits = &m_state.rate_limits;
     return request;
 }
 
-void exchange::place_or_enqueue()
+void exchange::place_or_wait()
 {
     m_phase = exchange_phase::waiting_for_place;
     if (!try_place())
     {
-        enqueue();
+        wait_for_place();
     }
 }
 
+bool exchange::is_limited_beyond_deadline() const
+{
+    const std::optional<double> rate =
+        m_state.load_balancer.limited_rate(make_placement_request());
+    const std::chrono::duration<double> time_left =
+        queue_deadline() - m_state.dependencies.clock.steady_now();
+    const double position =
+        static_cast<double>(m_state.queue.size_of(m_service) + 1);
+    return rate && *rate * time_left.count() < position;
+}
+
 bool exchange::try_place()
 {
     if (refuse_blocked_prompt())
@@ -273,8 +285,14 @@
     return false;
 }
 
-void exchange::enqueue()
+void exchange::wait_for_place()
 {
+    if (is_limited_beyond_deadline())
+    {
+        fail(result_code::upstream_overloaded,
+             "the limits that all upstreams have named leave no room in time");
+        return;
+    }
     domain::waiting_request waiting;
     waiting.id = m_context.exchange_id;
     waiting.service = m_service;
--- a/libraries/drivers/exchange/exchange_attempts.cpp
+++ b/libraries/drivers/exchange/exchange_attempts.cpp
@@ -47,6 +47,8 @@
                         ? m_state.settings.max_idle_repeatable
                         : m_state.settings.max_idle_non_repeatable;
 
+    m_state.rate_limits.note_sent(
+        domain::incarnation_of(chosen_placement.upstream), now);
     m_state.load_balancer.note_sent(chosen_placement,
                                     m_context.parsed_request.prompt
                                         ? &*m_context.parsed_request.prompt
@@ -112,7 +114,7 @@
         abort_response("no upstream has a free slot to resume the stream");
         return;
     }
-    enqueue();
+    wait_for_place();
 }
 
 void exchange::on_not_connected()
--- a/libraries/drivers/exchange/fleet_view.hpp
+++ b/libraries/drivers/exchange/fleet_view.hpp
@@ -1,15 +1,14 @@
 #pragma once
 
-#include "libraries/domain/crashing_parts/suspect_part.hpp"
 #include "libraries/domain/membership/router_ranking.hpp"
 #include "libraries/domain/placement/upstream_load_balancer.hpp"
+#include "libraries/domain/placement/upstream_observations.hpp"
 #include "libraries/ports/clock.hpp"
 
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
-#include <vector>
 
 namespace turmeric::drivers
 {
@@ -91,8 +90,7 @@
     std::map<std::string, account_token_demand> accounts;
     /// Number of requests in flight.
     std::int64_t in_flight = 0;
-    /// Prompt parts under which upstreams have ended.
-    std::vector<domain::suspect_part> suspect_parts;
+    domain::upstream_observations observations;
 };
 
 } // namespace turmeric::drivers
--- a/libraries/drivers/exchange/traffic_dispatcher.cpp
+++ b/libraries/drivers/exchange/traffic_dispatcher.cpp
@@ -164,6 +164,12 @@
     {
         m_state.dependencies.transport.close_idle_connections(removed.address);
     }
+    std::set<std::uint64_t> incarnations;
+    for (const domain::upstream_entry& entry : entries)
+    {
+        incarnations.insert(domain::incarnation_of(entry));
+    }
+    m_state.rate_limits.keep_only(incarnations);
     m_state.place_all_queued_requests();
 }
 
@@ -175,6 +181,7 @@
                                         m_state.fleet.routers);
     m_state.retry_limiter.set_routers(
         std::max<std::int64_t>(1, m_state.fleet.routers));
+    m_state.rate_limits.set_routers(m_state.fleet.ranking);
     m_state.crashing_parts.set_routers(m_state.fleet.ranking);
     m_state.crashing_parts.forget_unseen(
         m_state.dependencies.clock.steady_now());
@@ -193,11 +200,12 @@
     m_state.place_all_queued_requests();
 }
 
-void traffic_dispatcher::merge_suspect_parts(
-    const std::vector<domain::suspect_part>& parts)
+void traffic_dispatcher::merge_observations(
+    const domain::upstream_observations& observations)
 {
+    m_state.rate_limits.merge(observations.rate_limits);
     const std::size_t blocked = m_state.crashing_parts.blocked_count();
-    m_state.crashing_parts.merge(parts);
+    m_state.crashing_parts.merge(observations.suspect_parts);
     m_state.log_blocked_parts(blocked);
 }
 
@@ -238,8 +246,9 @@
     traffic_digest current;
     current.load = m_state.load_balancer.own_load();
     current.in_flight = static_cast<std::int64_t>(m_state.exchanges.size());
-    current.suspect_parts =
-        m_state.crashing_parts.report(m_state.dependencies.clock.steady_now());
+    const ports::steady_time now = m_state.dependencies.clock.steady_now();
+    current.observations.suspect_parts = m_state.crashing_parts.report(now);
+    current.observations.rate_limits = m_state.rate_limits.report(now);
     for (const auto& [account, balance] : m_state.ledger.balances())
     {
         const auto released_tokens = m_state.released_tokens.find(account);
--- a/libraries/drivers/exchange/traffic_dispatcher.hpp
+++ b/libraries/drivers/exchange/traffic_dispatcher.hpp
@@ -40,8 +40,8 @@
     /// Updates the state of the other routers, the store and the grants.
     void set_fleet(fleet_view view);
 
-    /// Adds the prompt parts that a peer suspects to crash upstreams.
-    void merge_suspect_parts(const std::vector<domain::suspect_part>& parts);
+    /// Adds what a peer has observed of the upstreams.
+    void merge_observations(const domain::upstream_observations& observations);
 
     /// Sets the rate limits of retries. The counts start from zero if the
     /// limits have changed.
--- a/libraries/drivers/exchange/traffic_state.cpp
+++ b/libraries/drivers/exchange/traffic_state.cpp
@@ -1,6 +1,5 @@
 #include "libraries/drivers/exchange/traffic_state.hpp"
 
-#include "libraries/domain/digest.hpp"
 #include "libraries/drivers/exchange/exchange.hpp"
 
 #include <utility>
@@ -147,10 +146,8 @@
     const domain::upstream_entry& ended)
 {
     const std::size_t blocked = crashing_parts.blocked_count();
-    const std::uint64_t incarnation =
-        domain::digest_of(ended.id, static_cast<std::uint64_t>(ended.born));
     const bool is_repeated = crashing_parts.record_end(
-        prompt, incarnation, dependencies.clock.steady_now());
+        prompt, domain::incarnation_of(ended), dependencies.clock.steady_now());
     log_blocked_parts(blocked);
     if (is_repeated && suspicion_handler)
     {
--- a/libraries/drivers/exchange/traffic_state.hpp
+++ b/libraries/drivers/exchange/traffic_state.hpp
@@ -4,6 +4,7 @@
 #include "libraries/domain/admission/slot_queue.hpp"
 #include "libraries/domain/callers/route_table.hpp"
 #include "libraries/domain/crashing_parts/crashing_part_detector.hpp"
+#include "libraries/domain/placement/named_rate_limits.hpp"
 #include "libraries/domain/placement/upstream_load_balancer.hpp"
 #include "libraries/domain/prepaid/outage_pacer.hpp"
 #include "libraries/domain/prepaid/prepaid_ledger.hpp"
@@ -113,6 +114,7 @@
     domain::slot_queue queue;
     domain::retry_rate_limiter retry_limiter;
     domain::crashing_part_detector crashing_parts;
+    domain::named_rate_limits rate_limits;
     fleet_view fleet;
     /// By exchange id.
     std::map<std::uint64_t, std::shared_ptr<exchange>> exchanges;
--- a/libraries/drivers/exchange/upstream_attempt.cpp
+++ b/libraries/drivers/exchange/upstream_attempt.cpp
@@ -136,9 +136,9 @@
         return;
     }
     m_head = head;
-    record_rate_limit(head);
     const response_classification classification =
         m_state.dependencies.dialect.classify_response(head);
+    record_rate_limit(head, classification.is_success);
     const bool is_stream =
         owner->m_context.route->kind == domain::request_kind::streaming;
     if (classification.is_not_executed)
@@ -155,7 +155,8 @@
     }
 }
 
-void upstream_attempt::record_rate_limit(const ports::response_head& head)
+void upstream_attempt::record_rate_limit(const ports::response_head& head,
+                                         bool is_success)
 {
     const result<std::optional<double>> limit =
         m_state.dependencies.dialect.read_rate_limit(head);
@@ -172,14 +173,30 @@
                                         {"reason", limit.failure().detail}});
         return;
     }
-    if (limit.value())
+    const std::optional<double>& per_second = limit.value();
+    if (!per_second && !is_success)
+    {
+        return;
+    }
+    if (per_second)
     {
         m_state.dependencies.metrics.rate_limits
             .with_labels({upstream.service, "read"})
             .add();
+    }
+    const std::uint64_t incarnation = domain::incarnation_of(upstream);
+    const bool is_changed = m_state.rate_limits.record_response(
+        incarnation, per_second, m_sent_at,
+        m_state.dependencies.clock.steady_now());
+    if (is_changed)
+    {
+        constexpr double unlimited = -1;
         m_state.dependencies.log.write(
-            log_level::info, log_event::rate_limit_named,
-            {{"upstream", upstream.id}, {"limit", *limit.value()}});
+            log_level::info, log_event::rate_limit_changed,
+            {{"upstream", upstream.id},
+             {"limit", per_second.value_or(unlimited)},
+             {"own_rate",
+              m_state.rate_limits.own_rate(incarnation).value_or(unlimited)}});
     }
 }
 
--- a/libraries/drivers/exchange/upstream_attempt.hpp
+++ b/libraries/drivers/exchange/upstream_attempt.hpp
@@ -87,7 +87,8 @@
     /// Returns whether the response has not begun, or only just.
     [[nodiscard]] bool is_beginning() const;
     /// Reads the limit that the upstream names in its response, if any.
-    void record_rate_limit(const ports::response_head& head);
+    /// `is_success` is whether the response shows that it names none.
+    void record_rate_limit(const ports::response_head& head, bool is_success);
     /// Logs how far the response was when the connection ended.
     void log_broken_call(const exchange& owner,
                          ports::transport_failure failure) const;
--- a/libraries/drivers/fleet/fleet_control.cpp
+++ b/libraries/drivers/fleet/fleet_control.cpp
@@ -100,7 +100,7 @@
     digest.is_store_unavailable = store_unavailable_since().has_value();
     digest.load = traffic.load;
     digest.accounts = m_tokens.report(traffic);
-    digest.suspect_parts = traffic.suspect_parts;
+    digest.observations = traffic.observations;
     const std::string bytes =
         codecs::write_digest(digest, m_dependencies.clock.steady_now());
     for (const std::string& address : m_peers.peer_addresses())
@@ -118,10 +118,10 @@
     result<codecs::peer_digest> digest = codecs::read_digest(bytes, now);
     if (digest)
     {
-        if (!digest.value().suspect_parts.empty())
+        if (!digest.value().observations.empty())
         {
-            m_dependencies.traffic.merge_suspect_parts(
-                std::move(digest.value().suspect_parts));
+            m_dependencies.traffic.merge_observations(
+                std::exchange(digest.value().observations, {}));
         }
         m_peers.apply_digest(std::move(digest.value()), now);
         return;
--- a/libraries/drivers/fleet/traffic_link.hpp
+++ b/libraries/drivers/fleet/traffic_link.hpp
@@ -33,9 +33,9 @@
     /// Sets the latest state of the store's grants and of the other routers.
     virtual void set_fleet(fleet_view view) = 0;
 
-    /// Adds the prompt parts that a peer suspects to crash upstreams.
+    /// Adds what a peer has observed of the upstreams.
     virtual void
-    merge_suspect_parts(std::vector<domain::suspect_part> parts) = 0;
+    merge_observations(domain::upstream_observations observations) = 0;
 
     /// Calls `done` on the control thread with a digest of the traffic thread's
     /// state.
--- a/services/entry/thread_link.cpp
+++ b/services/entry/thread_link.cpp
@@ -10,7 +10,7 @@
 namespace
 {
 
-constexpr std::size_t max_pending_suspects = 1'024;
+constexpr std::size_t max_pending_observations = 128;
 
 } // namespace
 
@@ -48,14 +48,13 @@
     schedule_delivery();
 }
 
-void thread_link::merge_suspect_parts(std::vector<domain::suspect_part> parts)
+void thread_link::merge_observations(domain::upstream_observations observations)
 {
     const std::lock_guard<std::mutex> lock(m_mutex);
-    // Peers repeat their suspects, so those that do not fit come again.
-    if (m_pending.suspect_parts.size() < max_pending_suspects)
+    // Peers repeat their observations, so those that do not fit come again.
+    if (m_pending.observations.size() < max_pending_observations)
     {
-        m_pending.suspect_parts.insert(m_pending.suspect_parts.end(),
-                                       parts.begin(), parts.end());
+        m_pending.observations.push_back(std::move(observations));
         schedule_delivery();
     }
 }
@@ -137,9 +136,9 @@
     {
         m_dispatcher->set_fleet(std::move(*updates.fleet));
     }
-    if (!updates.suspect_parts.empty())
+    for (const domain::upstream_observations& one : updates.observations)
     {
-        m_dispatcher->merge_suspect_parts(updates.suspect_parts);
+        m_dispatcher->merge_observations(one);
     }
     if (updates.digest_callbacks.empty())
     {
--- a/services/entry/thread_link.hpp
+++ b/services/entry/thread_link.hpp
@@ -32,7 +32,8 @@
     void set_routes(std::shared_ptr<const domain::route_table> routes) override;
     void set_upstreams(std::vector<domain::upstream_entry> entries) override;
     void set_fleet(drivers::fleet_view view) override;
-    void merge_suspect_parts(std::vector<domain::suspect_part> parts) override;
+    void
+    merge_observations(domain::upstream_observations observations) override;
     void
     request_digest(std::function<void(drivers::traffic_digest)> done) override;
     void release(const std::string& account, std::int64_t requested,
@@ -49,7 +50,7 @@
         std::shared_ptr<const domain::route_table> routes;
         std::optional<std::vector<domain::upstream_entry>> upstreams;
         std::optional<drivers::fleet_view> fleet;
-        std::vector<domain::suspect_part> suspect_parts;
+        std::vector<domain::upstream_observations> observations;
         std::vector<std::function<void(drivers::traffic_digest)>>
             digest_callbacks;
     };
--- a/tests/exchange/exchange_test.cpp
+++ b/tests/exchange/exchange_test.cpp
@@ -312,6 +312,41 @@
     }
 }
 
+TEST(exchange_group, requests_beyond_the_limits_of_all_upstreams_are_refused)
+{
+    for (int upstream = 0; upstream < 3; ++upstream)
+    {
+        fixture.send_request("read");
+    }
+    for (std::size_t call = 0; call < 3; ++call)
+    {
+        fixture.call(call).head(
+            200, {{"X-Server-Stamp", "s"}, {"Server-Limit", "0.5"}});
+        fixture.call(call).end();
+    }
+    const auto refused = fixture.send_request("read");
+    LONGS_EQUAL(503, refused->status);
+    CHECK(refused->body.find("\"code\":4004") != std::string::npos);
+    CHECK(refused->body.find("not_run") != std::string::npos);
+    CHECK(refused->has("Retry-After"));
+    fixture.timers.advance(2s);
+    fixture.send_request("read");
+    LONGS_EQUAL(4, fixture.call_count());
+}
+
+TEST(exchange_group, requests_go_to_upstreams_that_name_no_limit)
+{
+    fixture.send_request("read");
+    answer_with_limit(fixture, "0.1");
+    const std::string limited = fixture.call(0).sent.address;
+    for (int request = 0; request < 6; ++request)
+    {
+        fixture.send_request("read");
+        CHECK(fixture.call(fixture.call_count() - 1).sent.address != limited);
+    }
+    LONGS_EQUAL(7, fixture.call_count());
+}
+
 TEST_GROUP(blocked_prompt_group)
 {
     exchange_fixture fixture;
@@ -373,7 +408,7 @@
     blocked.id = 0xdead;
     blocked.ends = {{1, now - 3s}, {2, now - 2s}, {3, now - 1s}};
     blocked.last_seen = now;
-    fixture.dispatcher.merge_suspect_parts({blocked});
+    fixture.dispatcher.merge_observations({{blocked}, {}});
     fixture.call(0).fail(broken);
     LONGS_EQUAL(503, waiting->status);
     LONGS_EQUAL(4, fixture.call_count());
--- a/tests/fleet/peer_table_test.cpp
+++ b/tests/fleet/peer_table_test.cpp
@@ -21,12 +21,15 @@
     digest.is_store_unavailable = true;
     digest.load["u1"] = {2, 900};
     digest.accounts["acme"] = {10, 20, 30, 4};
-    digest.suspect_parts.push_back(
+    digest.observations.suspect_parts.push_back(
         {0xdead,
          {{17, ports::steady_time(97s)}, {18, ports::steady_time(98s)}},
          ports::steady_time(96s),
          ports::steady_time(99s),
          1});
+    digest.observations.rate_limits = {
+        {21, 2.4, ports::steady_time(95s)},
+        {22, std::nullopt, ports::steady_time(96s)}};
     return digest;
 }
 
@@ -60,13 +63,19 @@
     LONGS_EQUAL(900, digest.load.at("u1").unread_tokens);
     LONGS_EQUAL(30, digest.accounts.at("acme").free);
     LONGS_EQUAL(4, digest.accounts.at("acme").rate);
-    const domain::suspect_part& suspect = digest.suspect_parts.at(0);
+    const domain::suspect_part& suspect =
+        digest.observations.suspect_parts.at(0);
     LONGS_EQUAL(0xdead, suspect.id);
     LONGS_EQUAL(18, suspect.ends.at(1).incarnation);
     CHECK(suspect.ends.at(1).at == ports::steady_time(98s));
     CHECK(suspect.cleared_at == ports::steady_time(96s));
     CHECK(suspect.last_seen == ports::steady_time(99s));
     LONGS_EQUAL(1, suspect.trials);
+    const std::vector<domain::named_rate_limit>& limits =
+        digest.observations.rate_limits;
+    CHECK(limits.at(0).per_second == 2.4);
+    CHECK(limits.at(0).observed_at == ports::steady_time(95s));
+    CHECK(limits.at(1).per_second == std::nullopt);
 }
 
 TEST(peer_table_group, a_damaged_digest_is_rejected)
--- a/tests/fleet_scale/simulated_fleet.hpp
+++ b/tests/fleet_scale/simulated_fleet.hpp
@@ -42,7 +42,7 @@
 
     void set_upstreams(std::vector<domain::upstream_entry>) override {}
 
-    void merge_suspect_parts(std::vector<domain::suspect_part>) override {}
+    void merge_observations(domain::upstream_observations) override {}
 
     void set_fleet(drivers::fleet_view view) override
     {
--- a/tests/limit_named_by_upstreams/limit_named_by_upstreams_test.cpp
+++ b/tests/limit_named_by_upstreams/limit_named_by_upstreams_test.cpp
@@ -140,7 +140,7 @@
     check_limit(grown_fleet, "2.4", lost_percent);
 }
 
-TEST(limit_named_by_upstreams_group, a_limited_upstream_gets_what_it_takes)
+TEST(limit_named_by_upstreams_group, limited_upstreams_get_what_they_take)
 {
     // A share of the limit for each router would be below one request.
     constexpr double limit = 2.4;
@@ -150,13 +150,24 @@
     {
         traffic_fleet fleet(played.size);
         fleet.start();
-        fleet.upstreams().name_limit(0, "2.4");
+        for (std::size_t one = 0; one < played.size.upstreams; ++one)
+        {
+            fleet.upstreams().name_limit(one, "2.4");
+        }
         fleet.play(6s);
         const ports::steady_time from = fleet.now();
         fleet.play(10s);
-        CHECK_COMPARE(
-            static_cast<double>(count_arrivals(fleet.upstreams(), 0, from)), >=,
-            min_used_fraction * limit * seconds);
+        std::int64_t arrivals = 0;
+        for (std::size_t one = 0; one < played.size.upstreams; ++one)
+        {
+            arrivals += count_arrivals(fleet.upstreams(), one, from);
+            CHECK_COMPARE(static_cast<double>(count_in_worst_window(
+                              fleet.upstreams(), one, from)),
+                          <=, allowed_in_window(limit));
+        }
+        const double taken = limit * seconds * played.size.upstreams;
+        CHECK_COMPARE(static_cast<double>(arrivals), >=,
+                      min_used_fraction * taken);
     }
 }
 
--- a/tests/simulation/traffic_fleet.cpp
+++ b/tests/simulation/traffic_fleet.cpp
@@ -92,9 +92,9 @@
         m_dispatcher.set_fleet(std::move(view));
     }
 
-    void merge_suspect_parts(std::vector<domain::suspect_part> parts) override
+    void merge_observations(domain::upstream_observations observations) override
     {
-        m_dispatcher.merge_suspect_parts(parts);
+        m_dispatcher.merge_observations(observations);
     }
 
     void
