Blocked parts: Keep blocked prompt parts in the store

What callers would have seen: after all routers restarted at the same moment, engines crashed again under a part that had been blocked.

Cause: the block was known to the routers alone, and a loss of all VMs must be borne.

Change: drivers/fleet/blocked_part_store. The router that ranks first for a part writes a key when it is blocked, again each half hour while it is, and deletes it when it is not; a router reads the keys once, when it starts. Two calls a part in half an hour and one a start. The simulation can kill routers, one or all at once.

--- a/libraries/drivers/fleet/fleet_control.cpp
+++ b/libraries/drivers/fleet/fleet_control.cpp
@@ -41,6 +41,8 @@
                 m_dependencies.traffic, m_dependencies.log},
                m_peers, m_self.incarnation,
                [this] { return store_unavailable_since().has_value(); })
+    , m_blocked_parts(m_dependencies.store, m_dependencies.timers,
+                      m_dependencies.clock, m_dependencies.log)
 {
 }
 
@@ -56,6 +58,10 @@
                      { on_members(members); });
     m_peers.set_members({m_self}, m_dependencies.clock.steady_now());
     m_tokens.start([this] { update_traffic(); });
+    m_blocked_parts.load(
+        [this](std::vector<domain::suspect_part> blocked) {
+            m_dependencies.traffic.merge_observations({std::move(blocked), {}});
+        });
     m_dependencies.peers.receive([this](std::string_view bytes)
                                  { on_datagram(bytes); });
     tick();
@@ -107,6 +113,7 @@
     {
         m_dependencies.peers.send(address, bytes);
     }
+    m_blocked_parts.update(traffic.observations.suspect_parts, ranking());
     m_tokens.adjust(traffic);
     request_configuration_from_peer();
     update_traffic();
@@ -250,12 +257,17 @@
     return since ? since : m_upstreams.unavailable_since();
 }
 
+domain::router_ranking fleet_control::ranking() const
+{
+    return {m_self.incarnation,
+            m_peers.live_peers(m_dependencies.clock.steady_now())};
+}
+
 void fleet_control::update_traffic()
 {
     const ports::steady_time now = m_dependencies.clock.steady_now();
     fleet_view view = m_peers.view(now);
-    view.ranking =
-        domain::router_ranking(m_self.incarnation, m_peers.live_peers(now));
+    view.ranking = ranking();
     view.store_unavailable_since = store_unavailable_since();
     m_tokens.add_accounts(view);
     m_dependencies.traffic.set_fleet(std::move(view));
--- a/libraries/drivers/fleet/fleet_control.hpp
+++ b/libraries/drivers/fleet/fleet_control.hpp
@@ -3,6 +3,7 @@
 #include "libraries/core/logger.hpp"
 #include "libraries/domain/callers/route_table.hpp"
 #include "libraries/drivers/exchange/fleet_view.hpp"
+#include "libraries/drivers/fleet/blocked_part_store.hpp"
 #include "libraries/drivers/fleet/document_formats.hpp"
 #include "libraries/drivers/fleet/fleet_member.hpp"
 #include "libraries/drivers/fleet/member_registry.hpp"
@@ -105,6 +106,8 @@
     /// responds.
     [[nodiscard]] std::optional<ports::steady_time>
     store_unavailable_since() const;
+    /// Returns the routers with a recent report that are not leaving.
+    [[nodiscard]] domain::router_ranking ranking() const;
     /// Passes the state of the fleet to the traffic thread.
     void update_traffic();
 
@@ -116,6 +119,7 @@
     member_registry m_registry;
     peer_table m_peers;
     token_control m_tokens;
+    blocked_part_store m_blocked_parts;
     std::shared_ptr<const domain::route_table> m_routes;
     std::string m_configuration_text;
     std::unique_ptr<ports::timer> m_timer;
--- a/tests/budget_crashing_prompts/budget_crashing_prompts_test.cpp
+++ b/tests/budget_crashing_prompts/budget_crashing_prompts_test.cpp
@@ -100,6 +100,38 @@
     LONGS_EQUAL(crashes, fleet.upstreams().crashes.size());
 }
 
+TEST(budget_crashing_prompts_group, a_part_stays_blocked_when_all_restart)
+{
+    traffic_fleet fleet(small_fleet.size);
+    fleet.start();
+    fleet.play(8s, crashing_percent);
+    const std::size_t crashes = fleet.upstreams().crashes.size();
+    fleet.restart_all_routers();
+    fleet.play(4s, crashing_percent);
+    LONGS_EQUAL(crashes, fleet.upstreams().crashes.size());
+}
+
+TEST(budget_crashing_prompts_group, an_outage_of_all_upstreams_blocks_no_part)
+{
+    for (const fleet_case& played : {small_fleet, grown_fleet})
+    {
+        traffic_fleet fleet(played.size);
+        fleet.start();
+        fleet.play(1s);
+        for (int round = 0; round < 20; ++round)
+        {
+            for (std::size_t one = 0; one < played.size.upstreams; ++one)
+            {
+                fleet.upstreams().crash(one);
+            }
+            fleet.play(100ms);
+        }
+        fleet.play(3s);
+        const caller_outcomes outcomes = fleet.play(3s);
+        CHECK_COMPARE(outcomes.complete_fraction(), >, 0.95);
+    }
+}
+
 TEST(budget_crashing_prompts_group, upstreams_that_end_at_once_block_no_part)
 {
     for (const fleet_case& played : {small_fleet, grown_fleet})
--- a/tests/fleet_scale/delayed_network.hpp
+++ b/tests/fleet_scale/delayed_network.hpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -25,11 +26,13 @@
     {
     }
 
-    void send(const std::string& address, const std::string& bytes)
+    void send(const std::string& sender, const std::string& address,
+              const std::string& bytes)
     {
         ++sent;
         const auto receiver = m_receivers.find(address);
-        if (receiver == m_receivers.end() || is_drawn(lost_percent))
+        if (receiver == m_receivers.end() || m_disconnected.count(sender) > 0 ||
+            m_disconnected.count(address) > 0 || is_drawn(lost_percent))
         {
             return;
         }
@@ -42,6 +45,12 @@
         }
     }
 
+    /// Loses all further datagrams from and to an address.
+    void disconnect(const std::string& address)
+    {
+        m_disconnected.insert(address);
+    }
+
     void receive(const std::string& address,
                  std::function<void(std::string_view)> received)
     {
@@ -65,6 +74,7 @@
     event_queue& m_events;
     fakes::seeded_random& m_random;
     std::map<std::string, std::function<void(std::string_view)>> m_receivers;
+    std::set<std::string> m_disconnected;
 };
 
 /// One router's link to the network.
@@ -79,7 +89,7 @@
 
     void send(const std::string& address, const std::string& bytes) override
     {
-        m_network.send(address, bytes);
+        m_network.send(m_address, address, bytes);
     }
 
     void receive(std::function<void(std::string_view)> received) override
--- a/tests/simulation/traffic_fleet.cpp
+++ b/tests/simulation/traffic_fleet.cpp
@@ -137,8 +137,9 @@
 class traffic_fleet::router
 {
 public:
-    router(traffic_fleet& fleet, const std::string& name, int number)
-        : store(fleet.m_store, fleet.m_events)
+    router(traffic_fleet& fleet, const std::string& the_name, int number)
+        : name(the_name)
+        , store(fleet.m_store, fleet.m_events)
         , transport(fleet.m_upstreams, number)
         , traffic_metrics(registry)
         , dispatcher({fleet.m_clock, fleet.m_events, transport, fleet.m_random,
@@ -168,6 +169,7 @@
         return made;
     }
 
+    const std::string name;
     delayed_store store;
     simulated_transport transport;
     platform::platform_dialect dialect;
@@ -265,19 +267,44 @@
                              std::make_shared<counting_channel>(outcomes));
 }
 
-void traffic_fleet::restart_router(std::size_t number)
+void traffic_fleet::kill_router(std::size_t number)
 {
-    const std::string name = "router-" + std::to_string(number) + "-" +
-                             std::to_string(m_stopped_routers.size() + 1);
     m_stopped_routers.push_back(std::move(m_routers[number]));
-    m_stopped_routers.back()->control.leave();
+    router& killed = *m_stopped_routers.back();
+    killed.store.is_cut = true;
+    m_network.disconnect(killed.name);
+}
+
+void traffic_fleet::replace_router(std::size_t number)
+{
+    const std::string name = "router-" + std::to_string(number) + "-" +
+                             std::to_string(m_stopped_routers.size());
     m_routers[number] =
         std::make_unique<router>(*this, name, static_cast<int>(number));
     m_routers[number]->control.start();
+}
+
+void traffic_fleet::restart_router(std::size_t number)
+{
+    kill_router(number);
+    replace_router(number);
     // The directory lists a router only once it is ready.
     m_events.run_for(1s);
 }
 
+void traffic_fleet::restart_all_routers()
+{
+    for (std::size_t number = 0; number < m_routers.size(); ++number)
+    {
+        kill_router(number);
+    }
+    for (std::size_t number = 0; number < m_routers.size(); ++number)
+    {
+        replace_router(number);
+    }
+    m_events.run_for(1s);
+}
+
 void traffic_fleet::lose_datagrams(std::uint64_t percent)
 {
     m_network.lost_percent = percent;
--- a/tests/simulation/traffic_fleet.hpp
+++ b/tests/simulation/traffic_fleet.hpp
@@ -56,6 +56,9 @@
     /// Replaces a router by one that has just started.
     void restart_router(std::size_t number);
 
+    /// Replaces all routers at the same moment, so that what they knew is lost.
+    void restart_all_routers();
+
     /// Loses datagrams from now on.
     void lose_datagrams(std::uint64_t percent);
 
@@ -72,6 +75,9 @@
     class router;
 
     void add_router(const std::string& name, int number);
+    /// Cuts a router off for good, as when its process is killed.
+    void kill_router(std::size_t number);
+    void replace_router(std::size_t number);
     void answer_watches();
     void start_requests();
     void send_request();
