Build: Treat warnings as errors only in the project's own builds

Cause: -DCMAKE_BUILD_TYPE=Release, a packager's first try, did not build: g++ 12 warns (-Wrestrict) inside valijson's headers, and all warnings were errors.

Change: warnings are errors with TURMERIC_WARNINGS_AS_ERRORS, which meta/build.sh sets.

--- a/meta/build.sh
+++ b/meta/build.sh
@@ -10,5 +10,5 @@
 export CCACHE_BASEDIR=$PWD CCACHE_NOHASHDIR=1
 jobs=${TURMERIC_JOBS:-$(nproc)}
 cmake -S . -B "$folder" -G Ninja -DTURMERIC_SANITIZE="$sanitizers" \
-    --log-level=WARNING >/dev/null
+    -DTURMERIC_WARNINGS_AS_ERRORS=ON --log-level=WARNING >/dev/null
 cmake --build "$folder" -j "$jobs" ${1:+--target "$@"}
