Placement, exchange: Split files that had grown, share the test fleets

Cause: upstream_attempt.cpp, upstream_load_balancer.cpp and crashing_part_detector.cpp each had two jobs, exchange_test.cpp three, and two tests declared the same fleets.

Change, no behaviour: what an attempt observes of its upstream, what the load balancer learns from outcomes, and the history of a suspect part stand in files of their own; the exchange tests are three files over one fixture; the fleets are in tests/simulation/fleet_cases.hpp.

--- a/libraries/domain/crashing_parts/crashing_part_detector.cpp
+++ b/libraries/domain/crashing_parts/crashing_part_detector.cpp
@@ -10,12 +10,6 @@
 namespace
 {
 
-/// Ends of upstreams that are closer count as one, because a common cause ends
-/// several upstreams at about the same time.
-constexpr std::chrono::milliseconds min_end_distance{500};
-constexpr std::size_t ends_to_block = 3;
-/// More ends add nothing to the verdict.
-constexpr std::size_t max_ends = 4;
 /// Parts of one prompt that become suspects; callers choose their number.
 constexpr std::size_t max_parts_per_prompt = 256;
 constexpr std::size_t max_suspects = 512;
@@ -49,56 +43,6 @@
            std::pair(right.ends.size(), right.last_seen);
 }
 
-/// Returns whether `later` was at a time of its own.
-bool is_separate(const observed_end& earlier, const observed_end& later)
-{
-    return later.incarnation != earlier.incarnation &&
-           later.at - earlier.at >= min_end_distance &&
-           later.output_at > earlier.at;
-}
-
-/// Adds an end unless it is cleared, known, or not at a time of its own.
-bool add_end(suspect_part& suspect, const observed_end& added)
-{
-    const bool is_cleared =
-        suspect.cleared_at && added.at <= *suspect.cleared_at;
-    if (is_cleared || suspect.ends.size() >= max_ends)
-    {
-        return false;
-    }
-    for (const observed_end& known : suspect.ends)
-    {
-        const bool is_own_time = known.at <= added.at
-                                     ? is_separate(known, added)
-                                     : is_separate(added, known);
-        if (!is_own_time)
-        {
-            return false;
-        }
-    }
-    const auto position =
-        std::upper_bound(suspect.ends.begin(), suspect.ends.end(), added,
-                         [](const observed_end& left, const observed_end& right)
-                         { return left.at < right.at; });
-    suspect.ends.insert(position, added);
-    return true;
-}
-
-/// Drops the ends until `cleared_at`. Returns whether there were any.
-bool clear_until(suspect_part& suspect, ports::steady_time cleared_at)
-{
-    suspect.cleared_at =
-        std::max(suspect.cleared_at.value_or(cleared_at), cleared_at);
-    const std::size_t erased =
-        std::erase_if(suspect.ends, [&](const observed_end& one)
-                      { return one.at <= *suspect.cleared_at; });
-    if (!crashing_part_detector::is_blocked(suspect))
-    {
-        suspect.trials = 0;
-    }
-    return erased > 0;
-}
-
 } // namespace
 
 void crashing_part_detector::set_routers(const router_ranking& routers)
@@ -248,7 +192,7 @@
     }
     suspect_part& suspect = m_suspects[worst->id].part;
     suspect.last_seen = std::max(suspect.last_seen, now);
-    if (!crashing_part_detector::is_blocked(suspect))
+    if (!is_part_blocked(suspect))
     {
         return part_verdict::allowed;
     }
@@ -263,7 +207,7 @@
 bool crashing_part_detector::is_blocked(const prompt_description& prompt) const
 {
     const suspect_part* worst = find_worst(prompt);
-    return worst != nullptr && is_blocked(*worst);
+    return worst != nullptr && is_part_blocked(*worst);
 }
 
 bool crashing_part_detector::may_retry(const prompt_description& prompt) const
@@ -277,7 +221,7 @@
     std::vector<suspect_part> reported;
     for (const auto& [id, suspect] : m_suspects)
     {
-        if (is_blocked(suspect.part) ||
+        if (is_part_blocked(suspect.part) ||
             now - suspect.observed_at <= observation_report_time)
         {
             reported.push_back(suspect.part);
@@ -310,10 +254,9 @@
                       const suspect_part& suspect = entry.second.part;
                       const bool is_reported = now - entry.second.observed_at <=
                                                observation_report_time;
-                      const auto retention =
-                          crashing_part_detector::is_blocked(suspect)
-                              ? block_retention
-                              : suspect_retention;
+                      const auto retention = is_part_blocked(suspect)
+                                                 ? block_retention
+                                                 : suspect_retention;
                       return (suspect.ends.empty() && !is_reported) ||
                              now - suspect.last_seen > retention;
                   });
@@ -331,31 +274,11 @@
     }
 }
 
-bool crashing_part_detector::is_blocked(const suspect_part& suspect)
-{
-    return suspect.ends.size() >= ends_to_block;
-}
-
-suspect_part crashing_part_detector::make_blocked(std::uint64_t id,
-                                                  ports::steady_time now)
-{
-    suspect_part blocked;
-    blocked.id = id;
-    blocked.last_seen = now;
-    for (std::size_t end = 0; end < ends_to_block; ++end)
-    {
-        const ports::steady_time at =
-            now - min_end_distance * (ends_to_block - 1 - end);
-        blocked.ends.push_back({end, at, at});
-    }
-    return blocked;
-}
-
 std::size_t crashing_part_detector::blocked_count() const
 {
     return static_cast<std::size_t>(std::count_if(
         m_suspects.begin(), m_suspects.end(),
-        [](const auto& entry) { return is_blocked(entry.second.part); }));
+        [](const auto& entry) { return is_part_blocked(entry.second.part); }));
 }
 
 } // namespace turmeric::domain
--- a/libraries/domain/crashing_parts/crashing_part_detector.hpp
+++ b/libraries/domain/crashing_parts/crashing_part_detector.hpp
@@ -83,14 +83,6 @@
     /// Forgets the parts that were cleared, or that no request had for long.
     void forget_unseen(ports::steady_time now);
 
-    /// Returns whether a part is blocked. Thread safe.
-    [[nodiscard]] static bool is_blocked(const suspect_part& suspect);
-
-    /// Returns a part that is blocked from `now` on, for a part that was known
-    /// as blocked before. Thread safe.
-    [[nodiscard]] static suspect_part make_blocked(std::uint64_t id,
-                                                   ports::steady_time now);
-
     /// Returns the number of blocked parts.
     [[nodiscard]] std::size_t blocked_count() const;
 
--- a/libraries/domain/crashing_parts/suspect_part.hpp
+++ b/libraries/domain/crashing_parts/suspect_part.hpp
@@ -40,4 +40,20 @@
     std::int32_t trials = 0;
 };
 
+/// Adds an end unless it is cleared, known, or not at a time of its own.
+/// Returns whether it was added. Not thread safe.
+bool add_end(suspect_part& suspect, const observed_end& added);
+
+/// Drops the ends until `cleared_at`. Returns whether there were any. Not
+/// thread safe.
+bool clear_until(suspect_part& suspect, ports::steady_time cleared_at);
+
+/// Returns whether requests with a part are to be refused. Thread safe.
+[[nodiscard]] bool is_part_blocked(const suspect_part& suspect);
+
+/// Returns a part that is blocked from `now` on, for a part that was known as
+/// blocked before. Thread safe.
+[[nodiscard]] suspect_part make_blocked_part(std::uint64_t id,
+                                             ports::steady_time now);
+
 } // namespace turmeric::domain
--- a/libraries/drivers/exchange/upstream_attempt.hpp
+++ b/libraries/drivers/exchange/upstream_attempt.hpp
@@ -79,6 +79,8 @@
     /// the upstream. `is_success` is true also if the upstream states that it
     /// did not run the request.
     void record_outcome(bool is_success, std::string_view result);
+    // upstream_attempt_observations.cpp: what the response and its end tell of
+    // the upstream.
     /// Records the parts of the prompt as suspects if the upstream ended as it
     /// began this response.
     void record_upstream_end(const exchange& owner);
--- /dev/null
+++ b/libraries/drivers/exchange/upstream_attempt_observations.cpp
@@ -0,0 +1,132 @@
+#include "libraries/drivers/exchange/upstream_attempt.hpp"
+
+#include <fmt/format.h>
+#include <string>
+
+namespace turmeric::drivers
+{
+
+namespace
+{
+
+/// An upstream that crashes at a prompt does so within this time after the
+/// first output of its response.
+constexpr std::chrono::milliseconds beginning_time{250};
+
+/// Returns digests of the prompt's first parts without its last one, which is
+/// the request's own.
+std::string describe_shared_parts(const domain::prompt_description& prompt)
+{
+    constexpr std::size_t max_parts = 8;
+    constexpr std::size_t own_parts = 1;
+    std::string text;
+    for (std::size_t part = 0;
+         part < max_parts && part + own_parts < prompt.parts.size(); ++part)
+    {
+        text += text.empty() ? "" : ",";
+        text += fmt::format("{:x}", prompt.parts[part].id);
+    }
+    return text;
+}
+
+} // namespace
+
+void upstream_attempt::log_broken_call(const exchange& owner,
+                                       ports::transport_failure failure) const
+{
+    std::int64_t ms_since_output = -1;
+    if (m_output_since)
+    {
+        ms_since_output =
+            std::chrono::duration_cast<std::chrono::milliseconds>(
+                m_state.dependencies.clock.steady_now() - *m_output_since)
+                .count();
+    }
+    const domain::caller_request& request = owner.m_context.parsed_request;
+    m_state.dependencies.log.write(
+        log_level::warning, log_event::upstream_call_broken,
+        {{"request_id", request.id},
+         {"upstream", m_chosen_placement.upstream.id},
+         {"result", std::string(name_of(failure))},
+         {"has_head", m_head.has_value()},
+         {"ms_since_output", ms_since_output},
+         {"shared_parts", request.prompt
+                              ? describe_shared_parts(*request.prompt)
+                              : std::string()}});
+}
+
+bool upstream_attempt::is_beginning() const
+{
+    return !m_output_since ||
+           m_state.dependencies.clock.steady_now() - *m_output_since <
+               beginning_time;
+}
+
+void upstream_attempt::record_upstream_end(const exchange& owner)
+{
+    const std::optional<domain::prompt_description>& prompt =
+        owner.m_context.parsed_request.prompt;
+    if (prompt && is_beginning())
+    {
+        m_state.record_upstream_end(*prompt, m_chosen_placement.upstream);
+    }
+}
+
+void upstream_attempt::record_survived_beginning(const exchange& owner)
+{
+    const std::optional<domain::prompt_description>& prompt =
+        owner.m_context.parsed_request.prompt;
+    if (prompt && m_output_since && !m_has_survived_beginning)
+    {
+        m_has_survived_beginning = true;
+        m_state.crashing_parts.record_success(
+            *prompt, *m_output_since, m_state.dependencies.clock.steady_now());
+    }
+}
+
+void upstream_attempt::record_rate_limit(const ports::response_head& head,
+                                         bool is_success)
+{
+    const result<std::optional<double>> limit =
+        m_state.dependencies.dialect.read_rate_limit(head);
+    const domain::upstream_entry& upstream = m_chosen_placement.upstream;
+    if (!limit)
+    {
+        m_state.dependencies.metrics.rate_limits
+            .with_labels({upstream.service, "rejected"})
+            .add();
+        m_state.dependencies.log.write(log_level::warning,
+                                       log_event::rate_limit_rejected,
+                                       {{"upstream", upstream.id},
+                                        {"field", limit.failure().field},
+                                        {"reason", limit.failure().detail}});
+        return;
+    }
+    const std::optional<double>& per_second = limit.value();
+    if (!per_second && !is_success)
+    {
+        return;
+    }
+    if (per_second)
+    {
+        m_state.dependencies.metrics.rate_limits
+            .with_labels({upstream.service, "read"})
+            .add();
+    }
+    const std::uint64_t incarnation = domain::incarnation_of(upstream);
+    const bool is_changed = m_state.rate_limits.record_response(
+        incarnation, per_second, m_sent_at,
+        m_state.dependencies.clock.steady_now());
+    if (is_changed)
+    {
+        constexpr double unlimited = -1;
+        m_state.dependencies.log.write(
+            log_level::info, log_event::rate_limit_changed,
+            {{"upstream", upstream.id},
+             {"limit", per_second.value_or(unlimited)},
+             {"own_rate",
+              m_state.rate_limits.own_rate(incarnation).value_or(unlimited)}});
+    }
+}
+
+} // namespace turmeric::drivers
--- a/libraries/drivers/fleet/blocked_part_store.cpp
+++ b/libraries/drivers/fleet/blocked_part_store.cpp
@@ -1,7 +1,6 @@
 #include "libraries/drivers/fleet/blocked_part_store.hpp"
 
 #include "libraries/core/json.hpp"
-#include "libraries/domain/crashing_parts/crashing_part_detector.hpp"
 
 #include <charconv>
 #include <chrono>
@@ -152,8 +151,8 @@
         const std::optional<std::uint64_t> part = part_of(entry.key);
         if (part && is_current(entry.value, clock.system_now()))
         {
-            blocked.push_back(domain::crashing_part_detector::make_blocked(
-                *part, clock.steady_now()));
+            blocked.push_back(
+                domain::make_blocked_part(*part, clock.steady_now()));
         }
         else if (removal.deletions.size() < max_deletions)
         {
@@ -184,7 +183,7 @@
     ports::store_change change;
     for (const domain::suspect_part& suspect : suspects)
     {
-        if (!domain::crashing_part_detector::is_blocked(suspect) ||
+        if (!domain::is_part_blocked(suspect) ||
             !blocked.insert(suspect.id).second)
         {
             continue;
--- a/tests/budget_crashing_prompts/budget_crashing_prompts_test.cpp
+++ b/tests/budget_crashing_prompts/budget_crashing_prompts_test.cpp
@@ -1,4 +1,4 @@
-#include "tests/simulation/traffic_fleet.hpp"
+#include "tests/simulation/fleet_cases.hpp"
 
 #include <CppUTest/TestHarness.h>
 #include <algorithm>
@@ -18,20 +18,6 @@
 constexpr double min_relative_service = 0.5;
 constexpr std::uint64_t crashing_percent = 10;
 
-struct fleet_case
-{
-    traffic_fleet_size size;
-    std::chrono::milliseconds contact_time;
-};
-
-// The sanitizer builds run many times slower, so they play a smaller fleet.
-#if defined(__SANITIZE_ADDRESS__) || defined(__SANITIZE_THREAD__)
-constexpr fleet_case grown_fleet{{20, 24, 150}, 4'000ms};
-#else
-constexpr fleet_case grown_fleet{{87, 89, 600}, 4'000ms};
-#endif
-constexpr fleet_case small_fleet{{6, 9, 50}, 3'000ms};
-
 std::int64_t count_late_arrivals(traffic_fleet& fleet,
                                  std::chrono::milliseconds contact_time)
 {
--- a/tests/exchange/exchange_fixture.hpp
+++ b/tests/exchange/exchange_fixture.hpp
@@ -17,6 +17,14 @@
 namespace turmeric::tests
 {
 
+constexpr ports::transport_failure broken = ports::transport_failure::broken;
+
+/// Returns an event of a stream.
+inline std::string event(int id)
+{
+    return "id: " + std::to_string(id) + "\ndata: x\n\n";
+}
+
 /// A call that the router started; the test plays the upstream's response by
 /// calling `head`, `part` and `end`, or `fail`.
 class fake_upstream_call final : public ports::upstream_call
--- a/tests/limit_named_by_upstreams/limit_named_by_upstreams_test.cpp
+++ b/tests/limit_named_by_upstreams/limit_named_by_upstreams_test.cpp
@@ -1,4 +1,4 @@
-#include "tests/simulation/traffic_fleet.hpp"
+#include "tests/simulation/fleet_cases.hpp"
 
 #include <CppUTest/TestHarness.h>
 #include <algorithm>
@@ -10,20 +10,6 @@
 namespace
 {
 
-struct fleet_case
-{
-    traffic_fleet_size size;
-    std::chrono::milliseconds contact_time;
-};
-
-// The sanitizer builds run many times slower, so they play a smaller fleet.
-#if defined(__SANITIZE_ADDRESS__) || defined(__SANITIZE_THREAD__)
-constexpr fleet_case grown_fleet{{20, 24, 150}, 4'000ms};
-#else
-constexpr fleet_case grown_fleet{{87, 89, 600}, 4'000ms};
-#endif
-constexpr fleet_case small_fleet{{6, 9, 50}, 3'000ms};
-
 constexpr std::chrono::milliseconds window{4'000};
 /// A router is bound by a limit this long after it passed on a response that
 /// names it.
