Blocked parts: Pause after a failed call to the store

Cause: a change that the store refused was sent again at each digest, five times a second in a small fleet, and a deletion that failed was not repeated.

Change: three seconds pass after a failure; deletions count once they are committed; at most 32 keys go into one change, as the store allows.

--- a/libraries/drivers/fleet/blocked_part_store.cpp
+++ b/libraries/drivers/fleet/blocked_part_store.cpp
@@ -2,6 +2,7 @@
 
 #include "libraries/core/json.hpp"
 
+#include <algorithm>
 #include <charconv>
 #include <chrono>
 #include <fmt/format.h>
@@ -17,7 +18,8 @@
 {
 
 constexpr std::string_view key_prefix = "turmericfront/blocked_parts/";
-constexpr std::chrono::milliseconds retry_interval{1'000};
+/// The wait after a failed read or write, of which the store counts each.
+constexpr std::chrono::milliseconds retry_interval{3'000};
 /// Older entries are deleted when they are read.
 constexpr std::chrono::minutes entry_retention{60};
 /// An entry is written again after this time if its part is still blocked.
@@ -68,6 +70,23 @@
     return seconds_of(now) - written_at < entry_retention;
 }
 
+/// Parts to write to the store and to delete from it in one call.
+struct part_changes
+{
+    /// The store accepts no more keys in one change.
+    static constexpr std::size_t max_keys = 32;
+
+    /// Drops what does not fit; it is planned again later.
+    void limit_size()
+    {
+        written.resize(std::min(written.size(), max_keys));
+        deleted.resize(std::min(deleted.size(), max_keys - written.size()));
+    }
+
+    std::vector<std::uint64_t> written;
+    std::vector<std::uint64_t> deleted;
+};
+
 } // namespace
 
 struct blocked_part_store::state : std::enable_shared_from_this<state>
@@ -83,8 +102,13 @@
 
     void load();
     void on_loaded(const ports::key_range& range);
-    void commit(ports::store_change change,
-                const std::vector<std::uint64_t>& parts);
+    /// Returns what to change in the store, given the blocked parts.
+    [[nodiscard]] part_changes
+    plan(const std::set<std::uint64_t>& blocked,
+         const domain::router_ranking& routers) const;
+    void commit(const part_changes& changes);
+    void on_committed(const part_changes& changes,
+                      const result<ports::change_outcome>& response);
 
     ports::asynchronous_store& store;
     ports::timer_queue& timers;
@@ -95,6 +119,8 @@
     /// When this router last wrote a part.
     std::map<std::uint64_t, ports::steady_time> written;
     bool is_committing = false;
+    /// When the next change may be sent, after one that failed.
+    ports::steady_time retry_at{};
 };
 
 blocked_part_store::blocked_part_store(ports::asynchronous_store& store,
@@ -144,24 +170,28 @@
 void blocked_part_store::state::on_loaded(const ports::key_range& range)
 {
     std::vector<domain::suspect_part> blocked;
-    ports::store_change removal;
-    constexpr std::size_t max_deletions = 32;
+    part_changes outdated;
     for (const ports::key_value& entry : range.entries)
     {
         const std::optional<std::uint64_t> part = part_of(entry.key);
-        if (part && is_current(entry.value, clock.system_now()))
+        if (!part)
+        {
+            continue;
+        }
+        if (is_current(entry.value, clock.system_now()))
         {
             blocked.push_back(
                 domain::make_blocked_part(*part, clock.steady_now()));
         }
-        else if (removal.deletions.size() < max_deletions)
+        else
         {
-            removal.deletions.push_back(entry.key);
+            outdated.deleted.push_back(*part);
         }
     }
-    if (!removal.deletions.empty())
+    outdated.limit_size();
+    if (!outdated.deleted.empty())
     {
-        commit(std::move(removal), {});
+        commit(outdated);
     }
     if (!blocked.empty())
     {
@@ -173,74 +203,98 @@
     const std::vector<domain::suspect_part>& suspects,
     const domain::router_ranking& routers)
 {
-    if (m_state->is_committing)
+    const ports::steady_time now = m_state->clock.steady_now();
+    if (m_state->is_committing || now < m_state->retry_at)
     {
         return;
     }
-    const ports::steady_time now = m_state->clock.steady_now();
     std::set<std::uint64_t> blocked;
-    std::vector<std::uint64_t> to_write;
-    ports::store_change change;
     for (const domain::suspect_part& suspect : suspects)
     {
-        if (!domain::is_part_blocked(suspect) ||
-            !blocked.insert(suspect.id).second)
+        if (domain::is_part_blocked(suspect))
         {
-            continue;
+            blocked.insert(suspect.id);
         }
-        const auto known = m_state->written.find(suspect.id);
-        const bool is_written = known != m_state->written.end() &&
-                                now - known->second < rewrite_interval;
-        if (!is_written && routers.is_first_for(suspect.id))
+    }
+    const part_changes changes = m_state->plan(blocked, routers);
+    if (!changes.written.empty() || !changes.deleted.empty())
+    {
+        m_state->commit(changes);
+    }
+}
+
+part_changes
+blocked_part_store::state::plan(const std::set<std::uint64_t>& blocked,
+                                const domain::router_ranking& routers) const
+{
+    const ports::steady_time now = clock.steady_now();
+    part_changes changes;
+    for (const std::uint64_t part : blocked)
+    {
+        const auto known = written.find(part);
+        const bool is_written =
+            known != written.end() && now - known->second < rewrite_interval;
+        if (!is_written && routers.is_first_for(part))
         {
-            to_write.push_back(suspect.id);
-            change.writes.push_back(
-                {key_of(suspect.id), write_entry(m_state->clock.system_now())});
+            changes.written.push_back(part);
         }
     }
-    for (const auto& [part, written_at] : m_state->written)
+    for (const auto& [part, written_at] : written)
     {
         if (blocked.count(part) == 0)
         {
-            change.deletions.push_back(key_of(part));
+            changes.deleted.push_back(part);
         }
     }
-    std::erase_if(m_state->written, [&](const auto& entry)
-                  { return blocked.count(entry.first) == 0; });
-    if (!change.writes.empty() || !change.deletions.empty())
-    {
-        m_state->commit(std::move(change), to_write);
-    }
+    changes.limit_size();
+    return changes;
 }
 
-void blocked_part_store::state::commit(ports::store_change change,
-                                       const std::vector<std::uint64_t>& parts)
+void blocked_part_store::state::commit(const part_changes& changes)
 {
+    ports::store_change change;
+    for (const std::uint64_t part : changes.written)
+    {
+        change.writes.push_back(
+            {key_of(part), write_entry(clock.system_now())});
+    }
+    for (const std::uint64_t part : changes.deleted)
+    {
+        change.deletions.push_back(key_of(part));
+    }
     is_committing = true;
     const std::weak_ptr<state> weak = weak_from_this();
     store.commit(change,
-                 [weak, parts](const result<ports::change_outcome>& response)
+                 [weak, changes](const result<ports::change_outcome>& response)
                  {
-                     const std::shared_ptr<state> self = weak.lock();
-                     if (self == nullptr)
-                     {
-                         return;
-                     }
-                     self->is_committing = false;
-                     if (!response)
-                     {
-                         self->log.write(
-                             log_level::warning,
-                             log_event::platform_call_failed,
-                             {{"call", std::string("blocked parts")},
-                              {"reason", response.failure().detail}});
-                         return;
-                     }
-                     for (const std::uint64_t part : parts)
+                     if (const std::shared_ptr<state> self = weak.lock())
                      {
-                         self->written[part] = self->clock.steady_now();
+                         self->on_committed(changes, response);
                      }
                  });
 }
 
+void blocked_part_store::state::on_committed(
+    const part_changes& changes, const result<ports::change_outcome>& response)
+{
+    is_committing = false;
+    const ports::steady_time now = clock.steady_now();
+    if (!response)
+    {
+        retry_at = now + retry_interval;
+        log.write(log_level::warning, log_event::platform_call_failed,
+                  {{"call", std::string("blocked parts")},
+                   {"reason", response.failure().detail}});
+        return;
+    }
+    for (const std::uint64_t part : changes.written)
+    {
+        written[part] = now;
+    }
+    for (const std::uint64_t part : changes.deleted)
+    {
+        written.erase(part);
+    }
+}
+
 } // namespace turmeric::drivers
