Blocked parts: Keep the time of a block in the store

Cause: a router that read a stored part took it as blocked now.

Change: the entry's age counts, by the system time, so responses that peers have seen since clear the part at once; after a restart one trial is left.

--- a/libraries/domain/crashing_parts/crashing_part_detector.hpp
+++ b/libraries/domain/crashing_parts/crashing_part_detector.hpp
@@ -32,11 +32,11 @@
 /// When an upstream ends, all parts of the requests that were beginning there
 /// are suspects, except each request's last part, which is its own. Routers
 /// exchange their suspects, since each of them sees few of the ends. A part is
-/// blocked after ends at three different times without a response to it in
-/// between that went on. Ends close together, or without a response to
-/// any prompt in between, count as one time, since they more likely have a
-/// common cause, such as the loss of a data centre. A part that sound requests
-/// share is cleared by their responses.
+/// blocked after ends at three different times, if no response to it went on in
+/// between. Ends close together, or without a response to any prompt in
+/// between, count as one time, since they more likely have a common cause, such
+/// as the loss of a data centre. A part that sound requests share is cleared by
+/// their responses.
 ///
 /// One router of the fleet sends trial requests with a blocked part, late and
 /// few, in case the block is wrong. Not thread safe.
--- a/libraries/domain/crashing_parts/suspect_part.cpp
+++ b/libraries/domain/crashing_parts/suspect_part.cpp
@@ -72,15 +72,17 @@
     return suspect.ends.size() >= ends_to_block;
 }
 
-suspect_part make_blocked_part(std::uint64_t id, ports::steady_time now)
+suspect_part make_blocked_part(std::uint64_t id, ports::steady_time blocked_at,
+                               ports::steady_time now)
 {
     suspect_part blocked;
     blocked.id = id;
     blocked.last_seen = now;
+    blocked.trials = 1;
     for (std::size_t end = 0; end < ends_to_block; ++end)
     {
         const ports::steady_time at =
-            now - min_end_distance * (ends_to_block - 1 - end);
+            blocked_at - min_end_distance * (ends_to_block - 1 - end);
         blocked.ends.push_back({end, at, at});
     }
     return blocked;
--- a/libraries/domain/crashing_parts/suspect_part.hpp
+++ b/libraries/domain/crashing_parts/suspect_part.hpp
@@ -51,9 +51,10 @@
 /// Returns whether requests with a part are to be refused. Thread safe.
 [[nodiscard]] bool is_part_blocked(const suspect_part& suspect);
 
-/// Returns a part that is blocked from `now` on, for a part that was known as
-/// blocked before. Thread safe.
+/// Returns a part that was blocked at `blocked_at` by routers that have been
+/// stopped since; only one more trial is made. Thread safe.
 [[nodiscard]] suspect_part make_blocked_part(std::uint64_t id,
+                                             ports::steady_time blocked_at,
                                              ports::steady_time now);
 
 } // namespace turmeric::domain
--- a/libraries/drivers/fleet/blocked_part_store.cpp
+++ b/libraries/drivers/fleet/blocked_part_store.cpp
@@ -56,18 +56,23 @@
     return json{{"written_at", seconds_of(written_at).count()}}.dump();
 }
 
-/// Returns whether an entry is readable and not too old.
-bool is_current(const std::string& text, ports::system_time now)
+/// Returns how long ago an entry was written; nothing if it is unreadable or so
+/// old that it does not count.
+std::optional<std::chrono::seconds> read_age(const std::string& text,
+                                             ports::system_time now)
 {
     const json entry = json::parse(text, nullptr, false);
     if (!entry.is_object() || !entry.contains("written_at") ||
         !entry["written_at"].is_number_integer())
     {
-        return false;
+        return std::nullopt;
     }
     const std::chrono::seconds written_at(
         entry["written_at"].get<std::int64_t>());
-    return seconds_of(now) - written_at < entry_retention;
+    // The system time may have been set back since.
+    const std::chrono::seconds age =
+        std::max(std::chrono::seconds(0), seconds_of(now) - written_at);
+    return age < entry_retention ? std::optional(age) : std::nullopt;
 }
 
 /// Parts to write to the store and to delete from it in one call.
@@ -178,15 +183,15 @@
         {
             continue;
         }
-        if (is_current(entry.value, clock.system_now()))
-        {
-            blocked.push_back(
-                domain::make_blocked_part(*part, clock.steady_now()));
-        }
-        else
+        const std::optional<std::chrono::seconds> age =
+            read_age(entry.value, clock.system_now());
+        if (!age)
         {
             outdated.deleted.push_back(*part);
+            continue;
         }
+        const ports::steady_time now = clock.steady_now();
+        blocked.push_back(domain::make_blocked_part(*part, now - *age, now));
     }
     outdated.limit_size();
     if (!outdated.deleted.empty())
--- a/tests/fleet/blocked_part_store_test.cpp
+++ b/tests/fleet/blocked_part_store_test.cpp
@@ -1,4 +1,3 @@
-#include "libraries/domain/crashing_parts/crashing_part_detector.hpp"
 #include "libraries/drivers/fleet/blocked_part_store.hpp"
 #include "libraries/fakes/counting_logger.hpp"
 #include "tests/fleet/fake_asynchronous_store.hpp"
@@ -36,8 +35,8 @@
         std::vector<domain::suspect_part> suspects;
         if (is_blocked)
         {
-            suspects.push_back(
-                domain::make_blocked_part(0xdead, clock.steady_now()));
+            suspects.push_back(domain::make_blocked_part(
+                0xdead, clock.steady_now(), clock.steady_now()));
         }
         parts.update(suspects, domain::router_ranking());
     }
@@ -99,6 +98,8 @@
     LONGS_EQUAL(1, loaded.size());
     LONGS_EQUAL(0xdead, loaded[0].id);
     CHECK(domain::is_part_blocked(loaded[0]));
+    // Responses since then clear it, if the part is sound.
+    CHECK(loaded[0].ends.back().at <= clock.steady_now() - 3s);
 }
 
 TEST(blocked_part_store_group, outdated_and_unreadable_entries_block_nothing)
