Store client: Read the era of the store and log a restored store

Callers got more tokens than their accounts had paid for, after the store had been restored from a copy (docs/incidents/2026-12-04-budget-restored-store.md). The logs could not tell the three hypotheses apart: nothing read the header that names the store's era, no line said that the store had been restored, nor what a router found of its own grant.

The client of the store now reads the era from each response, errors too, and keeps the latest one (ports/store_era). A missing or unreadable era leaves it as it is; a response of an era that is over counts as lost, and so does a range whose pages are of two eras. New: event 508 store_restored, event 311 grant_differs (the tokens known and found), and the era in grant_changed. What the routers do with grants, registrations and watches has not changed.

The store of the tests can be copied and restored: revisions and lease numbers go back and are given out again, and a watch from a revision that it does not have is told that history is gone.

--- a/libraries/core/log_event.hpp
+++ b/libraries/core/log_event.hpp
@@ -42,6 +42,7 @@
     claim_resolved = 308,
     tokens_lent = 309,
     grant_conflict = 310,
+    grant_differs = 311,
 
     // 400: upstreams and moves.
     upstream_ejected = 401,
@@ -66,6 +67,7 @@
     watch_replaced = 505,
     upstreams_changed = 506,
     document_unreadable = 507,
+    store_restored = 508,
 
     // 600: configuration and operators.
     configuration_in_force = 601,
--- a/libraries/drivers/exchange/buffered_call.cpp
+++ b/libraries/drivers/exchange/buffered_call.cpp
@@ -38,6 +38,7 @@
     void on_head(const ports::response_head& head) override
     {
         m_response.status = head.status;
+        m_response.fields = head.fields;
     }
 
     void on_part(std::string part) override
--- a/libraries/drivers/exchange/buffered_call.hpp
+++ b/libraries/drivers/exchange/buffered_call.hpp
@@ -19,6 +19,7 @@
     /// Set if the call failed; the other members are then unset.
     std::optional<ports::transport_failure> failure;
     int status = 0;
+    ports::header_fields fields;
     std::string body;
 };
 
--- a/libraries/drivers/fleet/fleet_control.cpp
+++ b/libraries/drivers/fleet/fleet_control.cpp
@@ -50,6 +50,12 @@
 
 void fleet_control::start()
 {
+    m_dependencies.store.eras().add_listener(
+        [this](ports::store_era era)
+        {
+            m_dependencies.log.write(log_level::warning,
+                                     log_event::store_restored, {{"era", era}});
+        });
     m_configuration.start([this](const followed_items& items)
                           { on_configuration(items); });
     m_upstreams.start([this](const followed_items& items)
--- a/libraries/drivers/fleet/grant_planner.cpp
+++ b/libraries/drivers/fleet/grant_planner.cpp
@@ -195,6 +195,12 @@
     m_accounts[account].pending_return += tokens;
 }
 
+std::int64_t grant_planner::own_granted(const std::string& account) const
+{
+    const auto state = m_accounts.find(account);
+    return state == m_accounts.end() ? 0 : state->second.own_granted;
+}
+
 bool grant_planner::has_remaining_tokens(const std::string& account,
                                          std::int64_t tokens) const
 {
--- a/libraries/drivers/fleet/grant_planner.hpp
+++ b/libraries/drivers/fleet/grant_planner.hpp
@@ -97,6 +97,9 @@
     /// Adds tokens to those that wait to be returned to the store.
     void add_pending_return(const std::string& account, std::int64_t tokens);
 
+    /// Returns the tokens granted to this router, less those returned.
+    [[nodiscard]] std::int64_t own_granted(const std::string& account) const;
+
     /// Returns whether at least `tokens` of an account are not granted yet,
     /// according to the last record read.
     [[nodiscard]] bool has_remaining_tokens(const std::string& account,
--- a/libraries/drivers/fleet/token_grant_client.cpp
+++ b/libraries/drivers/fleet/token_grant_client.cpp
@@ -115,8 +115,19 @@
                   {{"key", entry.key}, {"reason", read.failure().detail}});
         return;
     }
-    planner.update_record(entry.key.substr(key_prefix.size()),
-                          entry.modification_revision, std::move(read.value()));
+    const std::string account = entry.key.substr(key_prefix.size());
+    const std::int64_t known = planner.own_granted(account);
+    planner.update_record(account, entry.modification_revision,
+                          std::move(read.value()));
+    const std::int64_t found = planner.own_granted(account);
+    if (found != known)
+    {
+        log.write(log_level::info, log_event::grant_differs,
+                  {{"account", account},
+                   {"known", known},
+                   {"found", found},
+                   {"era", store.eras().current()}});
+    }
 }
 
 void token_grant_client::state::read_all(std::function<void()> then)
@@ -280,6 +291,7 @@
                    {"granted", summary.cumulative_granted},
                    {"granted_in_all", summary.granted_in_all},
                    {"revision", at},
+                   {"era", store.eras().current()},
                    {"attempts", attempts},
                    {"record_age_ms", record_age_ms()}});
     }
--- a/libraries/drivers/platform/counted_asynchronous_store.cpp
+++ b/libraries/drivers/platform/counted_asynchronous_store.cpp
@@ -55,6 +55,11 @@
     };
 }
 
+ports::store_era_tracker& counted_asynchronous_store::eras()
+{
+    return m_store.eras();
+}
+
 void counted_asynchronous_store::list(const std::string& prefix,
                                       callback<ports::key_range> done)
 {
--- a/libraries/drivers/platform/counted_asynchronous_store.hpp
+++ b/libraries/drivers/platform/counted_asynchronous_store.hpp
@@ -19,6 +19,8 @@
                                metrics::registry& registry);
 
     /// See `ports::asynchronous_store` for this and the following functions.
+    [[nodiscard]] ports::store_era_tracker& eras() override;
+
     void list(const std::string& prefix,
               callback<ports::key_range> done) override;
 
--- a/libraries/ports/asynchronous_store.hpp
+++ b/libraries/ports/asynchronous_store.hpp
@@ -2,6 +2,7 @@
 
 #include "libraries/core/result.hpp"
 #include "libraries/ports/key_value_store.hpp"
+#include "libraries/ports/store_era.hpp"
 
 #include <chrono>
 #include <functional>
@@ -66,7 +67,8 @@
 /// Errors: `platform_unavailable` (the call had no effect),
 /// `platform_outcome_unknown` (a write may have taken effect or may do so
 /// later), `platform_rate_limited`, `platform_timeout` (a read), `lease_lost`,
-/// `corrupt_value` (a response that cannot be parsed).
+/// `corrupt_value` (a response that cannot be parsed). A response of an era
+/// that is over counts as lost.
 class asynchronous_store
 {
 public:
@@ -78,6 +80,10 @@
     asynchronous_store& operator=(const asynchronous_store&) = delete;
     virtual ~asynchronous_store() = default;
 
+    /// Returns the eras of the store. In a callback with a response, the
+    /// current era is the one in which the store gave that response.
+    [[nodiscard]] virtual store_era_tracker& eras() = 0;
+
     /// Reads all pages of the keys that start with `prefix`. The returned
     /// store revision is the one before the first page, so that a watch that
     /// continues from there misses no change.
--- a/tests/fleet/fake_asynchronous_store.hpp
+++ b/tests/fleet/fake_asynchronous_store.hpp
@@ -32,6 +32,11 @@
 class fake_asynchronous_store final : public ports::asynchronous_store
 {
 public:
+    ports::store_era_tracker& eras() override
+    {
+        return m_eras;
+    }
+
     void list(const std::string& prefix,
               callback<ports::key_range> done) override
     {
@@ -60,7 +65,8 @@
     {
         m_calls.push_back(
             [this, time_to_live, done](simulated_outcome) {
-                done(ports::granted_lease{++m_last_lease, time_to_live});
+                done(
+                    ports::granted_lease{++m_content.last_lease, time_to_live});
             });
     }
 
@@ -117,9 +123,11 @@
         for (pending_watch& watch : std::exchange(m_watches, {}))
         {
             ports::watch_batch batch;
-            batch.is_compacted = is_compacted;
-            batch.store_revision = m_revision;
-            for (const auto& [revision, event] : m_history)
+            // The store does not have a revision that it has not reached.
+            batch.is_compacted =
+                is_compacted || watch.after > m_content.revision;
+            batch.store_revision = m_content.revision;
+            for (const auto& [revision, event] : m_content.history)
             {
                 if (revision > watch.after &&
                     event.entry.key.rfind(watch.prefix, 0) == 0)
@@ -140,28 +148,48 @@
         }
     }
 
+    /// Makes the store report its era from now on.
+    void begin_era()
+    {
+        m_eras.observe(m_eras.current() + 1);
+    }
+
+    /// Keeps a copy of the present content.
+    void take_copy()
+    {
+        m_copy = m_content;
+    }
+
+    /// Replaces the content by that of the copy, and begins the next era.
+    void restore_copy()
+    {
+        m_content = m_copy;
+        m_eras.observe(m_eras.current() + 1);
+    }
+
     /// Writes a key, as another client of the store does.
     void put(const std::string& key, const std::string& value)
     {
-        m_items[key] = {key, value, ++m_revision};
-        m_history.push_back({m_revision, {m_items[key], false}});
+        m_content.items[key] = {key, value, ++m_content.revision};
+        m_content.history.push_back(
+            {m_content.revision, {m_content.items[key], false}});
     }
 
     /// Deletes a key, as another client of the store does.
     void erase(const std::string& key)
     {
-        m_items.erase(key);
+        m_content.items.erase(key);
         ports::key_event event;
-        event.entry = {key, "", ++m_revision};
+        event.entry = {key, "", ++m_content.revision};
         event.is_deleted = true;
-        m_history.push_back({m_revision, event});
+        m_content.history.push_back({m_content.revision, event});
     }
 
     /// Returns a key's value; empty if it does not exist.
     std::string value(const std::string& key) const
     {
-        const auto found = m_items.find(key);
-        return found == m_items.end() ? "" : found->second.value;
+        const auto found = m_content.items.find(key);
+        return found == m_content.items.end() ? "" : found->second.value;
     }
 
     /// Returns the number of pending calls without the watches.
@@ -171,6 +199,15 @@
     }
 
 private:
+    /// All that a copy of the store keeps.
+    struct content
+    {
+        std::map<std::string, ports::key_value> items;
+        std::vector<std::pair<ports::revision, ports::key_event>> history;
+        ports::revision revision = 1;
+        ports::lease_id last_lease = 0;
+    };
+
     struct pending_watch
     {
         std::string prefix;
@@ -188,8 +225,8 @@
             return;
         }
         ports::key_range range;
-        range.store_revision = m_revision;
-        for (const auto& [key, item] : m_items)
+        range.store_revision = m_content.revision;
+        for (const auto& [key, item] : m_content.items)
         {
             if (key.rfind(prefix, 0) == 0)
             {
@@ -203,10 +240,11 @@
     {
         for (const ports::key_condition& condition : change.conditions)
         {
-            const auto found = m_items.find(condition.key);
+            const auto found = m_content.items.find(condition.key);
             const ports::revision now =
-                found == m_items.end() ? 0
-                                       : found->second.modification_revision;
+                found == m_content.items.end()
+                    ? 0
+                    : found->second.modification_revision;
             if (now != condition.expected)
             {
                 return false;
@@ -221,11 +259,13 @@
         {
             return false;
         }
-        ++m_revision;
+        ++m_content.revision;
         for (const ports::key_write& write : change.writes)
         {
-            m_items[write.key] = {write.key, write.value, m_revision};
-            m_history.push_back({m_revision, {m_items[write.key], false}});
+            m_content.items[write.key] = {write.key, write.value,
+                                          m_content.revision};
+            m_content.history.push_back(
+                {m_content.revision, {m_content.items[write.key], false}});
         }
         return true;
     }
@@ -254,14 +294,15 @@
         }
         if (is_applied)
         {
-            done(ports::change_outcome(ports::change_committed{m_revision}));
+            done(ports::change_outcome(
+                ports::change_committed{m_content.revision}));
             return;
         }
         ports::change_conflict refused;
         for (const ports::key_condition& condition : change.conditions)
         {
-            const auto found = m_items.find(condition.key);
-            if (found != m_items.end())
+            const auto found = m_content.items.find(condition.key);
+            if (found != m_content.items.end())
             {
                 refused.current.push_back(found->second);
             }
@@ -272,10 +313,9 @@
     std::deque<std::function<void(simulated_outcome)>> m_calls;
     std::vector<pending_watch> m_watches;
     std::vector<ports::store_change> m_late_changes;
-    std::map<std::string, ports::key_value> m_items;
-    std::vector<std::pair<ports::revision, ports::key_event>> m_history;
-    ports::revision m_revision = 1;
-    ports::lease_id m_last_lease = 0;
+    content m_content;
+    content m_copy;
+    ports::store_era_tracker m_eras;
 };
 
 /// A timer queue whose timers fire when the test advances the clock.
--- a/tests/fleet_scale/delayed_store.hpp
+++ b/tests/fleet_scale/delayed_store.hpp
@@ -19,6 +19,11 @@
     {
     }
 
+    ports::store_era_tracker& eras() override
+    {
+        return m_eras;
+    }
+
     void list(const std::string& prefix,
               callback<ports::key_range> done) override
     {
@@ -46,7 +51,10 @@
             fail<ports::watch_batch>(std::move(done));
             return;
         }
-        m_store.watch(prefix, after, wait, std::move(done));
+        m_store.watch(
+            prefix, after, wait,
+            [this, done = std::move(done)](result<ports::watch_batch> response)
+            { deliver(m_store.eras().current(), response, done); });
     }
 
     void commit(const ports::store_change& change,
@@ -115,6 +123,20 @@
             });
     }
 
+    /// Passes on a response that the store gave in `era`.
+    template <class Value>
+    void deliver(ports::store_era era, const result<Value>& response,
+                 const callback<Value>& done)
+    {
+        if (m_eras.observe(era))
+        {
+            done(response);
+            return;
+        }
+        done(error{result_code::platform_outcome_unknown, "store", "outdated",
+                   outcome::outcome_unknown});
+    }
+
     template <class Value>
     void forward(callback<Value> done,
                  std::function<void(callback<Value>)> call)
@@ -127,8 +149,10 @@
         const auto respond =
             [this, done = std::move(done)](result<Value> response)
         {
-            m_events.run_after(one_way, [done, response = std::move(response)]
-                               { done(response); });
+            const ports::store_era era = m_store.eras().current();
+            m_events.run_after(one_way,
+                               [this, era, done, response = std::move(response)]
+                               { deliver(era, response, done); });
         };
         m_events.run_after(one_way,
                            [this, call = std::move(call), respond]
@@ -140,6 +164,7 @@
 
     fake_asynchronous_store& m_store;
     event_queue& m_events;
+    ports::store_era_tracker m_eras;
 };
 
 } // namespace turmeric::tests
--- a/tests/platform/store_test.cpp
+++ b/tests/platform/store_test.cpp
@@ -13,10 +13,11 @@
     fake_upstream_transport transport;
     platform::platform_store store{transport, timers, clock, "10.0.0.9:1"};
 
-    void respond(int status, const std::string& body)
+    void respond(int status, const std::string& body,
+                 const ports::header_fields& fields = {})
     {
         fake_upstream_call& call = *transport.calls.back();
-        call.head(status, {});
+        call.head(status, fields);
         call.part(body);
         call.end();
     }
@@ -66,3 +67,51 @@
     LONGS_EQUAL(1, refused.current.size());
     STRCMP_EQUAL("x", refused.current.front().value.c_str());
 }
+
+TEST(platform_store_group, each_response_names_the_era_of_the_store)
+{
+    int restored = 0;
+    store.eras().add_listener([&](ports::store_era) { ++restored; });
+    const auto end_lease = [this](int status, const ports::header_fields& head)
+    {
+        std::optional<result<std::monostate>> ended;
+        store.revoke_lease(3, [&](result<std::monostate> received)
+                           { ended = std::move(received); });
+        respond(status, "", head);
+        return ended->has_value();
+    };
+    CHECK(end_lease(200, {{"Store-Era", "4"}}));
+    LONGS_EQUAL(4, store.eras().current());
+    LONGS_EQUAL(0, restored);
+    for (const char* unreadable : {"", "x", "-9", "5x", "99999999999999999999"})
+    {
+        CHECK(end_lease(200, {{"Store-Era", unreadable}}));
+        LONGS_EQUAL(4, store.eras().current());
+    }
+    CHECK_FALSE(end_lease(503, {{"store-era", "5"}}));
+    LONGS_EQUAL(5, store.eras().current());
+    LONGS_EQUAL(1, restored);
+}
+
+TEST(platform_store_group, a_response_of_an_era_that_is_over_counts_as_lost)
+{
+    store.eras().observe(5);
+    std::optional<result<ports::change_outcome>> outcome;
+    store.commit({}, [&](result<ports::change_outcome> received)
+                 { outcome = std::move(received); });
+    respond(200, R"({"Revision":9})", {{"Store-Era", "4"}});
+    CHECK(outcome->failure().code == result_code::platform_outcome_unknown);
+}
+
+TEST(platform_store_group, pages_of_two_eras_are_not_joined)
+{
+    std::optional<result<ports::key_range>> range;
+    store.list("a/", [&](result<ports::key_range> received)
+               { range = std::move(received); });
+    respond(200,
+            R"({"Items":[{"Key":"a/1","Value":"eA==","Revision":4}],)"
+            R"("CurrentRev":9,"MorePages":true})",
+            {{"Store-Era", "4"}});
+    respond(200, R"({"Items":[],"CurrentRev":7})", {{"Store-Era", "5"}});
+    CHECK(range->failure().code == result_code::platform_timeout);
+}
