Tests: Reproduce accounts overspent after a restore of the store, red

Callers got more tokens than their accounts had paid for after the store had been restored from a copy some seconds old.

The simulation moved to tests/simulation, so that both test programs use it.

--- a/tests/fleet/fake_asynchronous_store.hpp
+++ b/tests/fleet/fake_asynchronous_store.hpp
@@ -192,6 +192,16 @@
         return found == m_content.items.end() ? "" : found->second.value;
     }
 
+    /// Returns the keys that begin with `prefix`.
+    std::map<std::string, ports::key_value>
+    items(const std::string& prefix) const
+    {
+        std::map<std::string, ports::key_value> found = m_content.items;
+        std::erase_if(found, [&](const auto& item)
+                      { return !item.first.starts_with(prefix); });
+        return found;
+    }
+
     /// Returns the number of pending calls without the watches.
     std::size_t pending_call_count() const
     {
--- a/tests/fleet_scale/short_with_many_routers_test.cpp
+++ b/tests/fleet_scale/short_with_many_routers_test.cpp
@@ -1,4 +1,4 @@
-#include "tests/fleet_scale/simulated_fleet.hpp"
+#include "tests/simulation/simulated_fleet.hpp"
 
 #include <CppUTest/TestHarness.h>
 
--- a/tests/fleet_scale/delayed_network.hpp
+++ b/tests/simulation/delayed_network.hpp
@@ -2,7 +2,7 @@
 
 #include "libraries/fakes/seeded_random.hpp"
 #include "libraries/ports/datagram_link.hpp"
-#include "tests/fleet_scale/event_queue.hpp"
+#include "tests/simulation/event_queue.hpp"
 
 #include <chrono>
 #include <cstdint>
--- a/tests/fleet_scale/delayed_store.hpp
+++ b/tests/simulation/delayed_store.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "tests/fleet/fake_asynchronous_store.hpp"
-#include "tests/fleet_scale/event_queue.hpp"
+#include "tests/simulation/event_queue.hpp"
 
 namespace turmeric::tests
 {
--- a/tests/fleet_scale/simulated_fleet.cpp
+++ b/tests/simulation/simulated_fleet.cpp
@@ -1,4 +1,4 @@
-#include "tests/fleet_scale/simulated_fleet.hpp"
+#include "tests/simulation/simulated_fleet.hpp"
 
 #include "libraries/codecs/fleet/prepaid_record_codec.hpp"
 
@@ -37,20 +37,23 @@
 
 } // namespace
 
-simulated_fleet::router::router(simulated_fleet& fleet, const std::string& name)
+simulated_fleet::router::router(simulated_fleet& fleet,
+                                const std::string& the_name)
     : store(fleet.m_store, fleet.m_events)
     , traffic(fleet.m_events)
-    , link(fleet.m_network, name)
+    , link(fleet.m_network, the_name)
     , control(
           {store, fleet.m_events, fleet.m_clock, link, traffic, fleet.m_log,
            [](const auto&, const auto& done) { done(""); }},
           {"configuration", "upstreams/", &read_declarations, &reject_upstream},
-          {name, name, "east", name, name})
+          {the_name, the_name, "east", the_name, the_name})
+    , name(the_name)
 {
 }
 
 simulated_fleet::simulated_fleet(int routers)
 {
+    m_store.begin_era();
     m_store.put("configuration", "any");
     for (int number = 0; number < routers; ++number)
     {
@@ -99,7 +102,7 @@
     {
         return;
     }
-    router& chosen = *m_routers[m_random.next() % m_routers.size()];
+    router& chosen = pick_router();
     const int account = static_cast<int>(m_random.next() % account_count);
     const std::int64_t tokens =
         1'000 + static_cast<std::int64_t>(m_random.next() % 8'000);
@@ -111,11 +114,44 @@
     m_events.run_after(interval, [this] { start_requests(); });
 }
 
+simulated_fleet::router& simulated_fleet::pick_router()
+{
+    while (true)
+    {
+        router& picked = *m_routers[m_random.next() % m_routers.size()];
+        if (!picked.is_killed)
+        {
+            return picked;
+        }
+    }
+}
+
+void simulated_fleet::take_copy()
+{
+    m_store.take_copy();
+}
+
+void simulated_fleet::restore_store(std::chrono::milliseconds duration)
+{
+    set_cut(true);
+    m_store.fail_watches();
+    play(duration);
+    m_store.restore_copy();
+    set_cut(false);
+}
+
+void simulated_fleet::kill(std::size_t router)
+{
+    m_routers[router]->is_killed = true;
+    m_routers[router]->store.is_cut = true;
+    m_network.disconnect(m_routers[router]->name);
+}
+
 void simulated_fleet::set_cut(bool is_cut)
 {
     for (const auto& one : m_routers)
     {
-        one->store.is_cut = is_cut;
+        one->store.is_cut = is_cut || one->is_killed;
     }
 }
 
@@ -131,7 +167,8 @@
     std::int64_t sum = 0;
     for (const auto& one : m_routers)
     {
-        sum += one->traffic.usable_tokens();
+        sum += one->is_killed ? one->traffic.spent_tokens()
+                              : one->traffic.usable_tokens();
     }
     return sum;
 }
@@ -151,11 +188,22 @@
     std::int64_t granted = 0;
     for (int number = 0; number < account_count; ++number)
     {
-        granted +=
-            codecs::read_prepaid_record(
-                m_store.value("turmericfront/tokens/" + account_name(number)))
-                .value()
-                .granted_in_all;
+        granted += granted_of(account_name(number));
+    }
+    return granted;
+}
+
+std::int64_t simulated_fleet::granted_of(const std::string& account) const
+{
+    std::int64_t granted = 0;
+    for (const auto& [key, item] : m_store.items("turmericfront/tokens/"))
+    {
+        if (key.ends_with("/" + account))
+        {
+            granted = std::max(
+                granted,
+                codecs::read_prepaid_record(item.value).value().granted_in_all);
+        }
     }
     return granted;
 }
--- a/tests/fleet_scale/simulated_fleet.hpp
+++ b/tests/simulation/simulated_fleet.hpp
@@ -4,8 +4,8 @@
 #include "libraries/drivers/fleet/fleet_control.hpp"
 #include "libraries/fakes/counting_logger.hpp"
 #include "libraries/fakes/seeded_random.hpp"
-#include "tests/fleet_scale/delayed_network.hpp"
-#include "tests/fleet_scale/delayed_store.hpp"
+#include "tests/simulation/delayed_network.hpp"
+#include "tests/simulation/delayed_store.hpp"
 
 #include <algorithm>
 #include <memory>
@@ -126,6 +126,17 @@
         return sum;
     }
 
+    /// Returns the tokens that requests have consumed or hold.
+    std::int64_t spent_tokens() const
+    {
+        std::int64_t sum = 0;
+        for (const auto& [account, balance] : m_ledger.balances())
+        {
+            sum += balance.used + balance.held;
+        }
+        return sum;
+    }
+
     served_requests outcome;
 
 private:
@@ -192,12 +203,22 @@
     /// Cuts all routers from the store, but not from each other, or ends that.
     void set_cut(bool is_cut);
 
+    /// Makes the store keep a copy of its content.
+    void take_copy();
+
+    /// Takes the store away for `duration`, during which callers' requests
+    /// go on, and restores it from the copy.
+    void restore_store(std::chrono::milliseconds duration);
+
+    /// Ends a router with all that it holds.
+    void kill(std::size_t router);
+
     /// Loses and doubles datagrams from now on.
     void damage_network(std::uint64_t lost_percent,
                         std::uint64_t doubled_percent);
 
     /// Returns the tokens that requests have consumed or hold, or that routers
-    /// can still hold or lend, of all accounts.
+    /// which were not killed can still hold or lend, of all accounts.
     std::int64_t usable_tokens() const;
 
     /// Returns the calls to the store so far: reads and changes.
@@ -228,10 +249,15 @@
         simulated_traffic traffic;
         delayed_link link;
         drivers::fleet_control control;
+        std::string name;
+        bool is_killed = false;
     };
 
     void answer_watches();
     void start_requests();
+    [[nodiscard]] std::int64_t granted_of(const std::string& account) const;
+    /// Returns a router that was not killed.
+    router& pick_router();
 
     fakes::manual_clock m_clock;
     event_queue m_events{m_clock};
--- a/tests/simulation/simulated_upstreams.hpp
+++ b/tests/simulation/simulated_upstreams.hpp
@@ -5,7 +5,7 @@
 #include "libraries/fakes/seeded_random.hpp"
 #include "libraries/ports/upstream_transport.hpp"
 #include "tests/fleet/fake_asynchronous_store.hpp"
-#include "tests/fleet_scale/event_queue.hpp"
+#include "tests/simulation/event_queue.hpp"
 
 #include <chrono>
 #include <map>
--- a/tests/simulation/traffic_fleet.hpp
+++ b/tests/simulation/traffic_fleet.hpp
@@ -5,8 +5,8 @@
 #include "libraries/drivers/fleet/fleet_control.hpp"
 #include "libraries/fakes/counting_logger.hpp"
 #include "platform/platform_dialect.hpp"
-#include "tests/fleet_scale/delayed_network.hpp"
-#include "tests/fleet_scale/delayed_store.hpp"
+#include "tests/simulation/delayed_network.hpp"
+#include "tests/simulation/delayed_store.hpp"
 #include "tests/simulation/simulated_upstreams.hpp"
 
 #include <functional>
