Prepaid tokens: Count grants that a restored store has lost

Cause: the records of the copy counted fewer tokens than the routers held, and routers granted from them what they held already. Two more ways were open: a condition on revision 75 could hold on the new 75 (a change that the store executes late, in the next era), and a router took its own entry of the copy for the truth.

Change: - The key of a record names the store's era. A change of an earlier era can only meet that era's key, whatever revisions are given out again; its grants never count, and tokens to be returned with it are given up. - A record of a new era begins with the latest granted total that is known in the fleet, not with that of the copy: totals are ordered by era and a version in the record. Each router announces a new total to three peers before it spends the grant, so that the total outlives it, and after a restore collects what all peers know that it can reach. Until then it grants nothing and requests are served from what it holds, as in an outage. - The record says up to which version it counts earlier eras. A router that could not be reached finds its later changes missing there and adds them. - A peer's message about a later era is no proof: the receiver accepts no grant that is under way and reads the store. - A record of a release without eras is replaced by one that grants nothing more, so that a router of that release cannot begin its own.

--- a/libraries/codecs/fleet/prepaid_record_codec.cpp
+++ b/libraries/codecs/fleet/prepaid_record_codec.cpp
@@ -2,16 +2,76 @@
 
 #include "libraries/codecs/common/json_reader.hpp"
 
+#include <charconv>
+#include <functional>
+
 namespace turmeric::codecs
 {
 
+namespace
+{
+
+/// Reads an object whose members are integers. Returns false if it is not one.
+bool read_integers(
+    const json& encoded,
+    const std::function<bool(const std::string&, std::int64_t)>& add)
+{
+    if (!encoded.is_object())
+    {
+        return false;
+    }
+    for (const auto& [name, value] : encoded.items())
+    {
+        if (!value.is_number_integer() || !add(name, value.get<std::int64_t>()))
+        {
+            return false;
+        }
+    }
+    return true;
+}
+
+/// Reads the eras, which records of older releases do not have.
+bool read_eras(const json& encoded, domain::prepaid_record& record)
+{
+    const auto version = encoded.find("version");
+    const auto eras = encoded.find("restored_from");
+    if (version == encoded.end() && eras == encoded.end())
+    {
+        return true;
+    }
+    if (version == encoded.end() || !version->is_number_integer() ||
+        eras == encoded.end())
+    {
+        return false;
+    }
+    record.version = version->get<std::int64_t>();
+    return read_integers(*eras,
+                         [&](const std::string& name, std::int64_t value)
+                         {
+                             std::int64_t era = 0;
+                             const char* const end = name.data() + name.size();
+                             const auto [rest, failure] =
+                                 std::from_chars(name.data(), end, era);
+                             record.restored_from[era] = value;
+                             return failure == std::errc() && rest == end;
+                         });
+}
+
+} // namespace
+
 std::string write_prepaid_record(const domain::prepaid_record& record)
 {
     json encoded = {{"granted_in_all", record.granted_in_all},
-                    {"granted_to", json::object()}};
-    for (const auto& [incarnation, granted] : record.granted_to)
+                    {"granted_to", json(record.granted_to)},
+                    {"version", record.version},
+                    {"restored_from", json::object()}};
+    if (record.granted_to.empty())
     {
-        encoded["granted_to"][incarnation] = granted;
+        encoded["granted_to"] = json::object();
+    }
+    for (const auto& [era, version] : record.restored_from)
+    {
+        encoded["restored_from"][std::to_string(era)] = version;
     }
     return encoded.dump();
 }
@@ -36,14 +96,22 @@
     }
     domain::prepaid_record record;
     record.granted_in_all = total->get<std::int64_t>();
-    for (const auto& [incarnation, granted] : rows->items())
+    const bool has_grants =
+        read_integers(*rows,
+                      [&](const std::string& incarnation, std::int64_t granted)
+                      {
+                          record.granted_to.emplace(incarnation, granted);
+                          return true;
+                      });
+    if (!has_grants)
     {
-        if (!granted.is_number_integer())
-        {
-            return error{result_code::corrupt_value, "granted_to",
-                         "a grant is not an integer"};
-        }
-        record.granted_to.emplace(incarnation, granted.get<std::int64_t>());
+        return error{result_code::corrupt_value, "granted_to",
+                     "a grant is not an integer"};
+    }
+    if (!read_eras(encoded, record))
+    {
+        return error{result_code::corrupt_value, "restored_from",
+                     "an earlier era of the prepaid record is malformed"};
     }
     return record;
 }
--- a/libraries/core/log_event.cpp
+++ b/libraries/core/log_event.cpp
@@ -41,6 +41,7 @@
     event_row{log_event::tokens_lent, "tokens_lent"},
     event_row{log_event::grant_conflict, "grant_conflict"},
     event_row{log_event::grant_differs, "grant_differs"},
+    event_row{log_event::totals_collected, "totals_collected"},
     event_row{log_event::upstream_ejected, "upstream_ejected"},
     event_row{log_event::upstream_returned, "upstream_returned"},
     event_row{log_event::upstream_leaving, "upstream_leaving"},
--- a/libraries/core/log_event.hpp
+++ b/libraries/core/log_event.hpp
@@ -43,6 +43,7 @@
     tokens_lent = 309,
     grant_conflict = 310,
     grant_differs = 311,
+    totals_collected = 312,
 
     // 400: upstreams and moves.
     upstream_ejected = 401,
--- /dev/null
+++ b/libraries/domain/prepaid/granted_totals.hpp
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace turmeric::domain
+{
+
+/// The place of a change in the history of an account's record. The record
+/// begins anew in each era of the store, and its version grows with each
+/// change.
+struct record_position
+{
+    std::int64_t era = 0;
+    std::int64_t version = 0;
+
+    auto operator<=>(const record_position&) const = default;
+};
+
+/// The tokens that the store counted as granted to all routers at a position.
+struct granted_total
+{
+    record_position at;
+    std::int64_t tokens = 0;
+};
+
+/// The latest granted total that is known of each account, from this router's
+/// changes and from those that peers reported. It outlasts a restore of the
+/// store, which then has an older total. Not thread safe.
+class granted_totals
+{
+public:
+    /// Keeps `total` unless a later one is known. Of two at the same position
+    /// the greater is kept: one of them was written by a change that the store
+    /// executed after its restore.
+    void merge(const std::string& account, const granted_total& total);
+
+    /// Returns the latest total of an account; nothing if none is known.
+    [[nodiscard]] std::optional<granted_total>
+    find(const std::string& account) const;
+
+    /// Returns the latest totals by account.
+    [[nodiscard]] const std::map<std::string, granted_total>& all() const;
+
+private:
+    std::map<std::string, granted_total> m_totals;
+};
+
+} // namespace turmeric::domain
--- a/libraries/domain/prepaid/prepaid_record.cpp
+++ b/libraries/domain/prepaid/prepaid_record.cpp
@@ -34,6 +34,8 @@
 constexpr double low_watermark = 0.9;
 /// A router that has more than this multiple of the target returns the surplus.
 constexpr double high_watermark = 1.2;
+/// The number of earlier eras that a record keeps.
+constexpr std::size_t max_earlier_eras = 8;
 
 /// Returns the largest fraction of `pool` that all routers together hold.
 double max_held_fraction_of(std::int64_t pool, std::int64_t total)
@@ -75,11 +77,27 @@
 
 } // namespace
 
+prepaid_record begin_era_record(const prepaid_record& earlier,
+                                const granted_total& total)
+{
+    prepaid_record record;
+    record.granted_in_all = total.tokens;
+    record.version = total.at.version;
+    record.restored_from = earlier.restored_from;
+    record.restored_from[total.at.era] = total.at.version;
+    while (record.restored_from.size() > max_earlier_eras)
+    {
+        record.restored_from.erase(record.restored_from.begin());
+    }
+    return record;
+}
+
 prepaid_record apply_grant_change(prepaid_record record,
                                   const std::string& incarnation,
                                   std::int64_t own_granted, std::int64_t tokens,
                                   const std::set<std::string>& members)
 {
+    ++record.version;
     record.granted_in_all += tokens;
     record.granted_to[incarnation] = own_granted + tokens;
     std::erase_if(record.granted_to,
--- a/libraries/domain/prepaid/prepaid_record.hpp
+++ b/libraries/domain/prepaid/prepaid_record.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "libraries/domain/prepaid/granted_totals.hpp"
+
 #include <cstdint>
 #include <map>
 #include <set>
@@ -8,22 +10,35 @@
 namespace turmeric::domain
 {
 
-/// The record of one account in the store. Granted tokens count as spent, so
-/// that the routers never consume more than the prepaid total, even if routers
-/// are killed or cut off.
+/// The record of one account in one era of the store. Granted tokens count as
+/// spent, so that the routers never consume more than the prepaid total, even
+/// if routers are killed or cut off.
 struct prepaid_record
 {
     /// Total of the tokens granted to all routers, less those returned.
     std::int64_t granted_in_all = 0;
     /// The part of that total that each router incarnation has. A router whose
     /// write got no reply sees here whether the write took effect.
+    /// A router that has not changed its grant in this era has no entry.
     std::map<std::string, std::int64_t> granted_to;
+    /// The number of changes, counted on from the era before.
+    std::int64_t version = 0;
+    /// By earlier era, the version of that era's record up to which the total
+    /// counts its changes.
+    std::map<std::int64_t, std::int64_t> restored_from;
 };
 
+/// Returns the record with which an account goes on in a new era: it counts
+/// all of `total`, whoever was granted it, so that nothing is granted twice
+/// whatever the store has lost. `earlier` is the record of an earlier era.
+/// Thread safe.
+[[nodiscard]] prepaid_record begin_era_record(const prepaid_record& earlier,
+                                              const granted_total& total);
+
 /// Returns the record with `tokens` more for `incarnation`, or fewer when
-/// negative. `own_granted` is the total that the incarnation has before the
-/// change. Entries of incarnations that are not in `members` are dropped; their
-/// tokens stay in `granted_in_all`. Thread safe.
+/// negative, and one more change. `own_granted` is the total that the
+/// incarnation has before the change. Entries of incarnations that are not in
+/// `members` are dropped; their tokens stay in `granted_in_all`. Thread safe.
 [[nodiscard]] prepaid_record
 apply_grant_change(prepaid_record record, const std::string& incarnation,
                    std::int64_t own_granted, std::int64_t tokens,
--- a/libraries/drivers/fleet/fleet_control.cpp
+++ b/libraries/drivers/fleet/fleet_control.cpp
@@ -144,6 +144,13 @@
     if (message)
     {
         m_tokens.handle_message(message.value());
+        return;
+    }
+    const result<codecs::granted_totals_message> totals =
+        codecs::read_totals_message(bytes);
+    if (totals)
+    {
+        m_tokens.handle_totals(totals.value());
     }
 }
 
--- a/libraries/drivers/fleet/grant_planner.cpp
+++ b/libraries/drivers/fleet/grant_planner.cpp
@@ -11,8 +11,10 @@
 namespace
 {
 
-/// The store accepts 32 entries in one change.
+/// The store accepts 32 entries in one change. An account takes a condition, a
+/// write, and in a new era the deletion of its earlier record.
 constexpr std::size_t max_accounts_per_change = 15;
+constexpr std::size_t max_accounts_per_first_change = 10;
 /// With more accounts than this, tokens of an account are requested only when
 /// a caller's request needs them.
 constexpr std::size_t max_accounts_with_advance_grants = 64;
@@ -41,11 +43,69 @@
     m_members = std::move(members);
 }
 
-void grant_planner::update_record(const std::string& account,
+void grant_planner::begin_era(ports::store_era era)
+{
+    m_era = era;
+    m_are_new_records_allowed = false;
+    for (auto& [name, state] : m_accounts)
+    {
+        state.revision = 0;
+        state.is_record_current = false;
+        state.earlier_eras.clear();
+        drop_uncertain_return(state);
+    }
+}
+
+void grant_planner::begin_update()
+{
+    for (auto& [name, state] : m_accounts)
+    {
+        state.earlier_eras.clear();
+    }
+}
+
+ports::store_era grant_planner::era() const
+{
+    return m_era;
+}
+
+void grant_planner::allow_new_records(bool is_allowed)
+{
+    m_are_new_records_allowed = is_allowed;
+}
+
+domain::granted_totals& grant_planner::totals()
+{
+    return m_totals;
+}
+
+bool grant_planner::can_change(const account_state& state) const
+{
+    return state.is_record_current || m_are_new_records_allowed;
+}
+
+void grant_planner::update_record(const prepaid_record_key& key,
                                   ports::revision revision,
                                   domain::prepaid_record record)
 {
-    account_state& state = m_accounts[account];
+    m_totals.merge(key.account,
+                   {{key.era, record.version}, record.granted_in_all});
+    account_state& state = m_accounts[key.account];
+    if (key.era != m_era)
+    {
+        state.earlier_eras.insert(key.era);
+        if (!state.is_record_current && record.version > state.record.version)
+        {
+            state.record = std::move(record);
+        }
+        return;
+    }
+    if (!state.is_record_current)
+    {
+        state.is_record_current = true;
+        state.uncounted +=
+            state.history.take_uncounted(record, m_era, state.own_granted);
+    }
     state.revision = revision;
     state.record = std::move(record);
     const auto own = state.record.granted_to.find(m_incarnation);
@@ -58,6 +118,11 @@
     // Another router has dropped this router's entry, so the record does not
     // show whether the return took effect. Repeating it could return tokens
     // twice and so free tokens that are spent.
+    drop_uncertain_return(state);
+}
+
+void grant_planner::drop_uncertain_return(account_state& state)
+{
     state.pending_return = std::max<std::int64_t>(
         0, state.pending_return - std::exchange(state.uncertain_return, 0));
 }
@@ -93,11 +158,11 @@
 }
 
 domain::grant_demand
-grant_planner::demand_of(const account_state& state,
+grant_planner::demand_of(const std::string& account, const account_state& state,
                          const account_token_demand& token_demand) const
 {
     domain::grant_demand demand;
-    demand.granted_in_all = state.record.granted_in_all;
+    demand.granted_in_all = granted_in_all(account, state);
     demand.holders = static_cast<std::int64_t>(
         std::min(m_members.size(), domain::max_account_holders));
     demand.is_holder = token_demand.is_holder;
@@ -123,20 +188,22 @@
     {
         const auto found = token_demands.find(name);
         const account_state& state = m_accounts[name];
-        if (state.pending_return > 0 ||
+        if (state.pending_return > 0 || state.uncounted > 0 ||
+            !can_change(state) ||
             (!has_advance_grants && found == token_demands.end()))
         {
             continue;
         }
-        domain::grant_demand demand = demand_of(
-            state, found == token_demands.end() ? account_token_demand{}
-                                                : found->second);
+        domain::grant_demand demand =
+            demand_of(name, state,
+                      found == token_demands.end() ? account_token_demand{}
+                                                   : found->second);
         demand.prepaid_tokens = total;
         demand.is_leaving = is_leaving;
         const std::int64_t tokens = domain::compute_grant_change(demand);
-        if (tokens > 0 && changes.size() < max_accounts_per_change)
+        if (tokens > 0 && changes.size() < max_changes())
         {
-            changes.push_back({name, tokens});
+            changes.push_back({name, tokens, 0, {}});
         }
         if (tokens < 0)
         {
@@ -146,36 +213,92 @@
     return changes;
 }
 
+std::size_t grant_planner::max_changes() const
+{
+    const bool has_earlier_records = std::any_of(
+        m_accounts.begin(), m_accounts.end(),
+        [](const auto& entry) { return !entry.second.earlier_eras.empty(); });
+    return has_earlier_records ? max_accounts_per_first_change
+                               : max_accounts_per_change;
+}
+
 std::vector<planned_grant> grant_planner::plan_returns() const
 {
     std::vector<planned_grant> changes;
     for (const auto& [name, state] : m_accounts)
     {
-        if (state.pending_return > 0 &&
-            changes.size() < max_accounts_per_change)
+        const bool has_change = state.pending_return > 0 || state.uncounted > 0;
+        if (has_change && can_change(state) && changes.size() < max_changes())
         {
-            changes.push_back({name, -state.pending_return});
+            changes.push_back(
+                {name, -state.pending_return, state.uncounted, {}});
         }
     }
     return changes;
 }
 
+std::int64_t grant_planner::granted_in_all(const std::string& account,
+                                           const account_state& state) const
+{
+    if (state.is_record_current)
+    {
+        return state.record.granted_in_all + state.uncounted;
+    }
+    const std::optional<domain::granted_total> total = m_totals.find(account);
+    return total ? total->tokens : 0;
+}
+
+domain::prepaid_record
+grant_planner::base_record(const std::string& account,
+                           const account_state& state) const
+{
+    const std::optional<domain::granted_total> total = m_totals.find(account);
+    if (state.is_record_current || !total)
+    {
+        return state.record;
+    }
+    return domain::begin_era_record(state.record, *total);
+}
+
 planned_record grant_planner::apply(const planned_grant& planned)
 {
     const account_state& state = m_accounts[planned.account];
-    return {state.revision, domain::apply_grant_change(
-                                state.record, m_incarnation, state.own_granted,
-                                planned.tokens, m_members)};
+    planned_record next;
+    next.expected_revision = state.revision;
+    next.record = domain::apply_grant_change(
+        base_record(planned.account, state), m_incarnation, state.own_granted,
+        planned.tokens, m_members);
+    next.record.granted_in_all += planned.uncounted;
+    next.earlier_eras = state.earlier_eras;
+    return next;
 }
 
 grant_summary grant_planner::record_committed(const planned_grant& planned,
                                               ports::revision at)
 {
     account_state& state = m_accounts[planned.account];
-    state.record = apply(planned).record;
+    state.record = planned.record;
     state.revision = at;
+    state.is_record_current = true;
+    state.earlier_eras.clear();
+    state.uncounted -= planned.uncounted;
+    const domain::record_position position{m_era, state.record.version};
+    m_totals.merge(planned.account, {position, state.record.granted_in_all});
+    if (m_era != 0)
+    {
+        state.history.add(position, planned.tokens);
+    }
     set_own_granted(state, state.own_granted + planned.tokens);
-    return summary_of(state);
+    return summary_of(planned.account, state);
+}
+
+void grant_planner::mark_void(const std::vector<planned_grant>& planned)
+{
+    mark_uncertain(planned);
+    for (const planned_grant& change : planned)
+    {
+        drop_uncertain_return(m_accounts[change.account]);
+    }
 }
 
 void grant_planner::mark_uncertain(const std::vector<planned_grant>& planned)
@@ -207,12 +330,14 @@
     const auto total = m_prepaid_totals.find(account);
     const auto state = m_accounts.find(account);
     return total != m_prepaid_totals.end() && state != m_accounts.end() &&
-           total->second - state->second.record.granted_in_all >= tokens;
+           can_change(state->second) &&
+           total->second - granted_in_all(account, state->second) >= tokens;
 }
 
-grant_summary grant_planner::summary_of(const account_state& state) const
+grant_summary grant_planner::summary_of(const std::string& account,
+                                        const account_state& state) const
 {
-    return {state.own_granted + state.returned, state.record.granted_in_all,
+    return {state.own_granted + state.returned, granted_in_all(account, state),
             tokens_per_second_of(state)};
 }
 
@@ -221,7 +346,7 @@
     std::map<std::string, grant_summary> all;
     for (const auto& [name, account] : m_accounts)
     {
-        all[name] = summary_of(account);
+        all[name] = summary_of(name, account);
     }
     return all;
 }
--- a/libraries/drivers/fleet/grant_planner.hpp
+++ b/libraries/drivers/fleet/grant_planner.hpp
@@ -1,8 +1,11 @@
 #pragma once
 
 #include "libraries/domain/budget/spend_rate.hpp"
+#include "libraries/domain/prepaid/granted_totals.hpp"
+#include "libraries/domain/prepaid/own_grant_history.hpp"
 #include "libraries/domain/prepaid/prepaid_record.hpp"
 #include "libraries/drivers/exchange/fleet_view.hpp"
+#include "libraries/drivers/fleet/prepaid_record_key.hpp"
 #include "libraries/ports/asynchronous_store.hpp"
 #include "libraries/ports/clock.hpp"
 
@@ -35,6 +38,11 @@
     std::string account;
     /// Tokens to request or, if negative, to return.
     std::int64_t tokens = 0;
+    /// Tokens that this router has and the record does not count, as it was
+    /// begun after a restore of the store without this router.
+    std::int64_t uncounted = 0;
+    /// The account's record as it was sent with this change.
+    domain::prepaid_record record;
 };
 
 /// An account's record as it is after a planned change, and the revision that
@@ -43,6 +51,8 @@
 {
     ports::revision expected_revision = 0;
     domain::prepaid_record record;
+    /// The earlier eras of which the store still has a record.
+    std::set<ports::store_era> earlier_eras;
 };
 
 /// Plans which tokens one router requests from the store and which it returns,
@@ -54,6 +64,25 @@
     /// Precondition: the clock outlives the planner.
     grant_planner(const ports::clock& clock, std::string incarnation);
 
+    /// Plans for an era of the store from now on. The records of that era are
+    /// not known yet and cannot be begun, and changes whose outcome is unknown
+    /// never count.
+    void begin_era(ports::store_era era);
+
+    /// Forgets which earlier records the store has, before all records are
+    /// updated from it.
+    void begin_update();
+
+    /// Returns the era for which changes are planned.
+    [[nodiscard]] ports::store_era era() const;
+
+    /// Sets whether accounts without a record in this era can begin one. Until
+    /// then their grants stay as they are.
+    void allow_new_records(bool is_allowed);
+
+    /// The latest granted totals, which other routers' reports may complete.
+    [[nodiscard]] domain::granted_totals& totals();
+
     /// Sets the prepaid totals in force, by account.
     void set_prepaid_totals(std::map<std::string, std::int64_t> prepaid);
 
@@ -63,8 +92,8 @@
     /// Sets the registered router incarnations, including this one.
     void set_members(std::set<std::string> members);
 
-    /// Replaces the copy of an account's record by the one in the store.
-    void update_record(const std::string& account, ports::revision revision,
+    /// Takes over an account's record of the era `era` as it is in the store.
+    void update_record(const prepaid_record_key& key, ports::revision revision,
                        domain::prepaid_record record);
 
     /// Measures the consumption. Precondition: `used` and `lent` never
@@ -91,6 +120,11 @@
     grant_summary record_committed(const planned_grant& planned,
                                    ports::revision at);
 
+    /// Records that planned changes never count, as they were sent before the
+    /// present era. Tokens to be returned with them are given up: the store may
+    /// have counted them as returned.
+    void mark_void(const std::vector<planned_grant>& planned);
+
     /// Records that the outcome of planned changes is unknown.
     void mark_uncertain(const std::vector<planned_grant>& planned);
 
@@ -116,6 +150,13 @@
     {
         ports::revision revision = 0;
         domain::prepaid_record record;
+        /// Whether `record` is of the present era.
+        bool is_record_current = false;
+        /// The earlier eras of which the store has a record.
+        std::set<ports::store_era> earlier_eras;
+        domain::own_grant_history history;
+        /// As in `planned_grant`.
+        std::int64_t uncounted = 0;
         /// Tokens granted to this router according to the store.
         std::int64_t own_granted = 0;
         /// Tokens whose return the store has confirmed.
@@ -130,15 +171,31 @@
         domain::spend_rate rate{rate_window};
     };
 
+    /// Returns whether this router may change an account's record now.
+    [[nodiscard]] bool can_change(const account_state& state) const;
+    /// Returns how many accounts fit into one change.
+    [[nodiscard]] std::size_t max_changes() const;
+    /// Returns the tokens that count as granted to all routers.
+    [[nodiscard]] std::int64_t granted_in_all(const std::string& account,
+                                              const account_state& state) const;
+    /// Returns the record that a change of the account begins with.
+    [[nodiscard]] domain::prepaid_record
+    base_record(const std::string& account, const account_state& state) const;
+    /// Drops returns whose outcome cannot become known any more.
+    static void drop_uncertain_return(account_state& state);
     static void set_own_granted(account_state& state, std::int64_t granted);
     [[nodiscard]] double tokens_per_second_of(const account_state& state) const;
-    [[nodiscard]] grant_summary summary_of(const account_state& state) const;
+    [[nodiscard]] grant_summary summary_of(const std::string& account,
+                                           const account_state& state) const;
     [[nodiscard]] domain::grant_demand
-    demand_of(const account_state& state,
+    demand_of(const std::string& account, const account_state& state,
               const account_token_demand& token_demand) const;
 
     const ports::clock& m_clock;
     std::string m_incarnation;
+    ports::store_era m_era = 0;
+    bool m_are_new_records_allowed = true;
+    domain::granted_totals m_totals;
     std::map<std::string, std::int64_t> m_prepaid_totals;
     std::set<std::string> m_members;
     std::map<std::string, account_state> m_accounts;
--- a/libraries/drivers/fleet/peer_table.cpp
+++ b/libraries/drivers/fleet/peer_table.cpp
@@ -166,6 +166,29 @@
     return live;
 }
 
+std::set<std::string>
+peer_table::list_reachable(std::chrono::milliseconds max_silence,
+                           ports::steady_time now) const
+{
+    std::set<std::string> reachable;
+    for (const auto& [incarnation, registered_at] : m_registered_at)
+    {
+        if (incarnation != m_self.incarnation &&
+            now - registered_at <= max_silence)
+        {
+            reachable.insert(incarnation);
+        }
+    }
+    for (const auto& [incarnation, peer] : m_peers)
+    {
+        if (peer.last_digest_at && now - *peer.last_digest_at <= max_silence)
+        {
+            reachable.insert(incarnation);
+        }
+    }
+    return reachable;
+}
+
 std::string peer_table::find_lender(const std::string& account,
                                     ports::steady_time now) const
 {
--- a/libraries/drivers/fleet/peer_table.hpp
+++ b/libraries/drivers/fleet/peer_table.hpp
@@ -6,6 +6,7 @@
 #include "libraries/drivers/fleet/fleet_member.hpp"
 #include "libraries/ports/clock.hpp"
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -53,6 +54,12 @@
     [[nodiscard]] std::set<std::string>
     live_peers(ports::steady_time now) const;
 
+    /// Returns the incarnations of the peers that have sent a digest within
+    /// `max_silence` or were registered within it, leaving ones too.
+    [[nodiscard]] std::set<std::string>
+    list_reachable(std::chrono::milliseconds max_silence,
+                   ports::steady_time now) const;
+
     /// Returns the incarnation of the peer with the most free tokens of an
     /// account; the empty text if no registered peer with a recent digest has
     /// any.
--- a/libraries/drivers/fleet/token_control.cpp
+++ b/libraries/drivers/fleet/token_control.cpp
@@ -28,6 +28,9 @@
     , m_is_store_unavailable(std::move(is_store_unavailable))
     , m_grant_client(m_dependencies.store, m_dependencies.clock,
                      m_dependencies.log, m_self)
+    , m_exchange(m_grant_client.totals(), m_dependencies.store.eras(),
+                 m_dependencies.peers, m_peers, m_dependencies.clock,
+                 m_dependencies.log, m_self, [this] { m_grant_client.fence(); })
     , m_borrower(m_dependencies.peers, m_peers, m_dependencies.clock,
                  m_dependencies.log, m_self)
     , m_lender(
@@ -56,6 +59,8 @@
             m_changed();
             m_lender.continue_loans();
         });
+    m_grant_client.on_applied([this](const std::vector<std::string>& accounts)
+                              { m_exchange.announce(accounts); });
     m_grant_client.set_members({m_self});
     update_holders();
 }
@@ -225,6 +230,8 @@
     {
         return;
     }
+    m_exchange.collect();
+    m_grant_client.allow_new_records(m_exchange.is_complete());
     const std::map<std::string, account_token_demand> token_demands =
         current_token_demands(traffic);
     for (const auto& [account, token_demand] : token_demands)
@@ -304,6 +311,11 @@
     }
 }
 
+void token_control::handle_totals(const codecs::granted_totals_message& message)
+{
+    m_exchange.handle(message);
+}
+
 void token_control::lend(const codecs::token_message& request)
 {
     const std::optional<std::string> address =
--- a/libraries/drivers/fleet/token_control.hpp
+++ b/libraries/drivers/fleet/token_control.hpp
@@ -10,6 +10,7 @@
 #include "libraries/drivers/fleet/token_borrower.hpp"
 #include "libraries/drivers/fleet/token_grant_client.hpp"
 #include "libraries/drivers/fleet/token_lender.hpp"
+#include "libraries/drivers/fleet/total_exchange.hpp"
 #include "libraries/drivers/fleet/traffic_link.hpp"
 #include "libraries/ports/asynchronous_store.hpp"
 #include "libraries/ports/clock.hpp"
@@ -79,6 +80,9 @@
     /// Handles a peer's request for a loan, or its loan.
     void handle_message(const codecs::token_message& message);
 
+    /// Handles a peer's message about granted totals.
+    void handle_totals(const codecs::granted_totals_message& message);
+
     /// Returns unused tokens to the store. `done` is called once, after the
     /// store has confirmed the return of all of them.
     void return_tokens(std::function<void()> done);
@@ -131,6 +135,7 @@
     std::function<bool()> m_is_store_unavailable;
     std::function<void()> m_changed;
     token_grant_client m_grant_client;
+    total_exchange m_exchange;
     domain::account_holders m_holders;
     token_borrower m_borrower;
     token_lender m_lender;
--- a/libraries/drivers/fleet/token_grant_client.cpp
+++ b/libraries/drivers/fleet/token_grant_client.cpp
@@ -3,6 +3,7 @@
 #include "libraries/codecs/fleet/prepaid_record_codec.hpp"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace turmeric::drivers
@@ -11,7 +12,6 @@
 namespace
 {
 
-constexpr std::string_view key_prefix = "turmericfront/tokens/";
 /// The delay before the next call after a failed one.
 constexpr std::chrono::milliseconds retry_delay{300};
 /// The minimum interval between changes while no request lacks tokens. It
@@ -25,6 +25,15 @@
 /// The store counts as unavailable while a call is pending for longer.
 constexpr std::chrono::milliseconds max_response_time{600};
 
+/// Returns a record that grants nothing more. It replaces the record of a
+/// release that did not know the eras of the store, so that routers of that
+/// release begin no record of their own.
+domain::prepaid_record close_record(domain::prepaid_record record)
+{
+    record.granted_in_all = std::numeric_limits<std::int64_t>::max() / 2;
+    return record;
+}
+
 /// Returns whether requests wait for tokens that only the store can provide.
 bool is_any_request_waiting(
     const std::map<std::string, account_token_demand>& token_demands)
@@ -53,9 +62,15 @@
     }
 
     void read_all(std::function<void()> then);
+    /// Continues in the era of the store if it is another one.
+    void follow_era();
     void load_record(const ports::key_value& entry);
+    /// Adds the change of one account to a change of the store.
+    void add_to(ports::store_change& change, planned_grant& planned);
     void commit(std::vector<planned_grant> changes);
+    /// `sent_fence` is the value of `fence` when the changes were sent.
     void on_committed(const std::vector<planned_grant>& changes,
+                      std::int64_t sent_fence,
                       result<ports::change_outcome> response);
     void on_refused(const std::vector<planned_grant>& changes,
                     const ports::change_conflict& refused);
@@ -80,7 +95,13 @@
     const ports::clock& clock;
     logger& log;
     std::function<void()> changed;
+    std::function<void(const std::vector<std::string>&)> applied;
     grant_planner planner;
+    /// Grows whenever the changes under way become void.
+    std::int64_t fence = 0;
+    /// When this router found that the store was restored, until the store
+    /// grants tokens again.
+    std::optional<ports::steady_time> restored_at;
     /// Whether the records must be read from the store before a change.
     bool is_stale = true;
     bool is_call_pending = false;
@@ -105,6 +126,22 @@
     std::function<void()> on_returned;
 };
 
+void token_grant_client::state::follow_era()
+{
+    const ports::store_era era = store.eras().current();
+    if (planner.era() == era)
+    {
+        return;
+    }
+    if (planner.era() != 0)
+    {
+        restored_at = clock.steady_now();
+    }
+    planner.begin_era(era);
+    is_stale = true;
+    ++fence;
+}
+
 void token_grant_client::state::load_record(const ports::key_value& entry)
 {
     result<domain::prepaid_record> read =
@@ -115,15 +152,22 @@
                   {{"key", entry.key}, {"reason", read.failure().detail}});
         return;
     }
-    const std::string account = entry.key.substr(key_prefix.size());
-    const std::int64_t known = planner.own_granted(account);
-    planner.update_record(account, entry.modification_revision,
+    const std::optional<prepaid_record_key> key = read_record_key(entry.key);
+    if (!key)
+    {
+        log.write(
+            log_level::error, log_event::document_unreadable,
+            {{"key", entry.key}, {"reason", std::string("malformed key")}});
+        return;
+    }
+    const std::int64_t known = planner.own_granted(key->account);
+    planner.update_record(*key, entry.modification_revision,
                           std::move(read.value()));
-    const std::int64_t found = planner.own_granted(account);
+    const std::int64_t found = planner.own_granted(key->account);
     if (found != known)
     {
         log.write(log_level::info, log_event::grant_differs,
-                  {{"account", account},
+                  {{"account", key->account},
                    {"known", known},
                    {"found", found},
                    {"era", store.eras().current()}});
@@ -134,7 +178,7 @@
 {
     record_call_start();
     const std::shared_ptr<state> self = shared_from_this();
-    store.list(std::string(key_prefix),
+    store.list(std::string(prepaid_record_prefix),
                [self, then = std::move(then)](result<ports::key_range> response)
                {
                    self->record_response(bool(response));
@@ -144,6 +188,8 @@
                        self->retry_at = self->clock.steady_now() + retry_delay;
                        return;
                    }
+                   self->follow_era();
+                   self->planner.begin_update();
                    for (const ports::key_value& entry :
                         response.value().entries)
                    {
@@ -175,23 +221,20 @@
 void token_grant_client::state::commit(std::vector<planned_grant> changes)
 {
     ports::store_change change;
-    for (const planned_grant& planned : changes)
+    for (planned_grant& planned : changes)
     {
-        const std::string key = std::string(key_prefix) + planned.account;
-        const planned_record next = planner.apply(planned);
-        change.conditions.push_back({key, next.expected_revision});
-        change.writes.push_back(
-            {key, codecs::write_prepaid_record(next.record), 0});
+        add_to(change, planned);
     }
     ++attempts;
     record_call_start();
     const std::shared_ptr<state> self = shared_from_this();
     store.commit(change,
-                 [self, changes = std::move(changes)](
-                     result<ports::change_outcome> response)
+                 [self, changes = std::move(changes),
+                  sent_fence = fence](result<ports::change_outcome> response)
                  {
                      self->record_response(bool(response));
-                     self->on_committed(changes, std::move(response));
+                     self->on_committed(changes, sent_fence,
+                                        std::move(response));
                      if (self->on_returned)
                      {
                          self->return_all_tokens();
@@ -199,10 +242,40 @@
                  });
 }
 
+void token_grant_client::state::add_to(ports::store_change& change,
+                                       planned_grant& planned)
+{
+    const planned_record next = planner.apply(planned);
+    planned.record = next.record;
+    const std::string key = write_record_key({planner.era(), planned.account});
+    change.conditions.push_back({key, next.expected_revision});
+    change.writes.push_back(
+        {key, codecs::write_prepaid_record(next.record), 0});
+    for (const ports::store_era earlier : next.earlier_eras)
+    {
+        const std::string earlier_key =
+            write_record_key({earlier, planned.account});
+        if (earlier != 0)
+        {
+            change.deletions.push_back(earlier_key);
+            continue;
+        }
+        change.writes.push_back(
+            {earlier_key,
+             codecs::write_prepaid_record(close_record(next.record)), 0});
+    }
+}
+
 void token_grant_client::state::on_committed(
-    const std::vector<planned_grant>& changes,
+    const std::vector<planned_grant>& changes, std::int64_t sent_fence,
     result<ports::change_outcome> response)
 {
+    follow_era();
+    if (sent_fence != fence)
+    {
+        planner.mark_void(changes);
+        return;
+    }
     if (!response)
     {
         log.write(log_level::warning, log_event::commit_failed,
@@ -296,6 +369,15 @@
                    {"record_age_ms", record_age_ms()}});
     }
     attempts = 0;
+    if (applied)
+    {
+        std::vector<std::string> accounts;
+        for (const planned_grant& planned : changes)
+        {
+            accounts.push_back(planned.account);
+        }
+        applied(accounts);
+    }
     notify();
 }
 
@@ -320,11 +402,21 @@
     : m_state(
           std::make_shared<state>(store, clock, log, std::move(incarnation)))
 {
+    const std::weak_ptr<state> weak = m_state;
+    store.eras().add_listener(
+        [weak](ports::store_era)
+        {
+            if (const std::shared_ptr<state> self = weak.lock())
+            {
+                self->follow_era();
+            }
+        });
 }
 
 token_grant_client::~token_grant_client()
 {
     m_state->changed = nullptr;
+    m_state->applied = nullptr;
 }
 
 void token_grant_client::on_change(std::function<void()> changed)
@@ -332,6 +424,32 @@
     m_state->changed = std::move(changed);
 }
 
+void token_grant_client::on_applied(
+    std::function<void(const std::vector<std::string>&)> applied)
+{
+    m_state->applied = std::move(applied);
+}
+
+domain::granted_totals& token_grant_client::totals()
+{
+    return m_state->planner.totals();
+}
+
+void token_grant_client::allow_new_records(bool is_allowed)
+{
+    m_state->planner.allow_new_records(is_allowed);
+    if (is_allowed)
+    {
+        m_state->restored_at.reset();
+    }
+}
+
+void token_grant_client::fence()
+{
+    ++m_state->fence;
+    m_state->is_stale = true;
+}
+
 void token_grant_client::set_prepaid_totals(
     std::map<std::string, std::int64_t> prepaid)
 {
@@ -432,6 +550,10 @@
 std::optional<ports::steady_time> token_grant_client::unavailable_since() const
 {
     const state& self = *m_state;
+    if (self.restored_at)
+    {
+        return self.restored_at;
+    }
     const bool is_overdue =
         self.is_call_pending &&
         self.clock.steady_now() - self.call_started_at > max_response_time;
--- a/libraries/drivers/fleet/token_grant_client.hpp
+++ b/libraries/drivers/fleet/token_grant_client.hpp
@@ -38,6 +38,22 @@
     /// Calls `changed` whenever the grants may have changed.
     void on_change(std::function<void()> changed);
 
+    /// Calls `applied` with the accounts of each change that the store has
+    /// confirmed, before `changed` reports the grants.
+    void on_applied(
+        std::function<void(const std::vector<std::string>& accounts)> applied);
+
+    /// The latest granted totals, which other routers' reports may complete.
+    [[nodiscard]] domain::granted_totals& totals();
+
+    /// Sets whether accounts without a record in this era of the store can
+    /// begin one.
+    void allow_new_records(bool is_allowed);
+
+    /// Accepts no grants of a change that is under way, and reads the records
+    /// before the next one: the store may have been restored.
+    void fence();
+
     /// Sets the prepaid totals in force, by account.
     void set_prepaid_totals(std::map<std::string, std::int64_t> prepaid);
 
@@ -66,7 +82,8 @@
                                  std::int64_t tokens) const;
 
     /// Returns the time of the store's last successful response if the last
-    /// call failed or the pending one is overdue; nothing otherwise.
+    /// call failed, the pending one is overdue, or the store was restored and
+    /// grants nothing yet; nothing otherwise.
     [[nodiscard]] std::optional<ports::steady_time> unavailable_since() const;
 
     /// Returns the grants by account.
