Prefix follower: Read again when the store was restored

What callers would see: a route that was added, an upstream that left or a router that joined stays unknown until something else changes there.

Cause: a watch goes on from a revision. A restored store gives revisions out again, and once it has passed the one that the watch waits after, it reports neither 410 nor the changes before. Keys that the copy lacks would also be dropped at once, although their writers write them again.

The follower now reads its prefix when a response shows a new era, ignores what is under way of the era before, and keeps missing keys for the grace period that it has for outages.

Evidence: three tests of prefix_follower fail without the change (3 of 32 of the fleet tests) and pass with it.

--- a/libraries/drivers/fleet/prefix_follower.cpp
+++ b/libraries/drivers/fleet/prefix_follower.cpp
@@ -32,6 +32,9 @@
     {
     }
 
+    /// Reads the prefix again, since the store was restored. What is under way
+    /// no longer counts.
+    void restart();
     void read();
     void watch();
     void on_read_result(result<ports::key_range> response);
@@ -54,6 +57,9 @@
     /// after it, and are still in `items`.
     std::set<std::string> pending_deletions;
     ports::revision revision = 0;
+    /// Grows with each restart; the calls of earlier numbers are ignored.
+    std::int64_t run = 0;
+    bool is_started = false;
     bool has_read = false;
     std::optional<ports::steady_time> unavailable_since;
     std::optional<ports::steady_time> recovered_at;
@@ -64,19 +70,44 @@
     bool is_stopped = false;
 };
 
+void prefix_follower::state::restart()
+{
+    if (!is_started || is_stopped)
+    {
+        return;
+    }
+    ++run;
+    retry_timer.reset();
+    watch_timer.reset();
+    // Keys that the copy lacks may be written again by those who own them.
+    recovered_at = clock.steady_now();
+    read();
+}
+
 void prefix_follower::state::read()
 {
     const std::shared_ptr<state> self = shared_from_this();
-    store.list(settings.prefix, [self](result<ports::key_range> response)
-               { self->on_read_result(std::move(response)); });
+    store.list(settings.prefix,
+               [self, started_in = run](result<ports::key_range> response)
+               {
+                   if (started_in == self->run)
+                   {
+                       self->on_read_result(std::move(response));
+                   }
+               });
 }
 
 void prefix_follower::state::watch()
 {
     const std::shared_ptr<state> self = shared_from_this();
     store.watch(settings.prefix, revision, settings.watch_wait,
-                [self](result<ports::watch_batch> response)
-                { self->on_watch_result(std::move(response)); });
+                [self, started_in = run](result<ports::watch_batch> response)
+                {
+                    if (started_in == self->run)
+                    {
+                        self->on_watch_result(std::move(response));
+                    }
+                });
 }
 
 void prefix_follower::state::on_read_result(result<ports::key_range> response)
@@ -260,6 +291,15 @@
     : m_state(std::make_shared<state>(store, timers, clock, log,
                                       std::move(settings)))
 {
+    const std::weak_ptr<state> weak = m_state;
+    store.eras().add_listener(
+        [weak](ports::store_era)
+        {
+            if (const std::shared_ptr<state> self = weak.lock())
+            {
+                self->restart();
+            }
+        });
 }
 
 prefix_follower::~prefix_follower()
@@ -274,6 +314,7 @@
 void prefix_follower::start(std::function<void(const followed_items&)> changed)
 {
     m_state->changed = std::move(changed);
+    m_state->is_started = true;
     m_state->read();
 }
 
--- a/libraries/drivers/fleet/prefix_follower.hpp
+++ b/libraries/drivers/fleet/prefix_follower.hpp
@@ -23,9 +23,9 @@
     /// one. A watch that has had no response for longer than this time plus
     /// the store's timeout is replaced.
     std::chrono::milliseconds watch_wait{1'000};
-    /// How long deleted keys are still kept after a store outage ended. Their
-    /// leases may have expired during the outage, and writers that still run
-    /// write them again.
+    /// How long deleted keys are still kept after a store outage ended or the
+    /// store was restored. Their leases may have expired during the outage, or
+    /// the copy may lack them, and writers that still run write them again.
     std::chrono::milliseconds deletion_grace{0};
 };
 
@@ -33,9 +33,11 @@
 using followed_items = std::map<std::string, ports::key_value>;
 
 /// Maintains a copy of the keys under one prefix. It reads them once and then
-/// watches for changes; it reads them again if a watch fails or the store has
-/// compacted the history that the watch needs. Used on the thread of the store
-/// only.
+/// watches for changes; it reads them again if a watch fails, the store has
+/// compacted the history that the watch needs, or the store was restored: its
+/// revisions may have passed the one that the watch waits after, so that the
+/// watch would never report what changed before. Used on the thread of the
+/// store only.
 class prefix_follower
 {
 public:
--- a/tests/fleet/prefix_follower_test.cpp
+++ b/tests/fleet/prefix_follower_test.cpp
@@ -116,3 +116,54 @@
     store.respond_to_watches();
     LONGS_EQUAL(0, latest_items.size());
 }
+
+// Guards against changes that a watch never reports, since a restored store has
+// passed the revision that it waits after.
+TEST(prefix_follower_group, a_restored_store_hides_no_change)
+{
+    store.begin_era();
+    store.put("servers/a", "1");
+    store.take_copy();
+    store.put("servers/lost", "1");
+    follow(0ms);
+    store.restore_copy();
+    store.put("servers/b", "1");
+    store.put("servers/c", "1");
+    store.respond_to_watches();
+    store.serve_all();
+    LONGS_EQUAL(3, latest_items.size());
+    LONGS_EQUAL(0, latest_items.count("servers/lost"));
+}
+
+TEST(prefix_follower_group, keys_that_the_copy_lacks_are_kept_for_their_writers)
+{
+    store.begin_era();
+    store.take_copy();
+    store.put("servers/a", "1");
+    store.put("servers/gone", "1");
+    follow(2s);
+    store.restore_copy();
+    store.serve_all();
+    LONGS_EQUAL(2, latest_items.size());
+    store.put("servers/a", "1");
+    store.respond_to_watches();
+    timers.advance(2'100ms);
+    LONGS_EQUAL(1, latest_items.size());
+    LONGS_EQUAL(1, latest_items.count("servers/a"));
+}
+
+TEST(prefix_follower_group, two_restores_in_a_row_are_read_once_each)
+{
+    store.begin_era();
+    store.put("servers/a", "1");
+    store.take_copy();
+    follow(0ms);
+    store.restore_copy();
+    store.restore_copy();
+    store.serve_all();
+    LONGS_EQUAL(2, change_count);
+    store.put("servers/b", "1");
+    store.respond_to_watches();
+    LONGS_EQUAL(2, latest_items.size());
+    LONGS_EQUAL(3, change_count);
+}
