Member registry: Register again when the store was restored

What callers would see: a router that runs is taken for gone by its peers, for good: its share of tokens and limits goes to others, and no peer sends it digests. Found while looking for the cause of the restored store elsewhere.

Cause: the number of a lease identifies it within one era only. A lease of the lost seconds does not exist in the copy, and its number is given out again: the router then renews another router's lease with success, and never learns that its own entry is gone. When it leaves, it ends the other router's lease.

The registry now creates a new lease and writes its entry when a response shows a new era, ignores the calls of the registration before, and never renews or ends a lease of an earlier era. That is two writes a router and restore.

--- a/libraries/drivers/fleet/member_registry.cpp
+++ b/libraries/drivers/fleet/member_registry.cpp
@@ -61,9 +61,13 @@
     {
     }
 
+    /// Registers again, since the store was restored.
+    void restart();
     void create_lease();
     void write_key();
     void renew();
+    /// Returns whether a call that was made in a registration no longer counts.
+    [[nodiscard]] bool is_outdated(std::int64_t started_in) const;
     void call_after(std::chrono::milliseconds delay, void (state::*next)());
 
     ports::asynchronous_store& store;
@@ -73,6 +77,9 @@
     fleet_member self_member;
     ports::lease_id lease = 0;
     std::unique_ptr<ports::timer> timer;
+    /// Grows with each registration; the calls of earlier ones are ignored.
+    std::int64_t registration = 0;
+    bool is_started = false;
     bool is_stopped = false;
 };
 
@@ -91,13 +98,33 @@
                             });
 }
 
+bool member_registry::state::is_outdated(std::int64_t started_in) const
+{
+    return is_stopped || started_in != registration;
+}
+
+void member_registry::state::restart()
+{
+    if (!is_started || is_stopped)
+    {
+        return;
+    }
+    ++registration;
+    timer.reset();
+    // The number of the lease may be another router's now: it must be neither
+    // renewed nor ended.
+    lease = 0;
+    create_lease();
+}
+
 void member_registry::state::create_lease()
 {
     const std::shared_ptr<state> self = shared_from_this();
     store.create_lease(lease_time_to_live,
-                       [self](const result<ports::granted_lease>& response)
+                       [self, started_in = registration](
+                           const result<ports::granted_lease>& response)
                        {
-                           if (self->is_stopped)
+                           if (self->is_outdated(started_in))
                            {
                                return;
                            }
@@ -118,30 +145,31 @@
     change.writes.push_back({key_prefix + self_member.incarnation,
                              write_member(self_member), lease});
     const std::shared_ptr<state> self = shared_from_this();
-    store.commit(change,
-                 [self](const result<ports::change_outcome>& response)
-                 {
-                     if (self->is_stopped)
-                     {
-                         return;
-                     }
-                     if (!response &&
-                         response.failure().code == result_code::lease_lost)
-                     {
-                         self->create_lease();
-                         return;
-                     }
-                     if (!response)
-                     {
-                         // The write is idempotent, so it may be repeated
-                         // even if it took effect.
-                         self->call_after(retry_interval, &state::write_key);
-                         return;
-                     }
-                     self->log.write(log_level::info, log_event::lease_acquired,
-                                     {{"lease", self->lease}});
-                     self->call_after(renewal_interval, &state::renew);
-                 });
+    store.commit(
+        change,
+        [self, started_in =
+                   registration](const result<ports::change_outcome>& response)
+        {
+            if (self->is_outdated(started_in))
+            {
+                return;
+            }
+            if (!response && response.failure().code == result_code::lease_lost)
+            {
+                self->create_lease();
+                return;
+            }
+            if (!response)
+            {
+                // The write is idempotent, so it may be repeated
+                // even if it took effect.
+                self->call_after(retry_interval, &state::write_key);
+                return;
+            }
+            self->log.write(log_level::info, log_event::lease_acquired,
+                            {{"lease", self->lease}});
+            self->call_after(renewal_interval, &state::renew);
+        });
 }
 
 void member_registry::state::renew()
@@ -149,9 +177,10 @@
     const std::shared_ptr<state> self = shared_from_this();
     store.renew_lease(
         lease,
-        [self](const result<std::monostate>& response)
+        [self,
+         started_in = registration](const result<std::monostate>& response)
         {
-            if (self->is_stopped)
+            if (self->is_outdated(started_in))
             {
                 return;
             }
@@ -177,6 +206,15 @@
                  {key_prefix, std::chrono::milliseconds(8'000),
                   std::chrono::milliseconds(3'000)})
 {
+    const std::weak_ptr<state> weak = m_state;
+    store.eras().add_listener(
+        [weak](ports::store_era)
+        {
+            if (const std::shared_ptr<state> self = weak.lock())
+            {
+                self->restart();
+            }
+        });
 }
 
 member_registry::~member_registry()
@@ -188,6 +226,7 @@
 void member_registry::start(
     std::function<void(const std::vector<fleet_member>&)> changed)
 {
+    m_state->is_started = true;
     m_state->create_lease();
     const std::shared_ptr<state> self = m_state;
     m_follower.start(
--- a/tests/fleet/fake_asynchronous_store.hpp
+++ b/tests/fleet/fake_asynchronous_store.hpp
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -64,22 +65,38 @@
                       callback<ports::granted_lease> done) override
     {
         m_calls.push_back(
-            [this, time_to_live, done](simulated_outcome) {
-                done(
-                    ports::granted_lease{++m_content.last_lease, time_to_live});
+            [this, time_to_live, done](simulated_outcome)
+            {
+                const ports::lease_id lease = ++m_content.last_lease;
+                m_content.leases.insert(lease);
+                done(ports::granted_lease{lease, time_to_live});
             });
     }
 
-    void renew_lease(ports::lease_id, callback<std::monostate> done) override
+    void renew_lease(ports::lease_id lease,
+                     callback<std::monostate> done) override
     {
-        m_calls.push_back([done](simulated_outcome)
-                          { done(std::monostate{}); });
+        m_calls.push_back(
+            [this, lease, done](simulated_outcome)
+            {
+                if (m_content.leases.count(lease) == 0)
+                {
+                    done(error{result_code::lease_lost, "lease", "ended"});
+                    return;
+                }
+                done(std::monostate{});
+            });
     }
 
-    void revoke_lease(ports::lease_id, callback<std::monostate> done) override
+    void revoke_lease(ports::lease_id lease,
+                      callback<std::monostate> done) override
     {
-        m_calls.push_back([done](simulated_outcome)
-                          { done(std::monostate{}); });
+        m_calls.push_back(
+            [this, lease, done](simulated_outcome)
+            {
+                m_content.leases.erase(lease);
+                done(std::monostate{});
+            });
     }
 
     /// Completes the next pending call with a simulated outcome; returns false
@@ -216,6 +233,7 @@
         std::vector<std::pair<ports::revision, ports::key_event>> history;
         ports::revision revision = 1;
         ports::lease_id last_lease = 0;
+        std::set<ports::lease_id> leases;
     };
 
     struct pending_watch
