Blocked parts: Write blocked parts again when the store was restored

What callers would see: a router that starts after the restore does not know of a prompt part that the fleet has blocked, until a peer's digest names it, and not at all if all routers are lost.

Cause: a router writes each blocked part once and then only every half hour. It counted on a write that the copy of the store lacks. Now what was written is forgotten when a response shows a new era, and is written again by the router that is first for the part.

Evidence: a_restored_store_gets_blocked_parts_again fails without the change and passes with it.

--- a/libraries/drivers/fleet/blocked_part_store.cpp
+++ b/libraries/drivers/fleet/blocked_part_store.cpp
@@ -134,6 +134,16 @@
                                        turmeric::logger& log)
     : m_state(std::make_shared<state>(store, timers, clock, log))
 {
+    const std::weak_ptr<state> weak = m_state;
+    store.eras().add_listener(
+        [weak](ports::store_era)
+        {
+            if (const std::shared_ptr<state> self = weak.lock())
+            {
+                // The copy may lack any of them.
+                self->written.clear();
+            }
+        });
 }
 
 blocked_part_store::~blocked_part_store() = default;
--- a/tests/fleet/blocked_part_store_test.cpp
+++ b/tests/fleet/blocked_part_store_test.cpp
@@ -113,3 +113,18 @@
     store.serve_all();
     CHECK(loaded.empty());
 }
+
+// Guards against a blocked part that a restored store has lost, and that
+// routers which start then do not know.
+TEST(blocked_part_store_group, a_restored_store_gets_blocked_parts_again)
+{
+    store.begin_era();
+    store.take_copy();
+    update(true);
+    store.serve_all();
+    store.restore_copy();
+    CHECK_FALSE(is_stored());
+    update(true);
+    store.serve_all();
+    CHECK(is_stored());
+}
