Fleet control: Get a newer configuration from peers of an older store

Cause: a router asked its peers for a newer configuration only while the store was unavailable. It took a store that responds for one that is up to date.

A router now also asks when peers have reported a newer version for 500 ms: a store that is up to date delivers it within that time. A router never goes back to an older version, as before.

--- a/libraries/drivers/fleet/fleet_control.cpp
+++ b/libraries/drivers/fleet/fleet_control.cpp
@@ -14,6 +14,9 @@
 constexpr std::chrono::milliseconds min_tick_interval{200};
 constexpr std::chrono::milliseconds tick_interval_per_router{10};
 constexpr std::chrono::milliseconds watch_wait{2'200};
+/// The store delivers a configuration that peers have in force within this
+/// time, unless it has an older one.
+constexpr std::chrono::milliseconds max_configuration_delay{500};
 /// An upstream that is running registers again within two seconds of the end
 /// of a store outage in which its entry expired.
 constexpr std::chrono::milliseconds upstream_deletion_grace{2'100};
@@ -198,14 +201,8 @@
 
 void fleet_control::request_configuration_from_peer()
 {
-    if (m_is_requesting_configuration || !m_configuration.unavailable_since())
-    {
-        return;
-    }
-    const std::int64_t version = m_routes == nullptr ? 0 : m_routes->version();
-    const std::optional<std::string> peer = m_peers.find_newer_configuration(
-        version, m_dependencies.clock.steady_now());
-    if (!peer)
+    const std::optional<std::string> peer = find_configuration_source();
+    if (!peer || m_is_requesting_configuration)
     {
         return;
     }
@@ -222,6 +219,24 @@
         });
 }
 
+std::optional<std::string> fleet_control::find_configuration_source()
+{
+    const ports::steady_time now = m_dependencies.clock.steady_now();
+    const std::int64_t version = m_routes == nullptr ? 0 : m_routes->version();
+    const std::optional<std::string> peer =
+        m_peers.find_newer_configuration(version, now);
+    if (!peer)
+    {
+        m_outdated_since.reset();
+        return std::nullopt;
+    }
+    m_outdated_since = m_outdated_since.value_or(now);
+    const bool is_store_late =
+        now - *m_outdated_since >= max_configuration_delay;
+    return m_configuration.unavailable_since() || is_store_late ? peer
+                                                                : std::nullopt;
+}
+
 void fleet_control::on_upstreams(const followed_items& items)
 {
     std::vector<domain::upstream_entry> entries;
--- a/libraries/drivers/fleet/fleet_control.hpp
+++ b/libraries/drivers/fleet/fleet_control.hpp
@@ -100,8 +100,12 @@
     /// force. `source` is for the log.
     void apply_configuration(const std::string& text, const char* source);
     /// Requests the configuration from a peer that reports a newer version,
-    /// while the store is unavailable.
+    /// while the store is unavailable or goes on having an older one: it may
+    /// have been restored from a copy.
     void request_configuration_from_peer();
+    /// Returns a peer with a newer configuration that the store is not about to
+    /// deliver; nothing if there is none.
+    [[nodiscard]] std::optional<std::string> find_configuration_source();
     /// Returns since when the store has been unavailable; nothing while it
     /// responds.
     [[nodiscard]] std::optional<ports::steady_time>
@@ -126,6 +130,8 @@
     std::int64_t m_sequence = 0;
     ports::steady_time m_last_report_at{};
     bool m_is_requesting_configuration = false;
+    /// Since when peers have reported a newer configuration.
+    std::optional<ports::steady_time> m_outdated_since;
     bool m_is_leaving = false;
 };
 
--- a/tests/simulation/simulated_fleet.cpp
+++ b/tests/simulation/simulated_fleet.cpp
@@ -2,6 +2,8 @@
 
 #include "libraries/codecs/fleet/prepaid_record_codec.hpp"
 
+#include <limits>
+
 namespace turmeric::tests
 {
 
@@ -15,10 +17,10 @@
     return "account-" + std::to_string(number);
 }
 
-result<domain::route_declarations> read_declarations(std::string_view)
+result<domain::route_declarations> read_declarations(std::string_view text)
 {
     domain::route_declarations made;
-    made.version = 1;
+    made.version = std::stoll(std::string(text));
     for (int number = 0; number < simulated_fleet::account_count; ++number)
     {
         made.accounts.push_back({account_name(number),
@@ -44,7 +46,8 @@
     , link(fleet.m_network, the_name)
     , control(
           {store, fleet.m_events, fleet.m_clock, link, traffic, fleet.m_log,
-           [](const auto&, const auto& done) { done(""); }},
+           [&fleet](const std::string& address, const auto& done)
+           { done(fleet.configuration_text(address)); }},
           {"configuration", "upstreams/", &read_declarations, &reject_upstream},
           {the_name, the_name, "east", the_name, the_name})
     , name(the_name)
@@ -54,12 +57,52 @@
 simulated_fleet::simulated_fleet(int routers)
 {
     m_store.begin_era();
-    m_store.put("configuration", "any");
+    set_configuration(1);
     for (int number = 0; number < routers; ++number)
     {
-        m_routers.push_back(std::make_unique<router>(
-            *this, "router-" + std::to_string(number)));
+        add_router();
+    }
+}
+
+void simulated_fleet::add_router()
+{
+    m_routers.push_back(std::make_unique<router>(
+        *this, "router-" + std::to_string(m_routers.size())));
+}
+
+void simulated_fleet::set_configuration(int version)
+{
+    m_store.put("configuration", std::to_string(version));
+}
+
+void simulated_fleet::start_another_router()
+{
+    add_router();
+    m_routers.back()->control.start();
+}
+
+int simulated_fleet::lowest_configuration() const
+{
+    int lowest = std::numeric_limits<int>::max();
+    for (const auto& one : m_routers)
+    {
+        const std::string& text = one->control.configuration_text();
+        lowest = std::min(lowest, text.empty() ? 0 : std::stoi(text));
+    }
+    return lowest;
+}
+
+std::string
+simulated_fleet::configuration_text(const std::string& address) const
+{
+    for (const auto& one : m_routers)
+    {
+        if (one->name == address)
+        {
+            return one->control.configuration_text();
+        }
     }
+    return "";
 }
 
 void simulated_fleet::start()
--- a/tests/simulation/simulated_fleet.hpp
+++ b/tests/simulation/simulated_fleet.hpp
@@ -203,6 +203,16 @@
     /// Cuts all routers from the store, but not from each other, or ends that.
     void set_cut(bool is_cut);
 
+    /// Writes a configuration to the store, as the operator does.
+    void set_configuration(int version);
+
+    /// Starts one more router.
+    void start_another_router();
+
+    /// Returns the lowest version that a router has in force; 0 if one has
+    /// none.
+    int lowest_configuration() const;
+
     /// Makes the store keep a copy of its content.
     void take_copy();
 
@@ -253,6 +263,9 @@
         bool is_killed = false;
     };
 
+    void add_router();
+    [[nodiscard]] std::string
+    configuration_text(const std::string& address) const;
     void answer_watches();
     void start_requests();
     [[nodiscard]] std::int64_t granted_of(const std::string& account) const;
