Key-value stand-in: Restore the store from a copy

So that the real programs meet a restored store: POST /copy/take keeps a copy, POST /copy/restore goes back to it and begins a new era, which all responses of the platform's API name (Store-Era). Revisions and lease numbers are given out again; waiting watches, and those from a revision that the store does not have, get 410.

With the header in all responses, the first router of a new fleet would have waited 3 s before its first grant: it waits for peers, in case that the store was restored just before its start. It does not wait when it has no peers and there is no record of any account.

The new process test was not run on the code before the fix.

--- a/libraries/drivers/fleet/total_exchange.cpp
+++ b/libraries/drivers/fleet/total_exchange.cpp
@@ -75,7 +75,9 @@
     }
     const ports::steady_time now = m_clock.steady_now();
     const std::set<std::string> missing = list_missing_peers();
-    if (missing.empty() && now >= m_earliest_end)
+    // The first router of a new fleet has nobody to wait for.
+    const bool is_alone = m_reported.empty() && m_totals.all().empty();
+    if (missing.empty() && (is_alone || now >= m_earliest_end))
     {
         m_is_complete = true;
         m_log.write(log_level::info, log_event::totals_collected,
--- a/standins/key_value/key_value_server.cpp
+++ b/standins/key_value/key_value_server.cpp
@@ -160,6 +160,18 @@
                     { handle_call(endpoint, request, reply); });
     }
     m_platform_api.register_endpoints(m_http);
+    m_http.Post("/copy/take",
+                [this](const httplib::Request&, httplib::Response& reply)
+                {
+                    m_state.take_copy();
+                    reply_json(reply, json::object());
+                });
+    m_http.Post("/copy/restore",
+                [this](const httplib::Request&, httplib::Response& reply)
+                {
+                    m_state.restore_copy();
+                    reply_json(reply, json::object());
+                });
     m_http.Get("/counts",
                [this](const httplib::Request&, httplib::Response& reply)
                { reply_json(reply, counts()); });
--- a/standins/key_value/key_value_state.cpp
+++ b/standins/key_value/key_value_state.cpp
@@ -64,8 +64,8 @@
             return error{result_code::lease_lost, "lease", "no such lease"};
         }
     }
-    const std::int64_t next_revision = m_revision + 1;
-    const std::int64_t events_before = m_recorded_events;
+    const std::int64_t next_revision = m_content.revision + 1;
+    const std::int64_t events_before = m_content.recorded_events;
     for (const operation& branch_operation : branch)
     {
         reply.replies.push_back(
@@ -73,12 +73,12 @@
                        { return apply(kind, next_revision); },
                        branch_operation));
     }
-    if (m_recorded_events != events_before)
+    if (m_content.recorded_events != events_before)
     {
-        m_revision = next_revision;
+        m_content.revision = next_revision;
         m_state_changed.notify_all();
     }
-    reply.revision = m_revision;
+    reply.revision = m_content.revision;
     return reply;
 }
 
@@ -88,8 +88,8 @@
     expire_leases();
     transaction_reply reply;
     reply.succeeded = true;
-    reply.revision = m_revision;
-    reply.replies.push_back(apply(range, m_revision));
+    reply.revision = m_content.revision;
+    reply.replies.push_back(apply(range, m_content.revision));
     return reply;
 }
 
@@ -98,11 +98,11 @@
 {
     std::lock_guard<std::mutex> lock(m_mutex);
     expire_leases();
-    while (id == 0 || m_leases.contains(id))
+    while (id == 0 || m_content.leases.contains(id))
     {
-        id = m_next_lease_id++;
+        id = m_content.next_lease_id++;
     }
-    m_leases[id] =
+    m_content.leases[id] =
         lease_state{time_to_live, m_clock.steady_now() + time_to_live, {}};
     return id;
 }
@@ -111,8 +111,8 @@
 {
     std::lock_guard<std::mutex> lock(m_mutex);
     expire_leases();
-    const auto lease = m_leases.find(id);
-    if (lease == m_leases.end())
+    const auto lease = m_content.leases.find(id);
+    if (lease == m_content.leases.end())
     {
         return std::chrono::seconds(0);
     }
@@ -125,8 +125,8 @@
 {
     std::lock_guard<std::mutex> lock(m_mutex);
     expire_leases();
-    const auto lease = m_leases.find(id);
-    if (lease == m_leases.end())
+    const auto lease = m_content.leases.find(id);
+    if (lease == m_content.leases.end())
     {
         return false;
     }
@@ -140,41 +140,76 @@
 {
     std::unique_lock<std::mutex> lock(m_mutex);
     expire_leases();
+    const std::int64_t first_era = m_era;
+    // A restored store has no history from a revision that it has not reached.
+    const bool is_unknown = m_era > 1 && start > m_content.revision + 1;
     m_state_changed.wait_for(lock, wait,
-                             [this, start]
-                             { return m_is_stopped || m_revision >= start; });
+                             [this, start, first_era, is_unknown]
+                             {
+                                 return m_is_stopped || is_unknown ||
+                                        m_era != first_era ||
+                                        m_content.revision >= start;
+                             });
     expire_leases();
     watch_reply reply;
-    reply.revision = m_revision;
-    if (start <= m_compacted_revision)
+    reply.revision = m_content.revision;
+    if (is_unknown || m_era != first_era)
     {
-        reply.compact_revision = m_compacted_revision;
+        reply.compact_revision = m_content.revision;
+        return reply;
+    }
+    if (start <= m_content.compacted_revision)
+    {
+        reply.compact_revision = m_content.compacted_revision;
         return reply;
     }
     const auto first =
-        std::partition_point(m_history.begin(), m_history.end(),
+        std::partition_point(m_content.history.begin(), m_content.history.end(),
                              [start](const store_event& event) {
                                  return event.entry.state.mod_revision < start;
                              });
     std::copy_if(
-        first, m_history.end(), std::back_inserter(reply.events),
+        first, m_content.history.end(), std::back_inserter(reply.events),
         [&range](const store_event& event)
         { return is_in_range(event.entry.key, range.key, range.range_end); });
     return reply;
 }
 
+void key_value_state::take_copy()
+{
+    std::lock_guard<std::mutex> lock(m_mutex);
+    expire_leases();
+    m_copy = m_content;
+}
+
+void key_value_state::restore_copy()
+{
+    {
+        std::lock_guard<std::mutex> lock(m_mutex);
+        m_content = m_copy;
+        ++m_era;
+    }
+    m_state_changed.notify_all();
+}
+
+std::int64_t key_value_state::era()
+{
+    std::lock_guard<std::mutex> lock(m_mutex);
+    return m_era;
+}
+
 std::int64_t key_value_state::revision()
 {
     std::lock_guard<std::mutex> lock(m_mutex);
     expire_leases();
-    return m_revision;
+    return m_content.revision;
 }
 
 std::size_t key_value_state::key_count()
 {
     std::lock_guard<std::mutex> lock(m_mutex);
     expire_leases();
-    return m_keys.size();
+    return m_content.keys.size();
 }
 
 void key_value_state::stop()
@@ -189,7 +224,8 @@
 void key_value_state::expire_leases()
 {
     const ports::steady_time now = m_clock.steady_now();
-    for (auto lease = m_leases.begin(); lease != m_leases.end();)
+    for (auto lease = m_content.leases.begin();
+         lease != m_content.leases.end();)
     {
         const auto next = std::next(lease);
         if (lease->second.expires_at <= now)
@@ -204,39 +240,40 @@
     std::map<std::int64_t, lease_state>::iterator lease)
 {
     const std::set<std::string> keys = std::move(lease->second.keys);
-    m_leases.erase(lease);
+    m_content.leases.erase(lease);
     if (keys.empty())
     {
         return;
     }
-    ++m_revision;
+    ++m_content.revision;
     for (const std::string& key : keys)
     {
-        erase_key(m_keys.find(key), m_revision);
+        erase_key(m_content.keys.find(key), m_content.revision);
     }
     m_state_changed.notify_all();
 }
 
 bool key_value_state::is_satisfied(const compare_operation& compare) const
 {
-    const auto entry = m_keys.find(compare.key);
+    const auto entry = m_content.keys.find(compare.key);
     const std::int64_t stored =
-        entry == m_keys.end() ? 0 : entry->second.*compare.target;
+        entry == m_content.keys.end() ? 0 : entry->second.*compare.target;
     return satisfies_relation(stored, compare.relation, compare.number);
 }
 
 bool key_value_state::has_missing_lease(const operation& requested) const
 {
     const put_operation* put = std::get_if<put_operation>(&requested);
-    return put != nullptr && put->lease != 0 && !m_leases.contains(put->lease);
+    return put != nullptr && put->lease != 0 &&
+           !m_content.leases.contains(put->lease);
 }
 
 operation_reply key_value_state::apply(const range_operation& range,
                                        std::int64_t) const
 {
     range_reply reply;
-    for (auto entry = m_keys.lower_bound(range.key);
-         entry != m_keys.end() &&
+    for (auto entry = m_content.keys.lower_bound(range.key);
+         entry != m_content.keys.end() &&
          is_in_range(entry->first, range.key, range.range_end);
          ++entry)
     {
@@ -252,7 +289,7 @@
 operation_reply key_value_state::apply(const put_operation& put,
                                        std::int64_t revision)
 {
-    stored_value& state = m_keys[put.key];
+    stored_value& state = m_content.keys[put.key];
     detach_from_lease(put.key, state.lease);
     if (state.version == 0)
     {
@@ -264,7 +301,7 @@
     state.lease = put.lease;
     if (put.lease != 0)
     {
-        m_leases[put.lease].keys.insert(put.key);
+        m_content.leases[put.lease].keys.insert(put.key);
     }
     record_event({{put.key, state}, false});
     return put_reply{};
@@ -274,8 +311,8 @@
                                        std::int64_t revision)
 {
     delete_reply reply;
-    auto entry = m_keys.lower_bound(deletion.key);
-    while (entry != m_keys.end() &&
+    auto entry = m_content.keys.lower_bound(deletion.key);
+    while (entry != m_content.keys.end() &&
            is_in_range(entry->first, deletion.key, deletion.range_end))
     {
         const auto next = std::next(entry);
@@ -292,15 +329,15 @@
     deleted.key = entry->first;
     deleted.state.mod_revision = revision;
     detach_from_lease(entry->first, entry->second.lease);
-    m_keys.erase(entry);
+    m_content.keys.erase(entry);
     record_event({std::move(deleted), true});
 }
 
 void key_value_state::detach_from_lease(const std::string& key,
                                         std::int64_t lease)
 {
-    const auto found = m_leases.find(lease);
-    if (found != m_leases.end())
+    const auto found = m_content.leases.find(lease);
+    if (found != m_content.leases.end())
     {
         found->second.keys.erase(key);
     }
@@ -308,12 +345,13 @@
 
 void key_value_state::record_event(store_event event)
 {
-    m_history.push_back(std::move(event));
-    ++m_recorded_events;
-    while (m_history.size() > m_max_history_events)
+    m_content.history.push_back(std::move(event));
+    ++m_content.recorded_events;
+    while (m_content.history.size() > m_max_history_events)
     {
-        m_compacted_revision = m_history.front().entry.state.mod_revision;
-        m_history.pop_front();
+        m_content.compacted_revision =
+            m_content.history.front().entry.state.mod_revision;
+        m_content.history.pop_front();
     }
 }
 
--- a/standins/key_value/key_value_state.hpp
+++ b/standins/key_value/key_value_state.hpp
@@ -54,6 +54,17 @@
                                 std::int64_t start,
                                 std::chrono::milliseconds wait);
 
+    /// Keeps a copy of the present content. Thread safe.
+    void take_copy();
+
+    /// Replaces the content by that of the copy: later changes and leases are
+    /// lost, and their numbers are given out again. Begins a new era. Waits for
+    /// events end. Thread safe.
+    void restore_copy();
+
+    /// Returns the number of the era, from 1. Thread safe.
+    std::int64_t era();
+
     /// Returns the current revision of the store. Thread safe.
     std::int64_t revision();
 
@@ -73,6 +84,20 @@
 
     using key_map = std::map<std::string, stored_value>;
 
+    /// All that a copy keeps.
+    struct content
+    {
+        key_map keys;
+        std::map<std::int64_t, lease_state> leases;
+        std::deque<store_event> history;
+        std::int64_t revision = 1;
+        /// Changes up to this revision may be missing from the history.
+        std::int64_t compacted_revision = 0;
+        /// The number of changes recorded since the start.
+        std::int64_t recorded_events = 0;
+        std::int64_t next_lease_id = 1;
+    };
+
     // The caller of the functions below holds the mutex.
     void expire_leases();
     void delete_lease(std::map<std::int64_t, lease_state>::iterator lease);
@@ -91,15 +116,9 @@
     const std::size_t m_max_history_events;
     std::mutex m_mutex;
     std::condition_variable m_state_changed;
-    key_map m_keys;
-    std::map<std::int64_t, lease_state> m_leases;
-    std::deque<store_event> m_history;
-    std::int64_t m_revision = 1;
-    /// Changes up to this revision may be missing from the history.
-    std::int64_t m_compacted_revision = 0;
-    /// The number of changes recorded since the start.
-    std::int64_t m_recorded_events = 0;
-    std::int64_t m_next_lease_id = 1;
+    content m_content;
+    content m_copy;
+    std::int64_t m_era = 1;
     bool m_is_stopped = false;
 };
 
--- a/standins/key_value/platform_api.cpp
+++ b/standins/key_value/platform_api.cpp
@@ -95,6 +95,8 @@
                      [this, is_write, handle](const httplib::Request& request,
                                               httplib::Response& reply)
                      {
+                         reply.set_header("Store-Era",
+                                          std::to_string(m_state.era()));
                          if (!m_faults.is_handled_by_fault(is_write, reply))
                          {
                              (this->*handle)(request, reply);
--- a/tests/processes/entry_fleet.py
+++ b/tests/processes/entry_fleet.py
@@ -54,6 +54,12 @@
              'Remove': []})
         assert status == 200, text
 
+    def take_copy(self):
+        fleet.call(self.address, 'POST', '/copy/take', {})
+
+    def restore_copy(self):
+        fleet.call(self.address, 'POST', '/copy/restore', {})
+
     def register(self, upstream, service, address, state='ready'):
         self.put(f'servers/{upstream}', {
             'Service': service, 'Address': address, 'Zone': 'east',
--- a/tests/processes/entry_test.py
+++ b/tests/processes/entry_test.py
@@ -5,6 +5,7 @@
 import pathlib
 import signal
 import tempfile
+import time
 import unittest
 
 import entry_fleet
@@ -109,6 +110,27 @@
         spent = sum(engine.counts()['effects'] for engine in self.engines)
         self.assertLessEqual(spent * 50, prepaid)
 
+    def test_prepaid_tokens_are_not_overspent_after_the_store_is_restored(self):
+        prepaid = 1_500
+        self.configure(2, accounts(prepaid))
+        entries = [self.start_entry('vm-1'), self.start_entry('vm-2')]
+        served = 0
+        restored_at = 0
+        for number in range(80):
+            if number == 2:
+                self.store.take_copy()
+            if number == 16:
+                self.store.restore_copy()
+                restored_at = served
+                time.sleep(1)
+            status, _, _ = entries[number % 2].call(
+                '/ask/1', 'key-1', f'r-{number}', '40,10')
+            self.assertIn(status, (200, 402, 503))
+            served += status == 200
+        self.assertIn('store_restored', entries[0].log.read_text())
+        self.assertGreater(served, restored_at)
+        self.assertLessEqual(served * 50, prepaid)
+
     def test_top_up_can_be_spent(self):
         self.configure(2, accounts(100))
         entry = self.start_entry('vm-1')
--- a/tests/standins/key_value_state_test.cpp
+++ b/tests/standins/key_value_state_test.cpp
@@ -119,6 +119,27 @@
     LONGS_EQUAL(1, outcome.value().revision);
 }
 
+TEST(key_value_state, a_restored_store_gives_out_its_numbers_again)
+{
+    CHECK(bool(m_state.run(make_put_if_revision("a", "1", 0))));
+    m_state.take_copy();
+    const std::int64_t lease = m_state.grant_lease(0, std::chrono::seconds(5));
+    const std::int64_t lost =
+        m_state.run(make_put_if_revision("b", "1", 0)).value().revision;
+    CHECK(bool(m_state.run(make_put_if_revision("c", "1", 0))));
+    LONGS_EQUAL(1, m_state.era());
+    m_state.restore_copy();
+    LONGS_EQUAL(2, m_state.era());
+    LONGS_EQUAL(0, count_keys(m_state, "b"));
+    LONGS_EQUAL(0, m_state.renew_lease(lease).count());
+    LONGS_EQUAL(lease, m_state.grant_lease(0, std::chrono::seconds(5)));
+    const range_operation all{std::string(1, '\0'), std::string(1, '\0'), 0};
+    CHECK(m_state.wait_for_events(all, lost + 2, std::chrono::milliseconds(0))
+              .compact_revision != 0);
+    LONGS_EQUAL(
+        lost, m_state.run(make_put_if_revision("d", "1", 0)).value().revision);
+}
+
 TEST_GROUP(rate_limiter)
 {
     fakes::manual_clock m_clock;
