Upstream attempts: Log the fingerprint of calls that were cut off

The logs could not tell whether the calls under which upstreams ended were the same request: event 410 names only the shared parts of a prompt.

It is computed only when a call is cut off, from the request that is kept for retries anyway. What is sent to upstreams has not changed.

The simulated fleet can send plain requests, one of which crashes upstreams and one of which is popular and sound.

--- a/libraries/drivers/exchange/exchange.hpp
+++ b/libraries/drivers/exchange/exchange.hpp
@@ -94,6 +94,11 @@
     /// because no upstream can serve it.
     bool try_place();
 
+    /// Returns what tells the request from others: a digest of its method,
+    /// host, path with query, client account and body. Its repeats have the
+    /// same.
+    [[nodiscard]] std::uint64_t fingerprint() const;
+
     /// Returns how many prepaid tokens must be held for the request: its
     /// maximum consumption, or 0 if it is not charged to prepaid tokens.
     [[nodiscard]] std::int64_t needed_tokens() const;
@@ -170,6 +175,8 @@
     bool m_has_caller_left = false;
     /// Whether the request tries out a blocked prompt part.
     bool m_is_trial = false;
+    /// Computed when it is needed first.
+    mutable std::optional<std::uint64_t> m_fingerprint;
     std::optional<std::chrono::milliseconds> m_time_to_first_byte;
     domain::event_splitter m_events;
 };
--- a/libraries/drivers/exchange/exchange_attempts.cpp
+++ b/libraries/drivers/exchange/exchange_attempts.cpp
@@ -70,6 +70,20 @@
     m_attempt->begin(std::move(call));
 }
 
+std::uint64_t exchange::fingerprint() const
+{
+    if (!m_fingerprint)
+    {
+        const std::string_view account = m_context.account == nullptr
+                                             ? std::string_view()
+                                             : m_context.account->name;
+        m_fingerprint = m_state.dependencies.digest.digest_of(
+            {m_context.request.head.method, m_context.parsed_request.host,
+             m_context.request.head.target, account, m_context.request.body});
+    }
+    return *m_fingerprint;
+}
+
 bool exchange::may_retry() const
 {
     const ports::steady_time now = m_state.dependencies.clock.steady_now();
--- a/libraries/drivers/exchange/traffic_state.hpp
+++ b/libraries/drivers/exchange/traffic_state.hpp
@@ -15,6 +15,7 @@
 #include "libraries/drivers/exchange/traffic_settings.hpp"
 #include "libraries/ports/clock.hpp"
 #include "libraries/ports/random_source.hpp"
+#include "libraries/ports/secure_digest.hpp"
 #include "libraries/ports/timer_queue.hpp"
 #include "libraries/ports/upstream_transport.hpp"
 
@@ -41,6 +42,7 @@
     const traffic_dialect& dialect;
     turmeric::logger& log;
     traffic_metrics& metrics;
+    const ports::secure_digest& digest;
 };
 
 /// A request that waits until prepaid tokens can be held for it.
--- a/libraries/drivers/exchange/upstream_attempt_observations.cpp
+++ b/libraries/drivers/exchange/upstream_attempt_observations.cpp
@@ -50,6 +50,7 @@
          {"result", std::string(name_of(failure))},
          {"has_head", m_head.has_value()},
          {"ms_since_output", ms_since_output},
+         {"fingerprint", fmt::format("{:x}", owner.fingerprint())},
          {"shared_parts", request.prompt
                               ? describe_shared_parts(*request.prompt)
                               : std::string()}});
--- a/services/entry/entry_process.cpp
+++ b/services/entry/entry_process.cpp
@@ -58,7 +58,7 @@
                        m_settings.store_address)
     , m_store(m_platform_store, m_registry)
     , m_dispatcher({m_clock, m_traffic_timers, m_traffic_pool, m_random,
-                    m_dialect, m_log, m_metrics},
+                    m_dialect, m_log, m_metrics, m_digest},
                    m_settings.traffic)
     , m_control({m_store, m_control_timers, m_clock, m_peers, m_link, m_log,
                  [this](const std::string& address,
--- a/services/entry/entry_process.hpp
+++ b/services/entry/entry_process.hpp
@@ -6,6 +6,7 @@
 #include "libraries/adapters/asio/caller_server.hpp"
 #include "libraries/adapters/asio/upstream_connection_pool.hpp"
 #include "libraries/adapters/fmt/buffered_logger.hpp"
+#include "libraries/adapters/openssl/sha256_digest.hpp"
 #include "libraries/adapters/settings/watched_file.hpp"
 #include "libraries/adapters/system/system_clock.hpp"
 #include "libraries/adapters/system/system_random.hpp"
@@ -86,6 +87,7 @@
     adapters::asio_timer_queue m_traffic_timers{m_traffic_loop};
     adapters::upstream_connection_pool m_control_pool{m_control_loop, m_clock};
     adapters::upstream_connection_pool m_traffic_pool{m_traffic_loop, m_clock};
+    adapters::sha256_digest m_digest;
     platform::platform_store m_platform_store;
     drivers::counted_asynchronous_store m_store;
     adapters::asio_datagram_link m_peers{m_control_loop};
--- a/tests/exchange/exchange_fixture.hpp
+++ b/tests/exchange/exchange_fixture.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "libraries/adapters/openssl/sha256_digest.hpp"
 #include "libraries/core/metrics/registry.hpp"
 #include "libraries/drivers/exchange/exchange.hpp"
 #include "libraries/drivers/exchange/traffic_dispatcher.hpp"
@@ -311,12 +312,14 @@
     fake_upstream_transport transport;
     fakes::seeded_random random{1};
     platform::platform_dialect dialect;
+    adapters::sha256_digest digest;
     fakes::counting_logger log;
     metrics::registry registry;
     drivers::traffic_metrics metrics{registry};
     drivers::traffic_settings settings{"east", {1.0, 100}};
     drivers::traffic_dispatcher dispatcher{
-        {clock, timers, transport, random, dialect, log, metrics}, settings};
+        {clock, timers, transport, random, dialect, log, metrics, digest},
+        settings};
     std::shared_ptr<ports::exchange_in_flight> in_flight;
 };
 
--- a/tests/exchange/exchange_test.cpp
+++ b/tests/exchange/exchange_test.cpp
@@ -258,7 +258,7 @@
     drivers::traffic_dispatcher unconfigured{
         {without_routes.clock, without_routes.timers, without_routes.transport,
          without_routes.random, without_routes.dialect, without_routes.log,
-         without_routes.metrics},
+         without_routes.metrics, without_routes.digest},
         without_routes.settings};
     ports::received_request request;
     request.head = {"GET", "/x", {{"X-Request-Id", "r"}}};
--- a/tests/simulation/simulated_upstreams.cpp
+++ b/tests/simulation/simulated_upstreams.cpp
@@ -123,8 +123,11 @@
         return;
     }
     const std::string parts = field_of(call->sent.bytes, "X-Prompt-Prefix");
+    const bool is_plain = parts.empty();
     const bool is_crashing =
-        parts.find(std::string(crashing_part) + ":") != std::string::npos;
+        is_plain
+            ? call->sent.bytes.ends_with(std::string("\n") + crashing_body)
+            : parts.find(std::string(crashing_part) + ":") != std::string::npos;
     arrivals.push_back(
         {m_clock.steady_now(), call->router, called.number, is_crashing});
     call->upstream = called.number;
@@ -132,7 +135,7 @@
     called.calls.push_back(call);
     const std::chrono::milliseconds reading_time(50 + m_random.next() % 150);
     m_events.run_after(reading_time,
-                       [this, call, is_crashing]
+                       [this, call, is_crashing, is_plain]
                        {
                            if (is_crashing && call->listener != nullptr)
                            {
@@ -140,10 +143,29 @@
                                crash(call->upstream);
                                return;
                            }
+                           if (is_plain)
+                           {
+                               send_plain_response(call);
+                               return;
+                           }
                            send_event(call, 1);
                        });
 }
 
+void simulated_upstreams::send_plain_response(
+    const std::shared_ptr<running_call>& call)
+{
+    if (call->listener == nullptr)
+    {
+        return;
+    }
+    const std::shared_ptr<ports::call_listener> listener =
+        std::exchange(call->listener, nullptr);
+    listener->on_head({200, "OK", {{"X-Server-Stamp", "s"}}});
+    listener->on_part("done");
+    listener->on_end();
+}
+
 void simulated_upstreams::send_event(const std::shared_ptr<running_call>& call,
                                      int event)
 {
--- a/tests/simulation/simulated_upstreams.hpp
+++ b/tests/simulation/simulated_upstreams.hpp
@@ -24,7 +24,7 @@
     int router = 0;
     /// The position of the upstream, which its restarts keep.
     std::size_t upstream = 0;
-    /// Whether its prompt has the part that crashes upstreams.
+    /// Whether it crashes upstreams.
     bool is_crashing = false;
 };
 
@@ -38,8 +38,9 @@
 
 /// The upstreams of one service. They register in the store, stream responses
 /// of a few events, end when they begin a response to a prompt that has the
-/// part `crashing_part`, restart some seconds later as another incarnation,
-/// and may name a limit in their responses.
+/// part `crashing_part` or to a request with the body `crashing_body`, restart
+/// some seconds later as another incarnation, and may name a limit in their
+/// responses.
 class simulated_upstreams
 {
 public:
@@ -62,6 +63,9 @@
     /// The prompt part that crashes upstreams, as written on the wire.
     static constexpr const char* crashing_part = "dead";
 
+    /// The body of plain requests that crash upstreams.
+    static constexpr const char* crashing_body = "crash";
+
     std::vector<upstream_arrival> arrivals;
     std::vector<passed_on_limit> passed_on_limits;
     /// When upstreams ended because of the crashing part.
@@ -81,6 +85,8 @@
 
     void register_upstream(std::size_t number);
     void answer(const std::shared_ptr<running_call>& call);
+    /// Sends the complete response to a plain request.
+    void send_plain_response(const std::shared_ptr<running_call>& call);
     void send_event(const std::shared_ptr<running_call>& call, int event);
     upstream& upstream_at(const std::string& address);
 
--- a/tests/simulation/traffic_fleet.cpp
+++ b/tests/simulation/traffic_fleet.cpp
@@ -13,6 +13,9 @@
 
 constexpr std::uint64_t first_parts = 8;
 constexpr std::uint64_t second_parts = 60;
+/// Of 100 plain requests, how many are the same.
+constexpr std::uint64_t popular_percent = 25;
+constexpr std::uint64_t plain_bodies = 1'000;
 constexpr const char* configuration_key = "configuration";
 
 result<domain::route_declarations> read_declarations(std::string_view)
@@ -32,6 +35,17 @@
     route.carries_prompts = true;
     route.is_resumable = true;
     made.routes.push_back(route);
+    route.name = "look";
+    route.prefix = "/look/";
+    route.kind = domain::request_kind::idempotent;
+    route.carries_prompts = false;
+    route.is_resumable = false;
+    made.routes.push_back(route);
+    route.name = "pay";
+    route.prefix = "/pay/";
+    route.kind = domain::request_kind::at_most_once;
+    route.max_attempts = 1;
+    made.routes.push_back(route);
     made.services.push_back(
         {"s", max_connections, domain::engine_properties{48, 400'000, 3}});
     return made;
@@ -46,7 +60,11 @@
     {
     }
 
-    void send_response(const ports::response_head&, std::string) override {}
+    void send_response(const ports::response_head& head, std::string) override
+    {
+        constexpr int status_ok = 200;
+        m_outcomes->complete += head.status == status_ok ? 1 : 0;
+    }
 
     void start_response(const ports::response_head&) override {}
 
@@ -143,7 +161,7 @@
         , transport(fleet.m_upstreams, number)
         , traffic_metrics(registry)
         , dispatcher({fleet.m_clock, fleet.m_events, transport, fleet.m_random,
-                      dialect, fleet.m_log, traffic_metrics},
+                      dialect, fleet.m_log, traffic_metrics, digest},
                      settings())
         , traffic(fleet.m_events, dispatcher)
         , link(fleet.m_network, name)
@@ -173,6 +191,7 @@
     delayed_store store;
     simulated_transport transport;
     platform::platform_dialect dialect;
+    adapters::sha256_digest digest;
     metrics::registry registry;
     drivers::traffic_metrics traffic_metrics;
     drivers::traffic_dispatcher dispatcher;
@@ -181,8 +200,10 @@
     drivers::fleet_control control;
 };
 
-traffic_fleet::traffic_fleet(const traffic_fleet_size& size)
+traffic_fleet::traffic_fleet(const traffic_fleet_size& size,
+                             simulated_traffic_kind kind)
     : m_size(size)
+    , m_kind(kind)
     , m_upstreams(m_events, m_clock, m_store, m_random, size.upstreams)
 {
     m_store.put(configuration_key, "any");
@@ -244,20 +265,7 @@
 void traffic_fleet::send_request()
 {
     const bool is_crashing = m_random.next() % 100 < m_crashing_percent;
-    const std::string first = std::to_string(m_random.next() % first_parts);
-    const std::string second =
-        is_crashing ? std::string(simulated_upstreams::crashing_part)
-                    : "a" + std::to_string(m_random.next() % second_parts);
-    const std::string id = std::to_string(++m_last_request);
-    ports::received_request request;
-    request.head = {"POST",
-                    "/ask/x",
-                    {{"Host", "shop.example"},
-                     {"X-Request-Id", id},
-                     {"X-Token-Count", "2400,20"},
-                     {"X-Prompt-Prefix", "f" + first + ":500," + second +
-                                             ":1500,b" + id + ":400"}}};
-    request.arrived_at = m_clock.steady_now();
+    ports::received_request request = make_request(is_crashing);
     // The outcomes of requests that crash upstreams do not count.
     const std::shared_ptr<caller_outcomes> outcomes =
         is_crashing ? std::make_shared<caller_outcomes>() : m_outcomes;
@@ -267,6 +275,47 @@
                              std::make_shared<counting_channel>(outcomes));
 }
 
+ports::received_request traffic_fleet::make_request(bool is_crashing)
+{
+    ports::received_request request = m_kind == simulated_traffic_kind::prompts
+                                          ? make_prompt(is_crashing)
+                                          : make_plain_request(is_crashing);
+    request.head.method = "POST";
+    request.head.fields.push_back({"Host", "shop.example"});
+    request.arrived_at = m_clock.steady_now();
+    return request;
+}
+
+ports::received_request traffic_fleet::make_prompt(bool is_crashing)
+{
+    const std::string first = std::to_string(m_random.next() % first_parts);
+    const std::string second =
+        is_crashing ? std::string(simulated_upstreams::crashing_part)
+                    : "a" + std::to_string(m_random.next() % second_parts);
+    const std::string id = std::to_string(++m_last_request);
+    ports::received_request request;
+    request.head.target = "/ask/x";
+    request.head.fields = {{"X-Request-Id", id},
+                           {"X-Token-Count", "2400,20"},
+                           {"X-Prompt-Prefix", "f" + first + ":500," + second +
+                                                   ":1500,b" + id + ":400"}};
+    return request;
+}
+
+ports::received_request traffic_fleet::make_plain_request(bool is_crashing)
+{
+    const std::uint64_t drawn = m_random.next() % 100;
+    const std::uint64_t number =
+        drawn < popular_percent ? 0 : m_random.next() % plain_bodies;
+    ports::received_request request;
+    request.head.target =
+        m_kind == simulated_traffic_kind::idempotent ? "/look/x" : "/pay/x";
+    request.head.fields = {{"X-Request-Id", std::to_string(++m_last_request)}};
+    request.body = is_crashing ? std::string(simulated_upstreams::crashing_body)
+                               : "sound " + std::to_string(number);
+    return request;
+}
+
 void traffic_fleet::kill_router(std::size_t number)
 {
     m_stopped_routers.push_back(std::move(m_routers[number]));
--- a/tests/simulation/traffic_fleet.hpp
+++ b/tests/simulation/traffic_fleet.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "libraries/adapters/openssl/sha256_digest.hpp"
 #include "libraries/core/metrics/registry.hpp"
 #include "libraries/drivers/exchange/traffic_dispatcher.hpp"
 #include "libraries/drivers/fleet/fleet_control.hpp"
@@ -35,13 +36,26 @@
     std::int64_t requests_per_second = 50;
 };
 
+/// What callers of a simulation send.
+enum class simulated_traffic_kind : std::uint8_t
+{
+    /// Streams, whose prompts may have a part that crashes upstreams.
+    prompts,
+    /// Idempotent requests without a prompt, one of which crashes upstreams.
+    idempotent,
+    /// The same, not to be repeated.
+    at_most_once,
+};
+
 /// A fleet of routers, control and traffic, before simulated upstreams.
 /// Callers send prompts of three parts to routers at random: one of a few
 /// first parts, one of many second parts, and a part of their own.
 class traffic_fleet
 {
 public:
-    explicit traffic_fleet(const traffic_fleet_size& size);
+    explicit traffic_fleet(
+        const traffic_fleet_size& size,
+        simulated_traffic_kind kind = simulated_traffic_kind::prompts);
     ~traffic_fleet();
 
     /// Starts all routers and lets them meet.
@@ -49,7 +63,8 @@
 
     /// Plays callers' requests for `duration`. Of 100 requests,
     /// `crashing_percent` have the part that crashes upstreams instead of
-    /// their second part. Returns the outcomes of the others.
+    /// their second part, or are the plain request that does. Returns the
+    /// outcomes of the others.
     caller_outcomes play(std::chrono::milliseconds duration,
                          std::uint64_t crashing_percent = 0);
 
@@ -81,8 +96,13 @@
     void answer_watches();
     void start_requests();
     void send_request();
+    /// Returns a request with a new id.
+    ports::received_request make_request(bool is_crashing);
+    ports::received_request make_prompt(bool is_crashing);
+    ports::received_request make_plain_request(bool is_crashing);
 
     traffic_fleet_size m_size;
+    simulated_traffic_kind m_kind;
     fakes::manual_clock m_clock;
     event_queue m_events{m_clock};
     fakes::counting_logger m_log;
