Crashing parts: Block requests under which upstreams end, fleet-wide

What callers saw: repeats of one plain request ended all upstreams of a service whenever they were back, and the sound requests there failed or were refused.

Cause: the failure was booked to the upstream and the request forgotten. The detector that remembers knew only the shared parts of prompts, and counted ends less than half a second apart as one, as of an outage: a series of all upstreams of a service takes 0.3 s.

Change: a request, told by its fingerprint, is a suspect of its own kind in the same detector, on all routes, prompts too. Its end under another upstream is far stronger evidence than a shared part, so ends at one time count each, in windows of half a second, unless another upstream ended then that did not run it: that shows an outage, and the window counts as one end. A complete response clears it in the whole fleet. Blocked requests are refused at once (2010, not run, no Retry-After), also in queues; no retry from the second end on; blocks are kept in the store; two trials in the fleet, 30 s and a minute after the last end. Fingerprints are computed only when an upstream ends and while requests are suspects; suspects, ends and reports are bounded. The digest's format is 9.

--- a/libraries/codecs/fleet/digest_codec.cpp
+++ b/libraries/codecs/fleet/digest_codec.cpp
@@ -14,7 +14,7 @@
 {
 
 /// The version of the digest format. Digests of other versions are rejected.
-constexpr std::int64_t format_version = 8;
+constexpr std::int64_t format_version = 9;
 
 error unreadable_digest(const char* field)
 {
--- a/libraries/codecs/fleet/suspect_part_codec.cpp
+++ b/libraries/codecs/fleet/suspect_part_codec.cpp
@@ -50,15 +50,17 @@
 std::optional<domain::suspect_part> read_part(const json& row,
                                               ports::steady_time now)
 {
-    constexpr std::size_t element_count = 5;
+    constexpr std::size_t element_count = 6;
     if (!row.is_array() || row.size() != element_count ||
         !row[0].is_number_unsigned() || !row[2].is_number_integer() ||
-        !row[4].is_number_integer())
+        !row[4].is_number_integer() || !row[5].is_boolean())
     {
         return std::nullopt;
     }
     domain::suspect_part part;
-    part.id = row[0].get<std::uint64_t>();
+    part.id = {row[5].get<bool>() ? domain::suspect_kind::request
+                                  : domain::suspect_kind::prompt_part,
+               row[0].get<std::uint64_t>()};
     part.cleared_at = read_age(row[2], now);
     part.trials = static_cast<std::int32_t>(
         std::clamp<std::int64_t>(row[4].get<std::int64_t>(), 0, max_trials));
@@ -88,9 +90,10 @@
                                         age_of(end.output_at, now)}));
         }
         rows.push_back(json::array(
-            {part.id, std::move(ends),
+            {part.id.value, std::move(ends),
              part.cleared_at ? age_of(*part.cleared_at, now) : no_age,
-             age_of(part.last_seen, now), part.trials}));
+             age_of(part.last_seen, now), part.trials,
+             part.id.kind == domain::suspect_kind::request}));
     }
     return rows;
 }
--- a/libraries/core/log_event.hpp
+++ b/libraries/core/log_event.hpp
@@ -59,6 +59,7 @@
     prompt_parts_blocked = 411,
     rate_limit_changed = 412,
     rate_limit_rejected = 413,
+    requests_blocked = 414,
 
     // 500: the platform.
     platform_call_failed = 501,
--- a/libraries/core/result_code.hpp
+++ b/libraries/core/result_code.hpp
@@ -33,6 +33,7 @@
     router_not_ready = 2007,
     deadline_exceeded = 2008,
     prompt_blocked = 2009,
+    request_blocked = 2010,
 
     // 3000: budgets and billing.
     budget_exhausted = 3001,
--- a/libraries/domain/crashing_parts/crashing_part_detector.cpp
+++ b/libraries/domain/crashing_parts/crashing_part_detector.cpp
@@ -10,9 +10,8 @@
 namespace
 {
 
-/// Parts of one prompt that become suspects; callers choose their number.
-constexpr std::size_t max_parts_per_prompt = 256;
 constexpr std::size_t max_suspects = 512;
+/// Of each kind.
 constexpr std::size_t max_reported_suspects = 28;
 /// Further suspects that are reported in turn.
 constexpr std::size_t reported_in_turn = 4;
@@ -24,18 +23,14 @@
 constexpr std::chrono::minutes block_retention{60};
 /// Parts whose last response is remembered, times two.
 constexpr std::size_t max_successes = 1'024;
-/// The wait before the first trial. Each further wait is twice as long.
-constexpr std::chrono::minutes first_trial_delay{2};
+/// The ends of upstreams that are remembered.
+constexpr std::size_t max_remembered_ends = 1'024;
+/// The wait before the first trial. Each further wait is twice as long. It is
+/// shorter for a request, whose block rests on fewer observations.
+constexpr std::chrono::seconds first_trial_delay_of_part{120};
+constexpr std::chrono::seconds first_trial_delay_of_request{30};
 constexpr std::int32_t max_trials = 2;
 
-std::size_t count_shared_parts(const prompt_description& prompt)
-{
-    constexpr std::size_t own_parts = 1;
-    const std::size_t shared =
-        prompt.parts.size() - std::min(own_parts, prompt.parts.size());
-    return std::min(shared, max_parts_per_prompt);
-}
-
 /// Orders suspects by how much their peers should know them.
 bool is_less_urgent(const suspect_part& left, const suspect_part& right)
 {
@@ -51,22 +46,22 @@
 }
 
 crashing_part_detector::tracked_part&
-crashing_part_detector::find_or_add(std::uint64_t id)
+crashing_part_detector::find_or_add(const suspect_id& id)
 {
     tracked_part& found = m_suspects[id];
     found.part.id = id;
     return found;
 }
 
-bool crashing_part_detector::record_end(const prompt_description& prompt,
+bool crashing_part_detector::record_end(const std::vector<suspect_id>& ids,
                                         std::uint64_t incarnation,
                                         ports::steady_time now)
 {
+    remember_end(incarnation, now);
     bool is_repeated = false;
-    const std::size_t shared = count_shared_parts(prompt);
-    for (std::size_t part = 0; part < shared; ++part)
+    for (const suspect_id& id : ids)
     {
-        tracked_part& suspect = find_or_add(prompt.parts[part].id);
+        tracked_part& suspect = find_or_add(id);
         suspect.part.last_seen = std::max(suspect.part.last_seen, now);
         if (add_end(suspect.part, {incarnation, now, m_output_at}))
         {
@@ -78,19 +73,32 @@
     return is_repeated;
 }
 
+void crashing_part_detector::remember_end(std::uint64_t incarnation,
+                                          ports::steady_time at)
+{
+    if (!m_ended.insert(incarnation).second)
+    {
+        return;
+    }
+    m_ends.emplace(at, incarnation);
+    if (m_ends.size() > max_remembered_ends)
+    {
+        m_ended.erase(m_ends.begin()->second);
+        m_ends.erase(m_ends.begin());
+    }
+}
+
 void crashing_part_detector::record_output(ports::steady_time now)
 {
     m_output_at = std::max(m_output_at, now);
 }
 
-void crashing_part_detector::record_success(const prompt_description& prompt,
+void crashing_part_detector::record_success(const std::vector<suspect_id>& ids,
                                             ports::steady_time began_at,
                                             ports::steady_time now)
 {
-    const std::size_t shared = count_shared_parts(prompt);
-    for (std::size_t part = 0; part < shared; ++part)
+    for (const suspect_id& id : ids)
     {
-        const std::uint64_t id = prompt.parts[part].id;
         remember_success(id, began_at);
         const auto found = m_suspects.find(id);
         if (found != m_suspects.end() &&
@@ -101,7 +109,7 @@
     }
 }
 
-void crashing_part_detector::remember_success(std::uint64_t id,
+void crashing_part_detector::remember_success(const suspect_id& id,
                                               ports::steady_time began_at)
 {
     ports::steady_time& last = m_successes[id];
@@ -113,7 +121,7 @@
 }
 
 std::optional<ports::steady_time>
-crashing_part_detector::find_success(std::uint64_t id) const
+crashing_part_detector::find_success(const suspect_id& id) const
 {
     for (const auto* const successes : {&m_successes, &m_older_successes})
     {
@@ -149,6 +157,7 @@
         for (const observed_end& end : one.ends)
         {
             record_output(end.output_at);
+            remember_end(end.incarnation, end.at);
             add_end(suspect.part, end);
         }
         suspect.part.trials = std::max(suspect.part.trials, one.trials);
@@ -156,19 +165,29 @@
     limit_size();
 }
 
+bool crashing_part_detector::is_blocked(const suspect_part& suspect) const
+{
+    return suspect.ends.size() >= ends_to_block &&
+           count_ends(suspect, m_ends) >= ends_to_block;
+}
+
 const suspect_part*
-crashing_part_detector::find_worst(const prompt_description& prompt) const
+crashing_part_detector::find_worst(const std::vector<suspect_id>& ids) const
 {
     const suspect_part* worst = nullptr;
-    const std::size_t shared = count_shared_parts(prompt);
-    for (std::size_t part = 0; part < shared && !m_suspects.empty(); ++part)
+    std::size_t most_ends = 0;
+    for (const suspect_id& id : ids)
     {
-        const auto found = m_suspects.find(prompt.parts[part].id);
-        if (found != m_suspects.end() &&
-            (worst == nullptr ||
-             found->second.part.ends.size() > worst->ends.size()))
+        const auto found = m_suspects.find(id);
+        if (found == m_suspects.end())
+        {
+            continue;
+        }
+        const std::size_t ends = count_ends(found->second.part, m_ends);
+        if (worst == nullptr || ends > most_ends)
         {
             worst = &found->second.part;
+            most_ends = ends;
         }
     }
     return worst;
@@ -177,51 +196,81 @@
 bool crashing_part_detector::is_trial_due(const suspect_part& suspect,
                                           ports::steady_time now) const
 {
-    return suspect.trials < max_trials && m_routers.is_first_for(suspect.id) &&
-           now - suspect.ends.back().at >=
-               first_trial_delay * (1 << suspect.trials);
+    const std::chrono::seconds first_delay =
+        suspect.id.kind == suspect_kind::request ? first_trial_delay_of_request
+                                                 : first_trial_delay_of_part;
+    return suspect.trials < max_trials &&
+           m_routers.is_first_for(suspect.id.value) &&
+           now - suspect.ends.back().at >= first_delay * (1 << suspect.trials);
 }
 
-part_verdict crashing_part_detector::judge(const prompt_description& prompt,
-                                           ports::steady_time now)
+crash_verdict crashing_part_detector::judge(const std::vector<suspect_id>& ids,
+                                            ports::steady_time now)
 {
-    const suspect_part* worst = find_worst(prompt);
+    const suspect_part* worst = find_worst(ids);
     if (worst == nullptr)
     {
-        return part_verdict::allowed;
+        return crash_verdict::allowed;
     }
     suspect_part& suspect = m_suspects[worst->id].part;
     suspect.last_seen = std::max(suspect.last_seen, now);
-    if (!is_part_blocked(suspect))
+    if (!is_blocked(suspect))
     {
-        return part_verdict::allowed;
+        return crash_verdict::allowed;
     }
     if (!is_trial_due(suspect, now))
     {
-        return part_verdict::blocked;
+        return crash_verdict::blocked;
     }
     ++suspect.trials;
-    return part_verdict::trial;
+    return crash_verdict::trial;
 }
 
-bool crashing_part_detector::is_blocked(const prompt_description& prompt) const
+std::optional<suspect_id>
+crashing_part_detector::find_blocked(const std::vector<suspect_id>& ids) const
 {
-    const suspect_part* worst = find_worst(prompt);
-    return worst != nullptr && is_part_blocked(*worst);
+    const suspect_part* worst = find_worst(ids);
+    return worst != nullptr && is_blocked(*worst) ? std::optional(worst->id)
+                                                  : std::nullopt;
 }
 
-bool crashing_part_detector::may_retry(const prompt_description& prompt) const
+bool crashing_part_detector::may_retry(const std::vector<suspect_id>& ids) const
 {
-    const suspect_part* worst = find_worst(prompt);
-    return worst == nullptr || worst->ends.size() <= 1;
+    const suspect_part* worst = find_worst(ids);
+    return worst == nullptr || count_ends(*worst, m_ends) <= 1;
 }
 
-std::vector<suspect_part> crashing_part_detector::report(ports::steady_time now)
+bool crashing_part_detector::has_suspect_requests() const
+{
+    return m_suspects.lower_bound({suspect_kind::request, 0}) !=
+           m_suspects.end();
+}
+
+std::vector<suspect_id> crashing_part_detector::list_blocked() const
+{
+    std::vector<suspect_id> blocked;
+    for (const auto& [id, suspect] : m_suspects)
+    {
+        if (is_blocked(suspect.part))
+        {
+            blocked.push_back(id);
+        }
+    }
+    return blocked;
+}
+
+std::vector<suspect_part>
+crashing_part_detector::list_urgent(suspect_kind kind,
+                                    ports::steady_time now) const
 {
     std::vector<suspect_part> reported;
     for (const auto& [id, suspect] : m_suspects)
     {
-        if (is_part_blocked(suspect.part) ||
+        if (id.kind != kind)
+        {
+            continue;
+        }
+        if (is_blocked(suspect.part) ||
             now - suspect.observed_at <= observation_report_time)
         {
             reported.push_back(suspect.part);
@@ -231,6 +280,16 @@
               [](const suspect_part& left, const suspect_part& right)
               { return is_less_urgent(right, left); });
     reported.resize(std::min(reported.size(), max_reported_suspects));
+    return reported;
+}
+
+std::vector<suspect_part> crashing_part_detector::report(ports::steady_time now)
+{
+    std::vector<suspect_part> reported =
+        list_urgent(suspect_kind::prompt_part, now);
+    const std::vector<suspect_part> requests =
+        list_urgent(suspect_kind::request, now);
+    reported.insert(reported.end(), requests.begin(), requests.end());
     auto next = m_suspects.lower_bound(m_next_reported);
     for (std::size_t count = 0;
          count < std::min(reported_in_turn, m_suspects.size()); ++count)
@@ -242,19 +301,19 @@
         reported.push_back(next->second.part);
         ++next;
     }
-    m_next_reported = next == m_suspects.end() ? 0 : next->first;
+    m_next_reported = next == m_suspects.end() ? suspect_id() : next->first;
     return reported;
 }
 
 void crashing_part_detector::forget_unseen(ports::steady_time now)
 {
     std::erase_if(m_suspects,
-                  [now](const auto& entry)
+                  [this, now](const auto& entry)
                   {
                       const suspect_part& suspect = entry.second.part;
                       const bool is_reported = now - entry.second.observed_at <=
                                                observation_report_time;
-                      const auto retention = is_part_blocked(suspect)
+                      const auto retention = is_blocked(suspect)
                                                  ? block_retention
                                                  : suspect_retention;
                       return (suspect.ends.empty() && !is_reported) ||
@@ -274,11 +333,12 @@
     }
 }
 
-std::size_t crashing_part_detector::blocked_count() const
+std::size_t crashing_part_detector::blocked_count(suspect_kind kind) const
 {
+    const std::vector<suspect_id> blocked = list_blocked();
     return static_cast<std::size_t>(std::count_if(
-        m_suspects.begin(), m_suspects.end(),
-        [](const auto& entry) { return is_part_blocked(entry.second.part); }));
+        blocked.begin(), blocked.end(),
+        [kind](const suspect_id& id) { return id.kind == kind; }));
 }
 
 } // namespace turmeric::domain
--- a/libraries/drivers/exchange/exchange.hpp
+++ b/libraries/drivers/exchange/exchange.hpp
@@ -99,6 +99,14 @@
     /// same.
     [[nodiscard]] std::uint64_t fingerprint() const;
 
+    /// Returns the parts of the request's prompt that may be suspects, and the
+    /// request itself if whole requests matter now.
+    [[nodiscard]] const std::vector<domain::suspect_id>& suspect_ids() const;
+
+    /// Returns the same, with the request itself in any case.
+    [[nodiscard]] const std::vector<domain::suspect_id>&
+    all_suspect_ids() const;
+
     /// Returns how many prepaid tokens must be held for the request: its
     /// maximum consumption, or 0 if it is not charged to prepaid tokens.
     [[nodiscard]] std::int64_t needed_tokens() const;
@@ -107,9 +115,9 @@
     friend class upstream_attempt;
 
     // exchange_admission.cpp: holding tokens, waiting for a slot, deadlines.
-    /// Refuses the request, or ends its response, if its prompt has a part that
+    /// Refuses the request, or ends its response, if it or a part of its prompt
     /// crashes upstreams. Returns whether it did.
-    bool refuse_blocked_prompt();
+    bool refuse_blocked_request();
     void hold_tokens();
     /// Returns why the request cannot get tokens, or nothing if it may wait
     /// for them. `may_hold` is whether the pacing of a store outage permits a
@@ -173,10 +181,13 @@
     bool m_may_have_run_before_attempt = false;
     bool m_is_response_started = false;
     bool m_has_caller_left = false;
-    /// Whether the request tries out a blocked prompt part.
+    /// Whether the request tries out a blocked suspect.
     bool m_is_trial = false;
     /// Computed when it is needed first.
     mutable std::optional<std::uint64_t> m_fingerprint;
+    /// Whether `m_suspect_ids` has the request itself; it comes last.
+    mutable bool m_has_request_id = false;
+    mutable std::vector<domain::suspect_id> m_suspect_ids;
     std::optional<std::chrono::milliseconds> m_time_to_first_byte;
     domain::event_splitter m_events;
 };
--- a/libraries/drivers/exchange/exchange_admission.cpp
+++ b/libraries/drivers/exchange/exchange_admission.cpp
@@ -55,35 +55,43 @@
         m_service, m_state.dependencies.clock.steady_now());
     if (m_context.parsed_request.prompt)
     {
-        m_is_trial = m_state.crashing_parts.judge(
-                         *m_context.parsed_request.prompt,
-                         m_state.dependencies.clock.steady_now()) ==
-                     domain::part_verdict::trial;
+        m_suspect_ids =
+            domain::list_shared_parts(*m_context.parsed_request.prompt);
     }
-    if (!refuse_blocked_prompt())
+    m_is_trial = m_state.crashing_parts.judge(
+                     suspect_ids(), m_state.dependencies.clock.steady_now()) ==
+                 domain::crash_verdict::trial;
+    if (!refuse_blocked_request())
     {
         hold_tokens();
     }
 }
 
-bool exchange::refuse_blocked_prompt()
+bool exchange::refuse_blocked_request()
 {
-    if (!m_context.parsed_request.prompt || m_is_trial ||
-        !m_state.crashing_parts.is_blocked(*m_context.parsed_request.prompt))
+    const std::optional<domain::suspect_id> blocked =
+        m_is_trial ? std::nullopt
+                   : m_state.crashing_parts.find_blocked(suspect_ids());
+    if (!blocked)
     {
         return false;
     }
-    const std::string detail =
-        "upstreams ended as they began responses to prompts with one of this "
-        "prompt's parts";
+    error failure =
+        blocked->kind == domain::suspect_kind::request
+            ? error{result_code::request_blocked, "body",
+                    "upstreams ended as they began responses to this request"}
+            : error{result_code::prompt_blocked, "prompt",
+                    "upstreams ended as they began responses to prompts with "
+                    "one of this prompt's parts"};
     if (m_is_response_started)
     {
-        abort_response(detail);
+        abort_response(failure.detail);
         return true;
     }
-    // No Retry-After: a retry of the same prompt gets the same response.
-    refuse({result_code::prompt_blocked, "prompt", detail,
-            m_may_have_run ? outcome::outcome_unknown : outcome::not_run});
+    // No Retry-After: a retry of the same request gets the same response.
+    failure.effect =
+        m_may_have_run ? outcome::outcome_unknown : outcome::not_run;
+    refuse(std::move(failure));
     return true;
 }
 
@@ -254,7 +262,7 @@
 
 bool exchange::try_place()
 {
-    if (refuse_blocked_prompt())
+    if (refuse_blocked_request())
     {
         return true;
     }
--- a/libraries/drivers/exchange/exchange_attempts.cpp
+++ b/libraries/drivers/exchange/exchange_attempts.cpp
@@ -84,12 +84,26 @@
     return *m_fingerprint;
 }
 
+const std::vector<domain::suspect_id>& exchange::suspect_ids() const
+{
+    return m_state.crashing_parts.has_suspect_requests() ? all_suspect_ids()
+                                                         : m_suspect_ids;
+}
+
+const std::vector<domain::suspect_id>& exchange::all_suspect_ids() const
+{
+    if (!m_has_request_id)
+    {
+        m_has_request_id = true;
+        m_suspect_ids.push_back({domain::suspect_kind::request, fingerprint()});
+    }
+    return m_suspect_ids;
+}
+
 bool exchange::may_retry() const
 {
     const ports::steady_time now = m_state.dependencies.clock.steady_now();
-    const bool is_suspect =
-        m_context.parsed_request.prompt &&
-        !m_state.crashing_parts.may_retry(*m_context.parsed_request.prompt);
+    const bool is_suspect = !m_state.crashing_parts.may_retry(suspect_ids());
     return !m_is_trial && !is_suspect &&
            m_attempt_count < m_context.route->max_attempts &&
            now + min_time_for_retry < m_deadline && !m_has_caller_left;
--- a/libraries/drivers/exchange/fleet_view.hpp
+++ b/libraries/drivers/exchange/fleet_view.hpp
@@ -9,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace turmeric::drivers
 {
@@ -91,6 +92,8 @@
     /// Number of requests in flight.
     std::int64_t in_flight = 0;
     domain::upstream_observations observations;
+    /// The prompt parts and requests that are blocked.
+    std::vector<domain::suspect_id> blocked;
 };
 
 } // namespace turmeric::drivers
--- a/libraries/drivers/exchange/traffic_dispatcher.cpp
+++ b/libraries/drivers/exchange/traffic_dispatcher.cpp
@@ -204,10 +204,9 @@
     const domain::upstream_observations& observations)
 {
     m_state.rate_limits.merge(observations.rate_limits);
-    const std::size_t blocked = m_state.crashing_parts.blocked_count();
     m_state.crashing_parts.merge(observations.suspect_parts,
                                  m_state.dependencies.clock.steady_now());
-    m_state.log_blocked_parts(blocked);
+    m_state.log_blocked();
 }
 
 void traffic_dispatcher::update_outage_pacing()
@@ -249,6 +248,7 @@
     current.in_flight = static_cast<std::int64_t>(m_state.exchanges.size());
     const ports::steady_time now = m_state.dependencies.clock.steady_now();
     current.observations.suspect_parts = m_state.crashing_parts.report(now);
+    current.blocked = m_state.crashing_parts.list_blocked();
     current.observations.rate_limits = m_state.rate_limits.report(now);
     for (const auto& [account, balance] : m_state.ledger.balances())
     {
--- a/libraries/drivers/exchange/traffic_state.cpp
+++ b/libraries/drivers/exchange/traffic_state.cpp
@@ -142,29 +142,37 @@
 }
 
 void traffic_state::record_upstream_end(
-    const domain::prompt_description& prompt,
+    const std::vector<domain::suspect_id>& ids,
     const domain::upstream_entry& ended)
 {
-    const std::size_t blocked = crashing_parts.blocked_count();
     const bool is_repeated = crashing_parts.record_end(
-        prompt, domain::incarnation_of(ended), dependencies.clock.steady_now());
-    log_blocked_parts(blocked);
+        ids, domain::incarnation_of(ended), dependencies.clock.steady_now());
+    log_blocked();
     if (is_repeated && suspicion_handler)
     {
         suspicion_handler();
     }
 }
 
-void traffic_state::log_blocked_parts(std::size_t previous) const
+void traffic_state::log_blocked()
 {
-    const std::size_t blocked = crashing_parts.blocked_count();
-    if (blocked != previous)
+    const auto log_change =
+        [this](log_event event, std::size_t& logged, std::size_t blocked)
     {
+        if (blocked == logged)
+        {
+            return;
+        }
         dependencies.log.write(
-            log_level::warning, log_event::prompt_parts_blocked,
+            log_level::warning, event,
             {{"blocked", static_cast<std::int64_t>(blocked)},
-             {"previous", static_cast<std::int64_t>(previous)}});
-    }
+             {"previous", static_cast<std::int64_t>(logged)}});
+        logged = blocked;
+    };
+    log_change(log_event::prompt_parts_blocked, blocked_parts,
+               crashing_parts.blocked_count(domain::suspect_kind::prompt_part));
+    log_change(log_event::requests_blocked, blocked_requests,
+               crashing_parts.blocked_count(domain::suspect_kind::request));
 }
 
 void traffic_state::request_tokens()
--- a/libraries/drivers/exchange/traffic_state.hpp
+++ b/libraries/drivers/exchange/traffic_state.hpp
@@ -95,13 +95,15 @@
     /// otherwise it borrows what its requests lack.
     [[nodiscard]] bool is_holder(const std::string& account) const;
 
-    /// Records that an upstream ended while it began its response to a prompt,
-    /// and makes the peers learn of it if it is not the first time.
-    void record_upstream_end(const domain::prompt_description& prompt,
+    /// Records that an upstream ended while it began its response to a request
+    /// with these suspects, and makes the peers learn of it if it is not the
+    /// first time.
+    void record_upstream_end(const std::vector<domain::suspect_id>& ids,
                              const domain::upstream_entry& ended);
 
-    /// Logs the number of blocked prompt parts if it is not `previous`.
-    void log_blocked_parts(std::size_t previous) const;
+    /// Logs the numbers of blocked prompt parts and requests if they have
+    /// changed since the last call.
+    void log_blocked();
 
     /// Notifies the control thread that tokens are lacking, at most once in
     /// each short interval.
@@ -116,6 +118,9 @@
     domain::slot_queue queue;
     domain::retry_rate_limiter retry_limiter;
     domain::crashing_part_detector crashing_parts;
+    /// As last logged.
+    std::size_t blocked_parts = 0;
+    std::size_t blocked_requests = 0;
     domain::named_rate_limits rate_limits;
     fleet_view fleet;
     /// By exchange id.
--- a/libraries/drivers/exchange/upstream_attempt.cpp
+++ b/libraries/drivers/exchange/upstream_attempt.cpp
@@ -270,6 +270,7 @@
 void upstream_attempt::finish_error(exchange& owner)
 {
     record_outcome(false, "failed");
+    record_complete_response(owner);
     release_slot();
     owner.on_error_response(*m_head, std::move(m_buffered_body));
 }
@@ -277,6 +278,7 @@
 void upstream_attempt::finish_buffered(exchange& owner)
 {
     record_outcome(true, "ok");
+    record_complete_response(owner);
     release_slot();
     owner.on_complete_response(*m_head, std::move(m_buffered_body));
 }
@@ -284,6 +286,7 @@
 void upstream_attempt::finish_relayed(exchange& owner)
 {
     record_outcome(true, "ok");
+    record_complete_response(owner);
     release_slot();
     owner.on_stream_end();
 }
--- a/libraries/drivers/exchange/upstream_attempt.hpp
+++ b/libraries/drivers/exchange/upstream_attempt.hpp
@@ -81,11 +81,13 @@
     void record_outcome(bool is_success, std::string_view result);
     // upstream_attempt_observations.cpp: what the response and its end tell of
     // the upstream.
-    /// Records the parts of the prompt as suspects if the upstream ended as it
-    /// began this response.
+    /// Records the request and the parts of its prompt as suspects if the
+    /// upstream ended as it began this response.
     void record_upstream_end(const exchange& owner);
     /// Records that the upstream began this response and has not ended.
     void record_survived_beginning(const exchange& owner);
+    /// Records that the upstream completed a response that is no stream.
+    void record_complete_response(const exchange& owner);
     /// Returns whether the response has not begun, or only just.
     [[nodiscard]] bool is_beginning() const;
     /// Reads the limit that the upstream names in its response, if any.
--- a/libraries/drivers/exchange/upstream_attempt_observations.cpp
+++ b/libraries/drivers/exchange/upstream_attempt_observations.cpp
@@ -65,26 +65,32 @@
 
 void upstream_attempt::record_upstream_end(const exchange& owner)
 {
-    const std::optional<domain::prompt_description>& prompt =
-        owner.m_context.parsed_request.prompt;
-    if (prompt && is_beginning())
+    if (is_beginning())
     {
-        m_state.record_upstream_end(*prompt, m_chosen_placement.upstream);
+        m_state.record_upstream_end(owner.all_suspect_ids(),
+                                    m_chosen_placement.upstream);
     }
 }
 
 void upstream_attempt::record_survived_beginning(const exchange& owner)
 {
-    const std::optional<domain::prompt_description>& prompt =
-        owner.m_context.parsed_request.prompt;
-    if (prompt && m_output_since && !m_has_survived_beginning)
+    if (m_output_since && !m_has_survived_beginning)
     {
         m_has_survived_beginning = true;
         m_state.crashing_parts.record_success(
-            *prompt, *m_output_since, m_state.dependencies.clock.steady_now());
+            owner.suspect_ids(), *m_output_since,
+            m_state.dependencies.clock.steady_now());
     }
 }
 
+void upstream_attempt::record_complete_response(const exchange& owner)
+{
+    const ports::steady_time now = m_state.dependencies.clock.steady_now();
+    m_output_since = m_output_since.value_or(now);
+    m_state.crashing_parts.record_output(now);
+    record_survived_beginning(owner);
+}
+
 void upstream_attempt::record_rate_limit(const ports::response_head& head,
                                          bool is_success)
 {
--- a/libraries/drivers/fleet/blocked_part_store.cpp
+++ b/libraries/drivers/fleet/blocked_part_store.cpp
@@ -25,24 +25,35 @@
 /// An entry is written again after this time if its part is still blocked.
 constexpr std::chrono::minutes rewrite_interval{30};
 
-std::string key_of(std::uint64_t part)
+/// Precedes the number of a request; a part's number has no mark.
+constexpr std::string_view request_mark = "request-";
+
+std::string key_of(const domain::suspect_id& id)
 {
-    return fmt::format("{}{:x}", key_prefix, part);
+    const std::string_view mark = id.kind == domain::suspect_kind::request
+                                      ? request_mark
+                                      : std::string_view();
+    return fmt::format("{}{}{:x}", key_prefix, mark, id.value);
 }
 
-std::optional<std::uint64_t> part_of(std::string_view key)
+std::optional<domain::suspect_id> suspect_of(std::string_view key)
 {
     constexpr int hexadecimal = 16;
-    const std::string_view digits = key.substr(key_prefix.size());
-    std::uint64_t part = 0;
+    std::string_view digits = key.substr(key_prefix.size());
+    domain::suspect_id id;
+    if (digits.starts_with(request_mark))
+    {
+        id.kind = domain::suspect_kind::request;
+        digits.remove_prefix(request_mark.size());
+    }
     const char* const end = digits.data() + digits.size();
     const auto [rest, failure] =
-        std::from_chars(digits.data(), end, part, hexadecimal);
+        std::from_chars(digits.data(), end, id.value, hexadecimal);
     if (failure != std::errc() || rest != end)
     {
         return std::nullopt;
     }
-    return part;
+    return id;
 }
 
 std::chrono::seconds seconds_of(ports::system_time time)
@@ -88,8 +99,8 @@
         deleted.resize(std::min(deleted.size(), max_keys - written.size()));
     }
 
-    std::vector<std::uint64_t> written;
-    std::vector<std::uint64_t> deleted;
+    std::vector<domain::suspect_id> written;
+    std::vector<domain::suspect_id> deleted;
 };
 
 } // namespace
@@ -109,7 +120,7 @@
     void on_loaded(const ports::key_range& range);
     /// Returns what to change in the store, given the blocked parts.
     [[nodiscard]] part_changes
-    plan(const std::set<std::uint64_t>& blocked,
+    plan(const std::set<domain::suspect_id>& blocked,
          const domain::router_ranking& routers) const;
     void commit(const part_changes& changes);
     void on_committed(const part_changes& changes,
@@ -122,7 +133,7 @@
     loaded_handler loaded;
     std::unique_ptr<ports::timer> timer;
     /// When this router last wrote a part.
-    std::map<std::uint64_t, ports::steady_time> written;
+    std::map<domain::suspect_id, ports::steady_time> written;
     bool is_committing = false;
     /// When the next change may be sent, after one that failed.
     ports::steady_time retry_at{};
@@ -188,7 +199,7 @@
     part_changes outdated;
     for (const ports::key_value& entry : range.entries)
     {
-        const std::optional<std::uint64_t> part = part_of(entry.key);
+        const std::optional<domain::suspect_id> part = suspect_of(entry.key);
         if (!part)
         {
             continue;
@@ -214,24 +225,16 @@
     }
 }
 
-void blocked_part_store::update(
-    const std::vector<domain::suspect_part>& suspects,
-    const domain::router_ranking& routers)
+void blocked_part_store::update(const std::vector<domain::suspect_id>& blocked,
+                                const domain::router_ranking& routers)
 {
     const ports::steady_time now = m_state->clock.steady_now();
     if (m_state->is_committing || now < m_state->retry_at)
     {
         return;
     }
-    std::set<std::uint64_t> blocked;
-    for (const domain::suspect_part& suspect : suspects)
-    {
-        if (domain::is_part_blocked(suspect))
-        {
-            blocked.insert(suspect.id);
-        }
-    }
-    const part_changes changes = m_state->plan(blocked, routers);
+    const part_changes changes =
+        m_state->plan({blocked.begin(), blocked.end()}, routers);
     if (!changes.written.empty() || !changes.deleted.empty())
     {
         m_state->commit(changes);
@@ -239,17 +242,17 @@
 }
 
 part_changes
-blocked_part_store::state::plan(const std::set<std::uint64_t>& blocked,
+blocked_part_store::state::plan(const std::set<domain::suspect_id>& blocked,
                                 const domain::router_ranking& routers) const
 {
     const ports::steady_time now = clock.steady_now();
     part_changes changes;
-    for (const std::uint64_t part : blocked)
+    for (const domain::suspect_id& part : blocked)
     {
         const auto known = written.find(part);
         const bool is_written =
             known != written.end() && now - known->second < rewrite_interval;
-        if (!is_written && routers.is_first_for(part))
+        if (!is_written && routers.is_first_for(part.value))
         {
             changes.written.push_back(part);
         }
@@ -268,12 +271,12 @@
 void blocked_part_store::state::commit(const part_changes& changes)
 {
     ports::store_change change;
-    for (const std::uint64_t part : changes.written)
+    for (const domain::suspect_id& part : changes.written)
     {
         change.writes.push_back(
             {key_of(part), write_entry(clock.system_now())});
     }
-    for (const std::uint64_t part : changes.deleted)
+    for (const domain::suspect_id& part : changes.deleted)
     {
         change.deletions.push_back(key_of(part));
     }
@@ -302,11 +305,11 @@
                    {"reason", response.failure().detail}});
         return;
     }
-    for (const std::uint64_t part : changes.written)
+    for (const domain::suspect_id& part : changes.written)
     {
         written[part] = now;
     }
-    for (const std::uint64_t part : changes.deleted)
+    for (const domain::suspect_id& part : changes.deleted)
     {
         written.erase(part);
     }
--- a/libraries/drivers/fleet/blocked_part_store.hpp
+++ b/libraries/drivers/fleet/blocked_part_store.hpp
@@ -16,9 +16,10 @@
 namespace turmeric::drivers
 {
 
-/// Keeps the blocked prompt parts in the store, so that they are still known
-/// when all routers have restarted at the same time. One router of the fleet
-/// writes each part, once and then rarely. Used on the control thread only.
+/// Keeps the blocked prompt parts and requests in the store, so that they are
+/// still known when all routers have restarted at the same time. One router of
+/// the fleet writes each part, once and then rarely. Used on the control thread
+/// only.
 class blocked_part_store
 {
 public:
@@ -35,9 +36,9 @@
     /// Reads the parts, again and again until the store responds. Called once.
     void load(loaded_handler loaded);
 
-    /// Writes the blocked ones of `suspects` for which this router ranks first,
-    /// and deletes those that it wrote and that are not blocked any more.
-    void update(const std::vector<domain::suspect_part>& suspects,
+    /// Writes those of `blocked` for which this router ranks first, and deletes
+    /// those that it wrote and that are not blocked any more.
+    void update(const std::vector<domain::suspect_id>& blocked,
                 const domain::router_ranking& routers);
 
 private:
--- a/libraries/drivers/fleet/fleet_control.cpp
+++ b/libraries/drivers/fleet/fleet_control.cpp
@@ -122,7 +122,7 @@
     {
         m_dependencies.peers.send(address, bytes);
     }
-    m_blocked_parts.update(traffic.observations.suspect_parts, ranking());
+    m_blocked_parts.update(traffic.blocked, ranking());
     m_tokens.adjust(traffic);
     request_configuration_from_peer();
     update_traffic();
--- a/tests/crashing_parts/crashing_part_detector_test.cpp
+++ b/tests/crashing_parts/crashing_part_detector_test.cpp
@@ -14,14 +14,20 @@
 constexpr std::uint64_t shared_id = 0xa;
 constexpr std::uint64_t bad_id = 0xb;
 
-prompt_description prompt_of(const std::vector<std::uint64_t>& ids)
+std::vector<suspect_id> prompt_of(const std::vector<std::uint64_t>& ids)
 {
     prompt_description prompt;
     for (const std::uint64_t id : ids)
     {
         prompt.parts.push_back({id, 100});
     }
-    return prompt;
+    return list_shared_parts(prompt);
+}
+
+bool is_blocked(const crashing_part_detector& detector,
+                const std::vector<suspect_id>& ids)
+{
+    return detector.find_blocked(ids).has_value();
 }
 
 } // namespace
@@ -34,12 +40,12 @@
     std::uint64_t last_incarnation = 0;
 
     /// A prompt with the bad part and a part of its own.
-    prompt_description bad_prompt()
+    std::vector<suspect_id> bad_prompt()
     {
         return prompt_of({shared_id, bad_id, ++last_id});
     }
 
-    void end_upstream(const prompt_description& prompt)
+    void end_upstream(const std::vector<suspect_id>& prompt)
     {
         detector.record_end(prompt, ++last_incarnation, now);
     }
@@ -70,7 +76,7 @@
             pass(1s);
             clear_shared_part();
         }
-        CHECK(detector.is_blocked(bad_prompt()));
+        CHECK(is_blocked(detector, bad_prompt()));
     }
 };
 
@@ -78,8 +84,8 @@
      only_the_part_that_sound_requests_lack_blocks)
 {
     block_bad_part();
-    CHECK_FALSE(detector.is_blocked(prompt_of({shared_id, ++last_id})));
-    LONGS_EQUAL(1, detector.blocked_count());
+    CHECK_FALSE(is_blocked(detector, prompt_of({shared_id, ++last_id})));
+    LONGS_EQUAL(1, detector.blocked_count(suspect_kind::prompt_part));
 }
 
 TEST(crashing_part_detector_group, the_last_part_is_no_suspect)
@@ -99,7 +105,7 @@
         end_upstream(bad_prompt());
         pass(10ms);
     }
-    CHECK_FALSE(detector.is_blocked(bad_prompt()));
+    CHECK_FALSE(is_blocked(detector, bad_prompt()));
 }
 
 TEST(crashing_part_detector_group,
@@ -112,7 +118,7 @@
         end_upstream(bad_prompt());
         now += 1s;
     }
-    CHECK_FALSE(detector.is_blocked(bad_prompt()));
+    CHECK_FALSE(is_blocked(detector, bad_prompt()));
 }
 
 TEST(crashing_part_detector_group, a_router_clears_what_only_a_peer_suspects)
@@ -125,12 +131,12 @@
         peer.record_end(bad_prompt(), ++last_incarnation, now);
         detector.record_success(bad_prompt(), now + 1ms, now + 1ms);
     }
-    CHECK(peer.is_blocked(bad_prompt()));
+    CHECK(is_blocked(peer, bad_prompt()));
     now += 1s;
     detector.merge(peer.report(now), now);
-    CHECK_FALSE(detector.is_blocked(bad_prompt()));
+    CHECK_FALSE(is_blocked(detector, bad_prompt()));
     peer.merge(detector.report(now), now);
-    CHECK_FALSE(peer.is_blocked(bad_prompt()));
+    CHECK_FALSE(is_blocked(peer, bad_prompt()));
 }
 
 TEST(crashing_part_detector_group, ends_of_one_incarnation_count_once)
@@ -140,7 +146,7 @@
         detector.record_end(bad_prompt(), 1, now);
         pass(1s);
     }
-    CHECK_FALSE(detector.is_blocked(bad_prompt()));
+    CHECK_FALSE(is_blocked(detector, bad_prompt()));
 }
 
 TEST(crashing_part_detector_group, a_response_that_goes_on_clears_earlier_ends)
@@ -151,7 +157,7 @@
     detector.record_success(bad_prompt(), now + 500ms, now + 1s);
     pass(2s);
     end_upstream(bad_prompt());
-    CHECK_FALSE(detector.is_blocked(bad_prompt()));
+    CHECK_FALSE(is_blocked(detector, bad_prompt()));
 }
 
 TEST(crashing_part_detector_group, a_response_that_began_earlier_clears_nothing)
@@ -162,7 +168,7 @@
     pass(1s);
     detector.record_success(bad_prompt(), now - 3s, now);
     end_upstream(bad_prompt());
-    CHECK(detector.is_blocked(bad_prompt()));
+    CHECK(is_blocked(detector, bad_prompt()));
 }
 
 TEST(crashing_part_detector_group,
@@ -190,7 +196,7 @@
         detector.merge(peer.report(now), now);
         detector.merge(peer.report(now), now);
     }
-    CHECK(detector.is_blocked(bad_prompt()));
+    CHECK(is_blocked(detector, bad_prompt()));
 }
 
 TEST(crashing_part_detector_group, a_clearance_reaches_peers)
@@ -207,7 +213,7 @@
         peer.record_end(prompt_of({shared_id, ++last_id}), ++last_incarnation,
                         now);
     }
-    CHECK_FALSE(peer.is_blocked(prompt_of({shared_id, ++last_id})));
+    CHECK_FALSE(is_blocked(peer, prompt_of({shared_id, ++last_id})));
 }
 
 TEST(crashing_part_detector_group, a_block_lasts_while_requests_come)
@@ -218,11 +224,11 @@
         now += 1min;
         detector.set_routers(router_ranking("a", {"b", "c"}));
         detector.forget_unseen(now);
-        CHECK(detector.judge(bad_prompt(), now) != part_verdict::allowed);
+        CHECK(detector.judge(bad_prompt(), now) != crash_verdict::allowed);
     }
     now += 61min;
     detector.forget_unseen(now);
-    CHECK(detector.judge(bad_prompt(), now) == part_verdict::allowed);
+    CHECK(detector.judge(bad_prompt(), now) == crash_verdict::allowed);
 }
 
 TEST(crashing_part_detector_group, the_fleet_makes_two_trials_in_all)
@@ -243,8 +249,8 @@
         now += 1min;
         for (crashing_part_detector& router : routers)
         {
-            const prompt_description prompt = bad_prompt();
-            if (router.judge(prompt, now) == part_verdict::trial)
+            const std::vector<suspect_id> prompt = bad_prompt();
+            if (router.judge(prompt, now) == crash_verdict::trial)
             {
                 ++trials;
                 router.record_end(prompt, ++last_incarnation, now);
@@ -262,11 +268,11 @@
 {
     block_bad_part();
     now += 3min;
-    const prompt_description prompt = bad_prompt();
-    CHECK(detector.judge(prompt, now) == part_verdict::trial);
-    CHECK(detector.judge(bad_prompt(), now) == part_verdict::blocked);
+    const std::vector<suspect_id> prompt = bad_prompt();
+    CHECK(detector.judge(prompt, now) == crash_verdict::trial);
+    CHECK(detector.judge(bad_prompt(), now) == crash_verdict::blocked);
     detector.record_success(prompt, now + 1s, now + 2s);
-    CHECK(detector.judge(bad_prompt(), now + 2s) == part_verdict::allowed);
+    CHECK(detector.judge(bad_prompt(), now + 2s) == crash_verdict::allowed);
 }
 
 TEST(crashing_part_detector_group, parts_that_callers_name_use_bounded_memory)
@@ -284,7 +290,7 @@
         pass(1s);
         CHECK_COMPARE(detector.report(now).size(), <=, max_reported);
     }
-    CHECK(detector.is_blocked(bad_prompt()));
+    CHECK(is_blocked(detector, bad_prompt()));
 }
 
 TEST(crashing_part_detector_group, the_order_of_reports_does_not_matter)
@@ -312,7 +318,7 @@
                 forwards.merge(seen[one].report(end), end);
                 backwards.merge(seen[seen.size() - 1 - one].report(end), end);
             }
-            RC_ASSERT(forwards.is_blocked(bad_prompt()) ==
-                      backwards.is_blocked(bad_prompt()));
+            RC_ASSERT(is_blocked(forwards, bad_prompt()) ==
+                      is_blocked(backwards, bad_prompt()));
         }));
 }
--- a/tests/exchange/blocked_prompt_test.cpp
+++ b/tests/exchange/blocked_prompt_test.cpp
@@ -75,7 +75,7 @@
     LONGS_EQUAL(4, fixture.call_count());
     const ports::steady_time now = fixture.clock.steady_now();
     domain::suspect_part blocked;
-    blocked.id = 0xdead;
+    blocked.id.value = 0xdead;
     blocked.ends = {{1, now - 3s, now - 4s},
                     {2, now - 2s, now - 2s},
                     {3, now - 1s, now - 1s}};
--- a/tests/fleet/blocked_part_store_test.cpp
+++ b/tests/fleet/blocked_part_store_test.cpp
@@ -1,3 +1,4 @@
+#include "libraries/domain/crashing_parts/crashing_part_detector.hpp"
 #include "libraries/drivers/fleet/blocked_part_store.hpp"
 #include "libraries/fakes/counting_logger.hpp"
 #include "tests/fleet/fake_asynchronous_store.hpp"
@@ -32,13 +33,12 @@
 
     void update(bool is_blocked)
     {
-        std::vector<domain::suspect_part> suspects;
+        std::vector<domain::suspect_id> blocked;
         if (is_blocked)
         {
-            suspects.push_back(domain::make_blocked_part(
-                0xdead, clock.steady_now(), clock.steady_now()));
+            blocked.push_back({domain::suspect_kind::prompt_part, 0xdead});
         }
-        parts.update(suspects, domain::router_ranking());
+        parts.update(blocked, domain::router_ranking());
     }
 
     bool is_stored() const
@@ -96,8 +96,10 @@
     timers.advance(3s);
     store.serve_all();
     LONGS_EQUAL(1, loaded.size());
-    LONGS_EQUAL(0xdead, loaded[0].id);
-    CHECK(domain::is_part_blocked(loaded[0]));
+    LONGS_EQUAL(0xdead, loaded[0].id.value);
+    domain::crashing_part_detector detector;
+    detector.merge(loaded, clock.steady_now());
+    CHECK(detector.find_blocked({loaded[0].id}).has_value());
     // Responses since then clear it, if the part is sound.
     CHECK(loaded[0].ends.back().at <= clock.steady_now() - 3s);
 }
@@ -128,3 +130,18 @@
     store.serve_all();
     CHECK(is_stored());
 }
+
+TEST(blocked_part_store_group, a_blocked_request_is_kept_apart_from_parts)
+{
+    const domain::suspect_id request{domain::suspect_kind::request, 0xdead};
+    parts.update({request}, domain::router_ranking());
+    store.serve_all();
+    CHECK_FALSE(is_stored());
+    load();
+    store.serve_all();
+    LONGS_EQUAL(1, loaded.size());
+    CHECK(loaded[0].id == request);
+    domain::crashing_part_detector detector;
+    detector.merge(loaded, clock.steady_now());
+    CHECK(detector.find_blocked({request}).has_value());
+}
--- a/tests/fleet/peer_table_test.cpp
+++ b/tests/fleet/peer_table_test.cpp
@@ -22,7 +22,7 @@
     digest.load["u1"] = {2, 900};
     digest.accounts["acme"] = {10, 20, 30, 4};
     digest.observations.suspect_parts.push_back(
-        {0xdead,
+        {{domain::suspect_kind::request, 0xdead},
          {{17, ports::steady_time(97s), ports::steady_time(94s)},
           {18, ports::steady_time(98s), ports::steady_time(97500ms)}},
          ports::steady_time(96s),
@@ -66,7 +66,8 @@
     LONGS_EQUAL(4, digest.accounts.at("acme").rate);
     const domain::suspect_part& suspect =
         digest.observations.suspect_parts.at(0);
-    LONGS_EQUAL(0xdead, suspect.id);
+    LONGS_EQUAL(0xdead, suspect.id.value);
+    CHECK(suspect.id.kind == domain::suspect_kind::request);
     LONGS_EQUAL(18, suspect.ends.at(1).incarnation);
     CHECK(suspect.ends.at(1).at == ports::steady_time(98s));
     CHECK(suspect.ends.at(1).output_at == ports::steady_time(97500ms));
