--- a/libraries/domain/crashing_parts/suspect_part.hpp
+++ b/libraries/domain/crashing_parts/suspect_part.hpp
@@ -3,10 +3,10 @@
 #include "libraries/domain/callers/caller_request.hpp"
 #include "libraries/ports/clock.hpp"
 
-#include <compare>
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <tuple>
 #include <vector>
 
 namespace turmeric::domain
@@ -28,7 +28,13 @@
     suspect_kind kind = suspect_kind::prompt_part;
     std::uint64_t value = 0;
 
-    auto operator<=>(const suspect_id&) const = default;
+    bool operator==(const suspect_id&) const = default;
+
+    /// Orders by the kind, then by the value. Thread safe.
+    bool operator<(const suspect_id& other) const
+    {
+        return std::tie(kind, value) < std::tie(other.kind, other.value);
+    }
 };
 
 /// Returns the first parts of a prompt but the last one, which is the request's
--- a/libraries/domain/prepaid/granted_totals.hpp
+++ b/libraries/domain/prepaid/granted_totals.hpp
@@ -1,10 +1,10 @@
 #pragma once
 
-#include <compare>
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
+#include <tuple>
 
 namespace turmeric::domain
 {
@@ -17,7 +17,13 @@
     std::int64_t era = 0;
     std::int64_t version = 0;
 
-    auto operator<=>(const record_position&) const = default;
+    bool operator==(const record_position&) const = default;
+
+    /// Orders by the era, then by the version. Thread safe.
+    bool operator<(const record_position& other) const
+    {
+        return std::tie(era, version) < std::tie(other.era, other.version);
+    }
 };
 
 /// The tokens that the store counted as granted to all routers at a position.
