--- a/tests/budget_restored_store/budget_restored_store_test.cpp
+++ b/tests/budget_restored_store/budget_restored_store_test.cpp
@@ -96,3 +96,31 @@
     fleet.play(3s);
     check_all_tokens_count(fleet);
 }
+
+TEST(budget_restored_store_group,
+     accounts_are_not_overspent_when_all_routers_ended_since_the_copy)
+{
+    for (const int routers : {small_fleet, largest_fleet})
+    {
+        simulated_fleet fleet(routers);
+        fleet.start();
+        fleet.play(15s);
+        fleet.take_copy();
+        fleet.play(8s);
+        fleet.set_cut(true);
+        fleet.replace_all_routers();
+        fleet.restore_store(1s);
+        fleet.play(40s);
+        CHECK(fleet.usable_tokens() <= total);
+    }
+}
+
+TEST(budget_restored_store_group, a_loss_of_all_routers_alone_withholds_nothing)
+{
+    simulated_fleet fleet(small_fleet);
+    fleet.start();
+    fleet.play(2s);
+    fleet.replace_all_routers();
+    fleet.play(4s);
+    CHECK(fleet.play(3s).served_fraction() >= 0.99);
+}
--- a/tests/simulation/simulated_fleet.cpp
+++ b/tests/simulation/simulated_fleet.cpp
@@ -76,8 +76,14 @@
 }
 
 void simulated_fleet::start_another_router()
+{
+    start_another_router(false);
+}
+
+void simulated_fleet::start_another_router(bool is_cut)
 {
     add_router();
+    m_routers.back()->store.is_cut = is_cut;
     m_routers.back()->control.start();
 }
 
@@ -190,6 +196,17 @@
     m_network.disconnect(m_routers[router]->name);
 }
 
+void simulated_fleet::replace_all_routers()
+{
+    const std::size_t count = m_routers.size();
+    for (std::size_t number = 0; number < count; ++number)
+    {
+        const bool is_cut = m_routers[number]->store.is_cut;
+        kill(number);
+        start_another_router(is_cut);
+    }
+}
+
 void simulated_fleet::set_cut(bool is_cut)
 {
     for (const auto& one : m_routers)
--- a/tests/simulation/simulated_fleet.hpp
+++ b/tests/simulation/simulated_fleet.hpp
@@ -223,6 +223,9 @@
     /// Ends a router with all that it holds.
     void kill(std::size_t router);
 
+    /// Ends all routers with all that they hold, and starts as many new ones.
+    void replace_all_routers();
+
     /// Loses and doubles datagrams from now on.
     void damage_network(std::uint64_t lost_percent,
                         std::uint64_t doubled_percent);
@@ -264,6 +267,8 @@
     };
 
     void add_router();
+    /// Starts one more router, whose connection to the store may be cut.
+    void start_another_router(bool is_cut);
     [[nodiscard]] std::string
     configuration_text(const std::string& address) const;
     void answer_watches();
