Prepaid tokens: Reserve what nobody remembers after a restore of the store

Cause: the collection of totals ends when all peers have reported, whatever they know. New routers reported to each other what the copy says, and granted again from there. They could not tell that nothing was granted since the copy from that nobody knows it.

Change: routers know, and report, the earliest era whose records they or those before them have read. A record that goes on from an era that nobody knows counts a reserve as granted: what the fleet consumed in 15 s at twice the rate that the record has. Event 313 names account and tokens.

Why it works: what was lost is what was granted between the copy and the end of the routers. It grows with the rate and the age of the copy.

--- a/libraries/codecs/fleet/granted_totals_message.cpp
+++ b/libraries/codecs/fleet/granted_totals_message.cpp
@@ -18,6 +18,7 @@
     element_kind,
     element_sender,
     element_era,
+    element_known_since,
     element_part,
     element_parts,
     element_totals,
@@ -91,6 +92,7 @@
     const json encoded = {static_cast<int>(message.kind),
                           message.sender,
                           message.era,
+                          message.known_since,
                           message.part,
                           message.parts,
                           rows};
@@ -119,6 +121,7 @@
     message.kind = *kind;
     message.sender = encoded[element_sender].get<std::string>();
     message.era = encoded[element_era].get<std::int64_t>();
+    message.known_since = encoded[element_known_since].get<std::int64_t>();
     message.part = encoded[element_part].get<std::int64_t>();
     message.parts = encoded[element_parts].get<std::int64_t>();
     if (message.part >= message.parts || message.parts > max_parts)
--- a/libraries/codecs/fleet/granted_totals_message.hpp
+++ b/libraries/codecs/fleet/granted_totals_message.hpp
@@ -31,6 +31,8 @@
     /// The latest era of the store that the sender knows. It has accepted no
     /// grant of an earlier era since.
     std::int64_t era = 0;
+    /// The earliest era whose latest totals the sender knows; 0 if none.
+    std::int64_t known_since = 0;
     /// The number of this part, from 0, and the number of all parts.
     std::int64_t part = 0;
     std::int64_t parts = 1;
--- a/libraries/codecs/fleet/prepaid_record_codec.cpp
+++ b/libraries/codecs/fleet/prepaid_record_codec.cpp
@@ -11,6 +11,9 @@
 namespace
 {
 
+/// In tokens per second; far beyond what a fleet can consume.
+constexpr std::int64_t max_rate = 1'000'000'000'000;
+
 /// Reads an object whose members are integers. Returns false if it is not one.
 bool read_integers(
     const json& encoded,
@@ -57,6 +60,22 @@
                          });
 }
 
+/// Reads the rate, which records of older releases do not have.
+bool read_rate(const json& encoded, domain::prepaid_record& record)
+{
+    const auto rate = encoded.find("tokens_per_second");
+    if (rate == encoded.end())
+    {
+        return true;
+    }
+    if (!rate->is_number_integer() || *rate < 0 || *rate > max_rate)
+    {
+        return false;
+    }
+    record.tokens_per_second = rate->get<std::int64_t>();
+    return true;
+}
+
 } // namespace
 
 std::string write_prepaid_record(const domain::prepaid_record& record)
@@ -64,7 +83,8 @@
     json encoded = {{"granted_in_all", record.granted_in_all},
                     {"granted_to", json(record.granted_to)},
                     {"version", record.version},
-                    {"restored_from", json::object()}};
+                    {"restored_from", json::object()},
+                    {"tokens_per_second", record.tokens_per_second}};
     if (record.granted_to.empty())
     {
         encoded["granted_to"] = json::object();
@@ -113,6 +133,11 @@
         return error{result_code::corrupt_value, "restored_from",
                      "an earlier era of the prepaid record is malformed"};
     }
+    if (!read_rate(encoded, record))
+    {
+        return error{result_code::corrupt_value, "tokens_per_second",
+                     "the rate of the prepaid record is malformed"};
+    }
     return record;
 }
 
--- a/libraries/core/log_event.cpp
+++ b/libraries/core/log_event.cpp
@@ -42,6 +42,7 @@
     event_row{log_event::grant_conflict, "grant_conflict"},
     event_row{log_event::grant_differs, "grant_differs"},
     event_row{log_event::totals_collected, "totals_collected"},
+    event_row{log_event::lost_grants_reserved, "lost_grants_reserved"},
     event_row{log_event::upstream_ejected, "upstream_ejected"},
     event_row{log_event::upstream_returned, "upstream_returned"},
     event_row{log_event::upstream_leaving, "upstream_leaving"},
--- a/libraries/core/log_event.hpp
+++ b/libraries/core/log_event.hpp
@@ -44,6 +44,7 @@
     grant_conflict = 310,
     grant_differs = 311,
     totals_collected = 312,
+    lost_grants_reserved = 313,
 
     // 400: upstreams and moves.
     upstream_ejected = 401,
--- a/libraries/domain/prepaid/granted_totals.cpp
+++ b/libraries/domain/prepaid/granted_totals.cpp
@@ -34,4 +34,17 @@
     return m_totals;
 }
 
+void granted_totals::add_known_era(std::int64_t era)
+{
+    if (era != 0 && (m_known_since == 0 || era < m_known_since))
+    {
+        m_known_since = era;
+    }
+}
+
+std::int64_t granted_totals::known_since() const
+{
+    return m_known_since;
+}
+
 } // namespace turmeric::domain
--- a/libraries/domain/prepaid/granted_totals.hpp
+++ b/libraries/domain/prepaid/granted_totals.hpp
@@ -50,8 +50,18 @@
     /// Returns the latest totals by account.
     [[nodiscard]] const std::map<std::string, granted_total>& all() const;
 
+    /// Records that this router has read all records of the store in `era`, or
+    /// that it has all totals of a peer that has. `era` 0 means none.
+    void add_known_era(std::int64_t era);
+
+    /// Returns the earliest era whose latest totals are known, whatever the
+    /// store has lost since; 0 if none is. Totals of an era before it may lack
+    /// the changes that a restore of the store has undone.
+    [[nodiscard]] std::int64_t known_since() const;
+
 private:
     std::map<std::string, granted_total> m_totals;
+    std::int64_t m_known_since = 0;
 };
 
 } // namespace turmeric::domain
--- a/libraries/domain/prepaid/prepaid_record.cpp
+++ b/libraries/domain/prepaid/prepaid_record.cpp
@@ -1,6 +1,7 @@
 #include "libraries/domain/prepaid/prepaid_record.hpp"
 
 #include <algorithm>
+#include <chrono>
 #include <cmath>
 
 namespace turmeric::domain
@@ -34,6 +35,12 @@
 constexpr double low_watermark = 0.9;
 /// A router that has more than this multiple of the target returns the surplus.
 constexpr double high_watermark = 1.2;
+/// The age of copies of the store whose loss of grants is covered.
+constexpr std::chrono::seconds covered_copy_age{15};
+/// How much faster than at the copy tokens may be consumed after it.
+constexpr std::int64_t covered_rate_growth = 2;
+/// The inverse of the part by which a record's rate falls with one change.
+constexpr std::int64_t rate_decay_divisor = 8;
 /// The number of earlier eras that a record keeps.
 constexpr std::size_t max_earlier_eras = 8;
 
@@ -77,6 +84,18 @@
 
 } // namespace
 
+std::int64_t reserve_for_lost_grants(const prepaid_record& record)
+{
+    return record.tokens_per_second * covered_rate_growth *
+           covered_copy_age.count();
+}
+
+std::int64_t update_fleet_rate(std::int64_t previous, double tokens_per_second)
+{
+    const std::int64_t decayed = previous - previous / rate_decay_divisor;
+    return std::max(decayed, static_cast<std::int64_t>(tokens_per_second));
+}
+
 prepaid_record begin_era_record(const prepaid_record& earlier,
                                 const granted_total& total)
 {
--- a/libraries/domain/prepaid/prepaid_record.hpp
+++ b/libraries/domain/prepaid/prepaid_record.hpp
@@ -26,8 +26,23 @@
     /// By earlier era, the version of that era's record up to which the total
     /// counts its changes.
     std::map<std::int64_t, std::int64_t> restored_from;
+    /// What all routers together consumed around the last change.
+    std::int64_t tokens_per_second = 0;
 };
 
+/// Returns what the fleet may have been granted, beyond what `record` counts,
+/// until the store was restored from a copy with this record: tokens that
+/// nobody knows of if all routers have ended since. It covers copies of up to
+/// 15 s and a rate that doubles after the copy. Thread safe.
+[[nodiscard]] std::int64_t
+reserve_for_lost_grants(const prepaid_record& record);
+
+/// Returns the fleet's rate of consumption for a record whose rate was
+/// `previous`, by a router that sees `tokens_per_second`. It falls slowly,
+/// because the router may lack reports of its peers. Thread safe.
+[[nodiscard]] std::int64_t update_fleet_rate(std::int64_t previous,
+                                             double tokens_per_second);
+
 /// Returns the record with which an account goes on in a new era: it counts
 /// all of `total`, whoever was granted it, so that nothing is granted twice
 /// whatever the store has lost. `earlier` is the record of an earlier era.
--- a/libraries/drivers/fleet/grant_planner.cpp
+++ b/libraries/drivers/fleet/grant_planner.cpp
@@ -62,6 +62,7 @@
     {
         state.earlier_eras.clear();
     }
+    m_totals.add_known_era(m_era);
 }
 
 ports::store_era grant_planner::era() const
@@ -147,6 +148,8 @@
         const std::int64_t drawn = token_demand.used + token_demand.lent;
         state.rate.add(drawn - state.last_drawn, m_clock.steady_now());
         state.last_drawn = drawn;
+        state.peers_tokens_per_second =
+            static_cast<double>(token_demand.peers_tokens_per_second);
     }
 }
 
@@ -245,7 +248,18 @@
         return state.record.granted_in_all + state.uncounted;
     }
     const std::optional<domain::granted_total> total = m_totals.find(account);
-    return total ? total->tokens : 0;
+    return total ? total->tokens + reserve_of(account, state) : 0;
+}
+
+std::int64_t grant_planner::reserve_of(const std::string& account,
+                                       const account_state& state) const
+{
+    const std::optional<domain::granted_total> total = m_totals.find(account);
+    // A store that names no era is never restored.
+    const bool may_lack_grants = !state.is_record_current && total &&
+                                 total->at.era != 0 &&
+                                 total->at.era < m_totals.known_since();
+    return may_lack_grants ? domain::reserve_for_lost_grants(state.record) : 0;
 }
 
 domain::prepaid_record
@@ -268,7 +282,11 @@
     next.record = domain::apply_grant_change(
         base_record(planned.account, state), m_incarnation, state.own_granted,
         planned.tokens, m_members);
-    next.record.granted_in_all += planned.uncounted;
+    next.reserved = reserve_of(planned.account, state);
+    next.record.granted_in_all += planned.uncounted + next.reserved;
+    next.record.tokens_per_second = domain::update_fleet_rate(
+        state.record.tokens_per_second,
+        tokens_per_second_of(state) + state.peers_tokens_per_second);
     next.earlier_eras = state.earlier_eras;
     return next;
 }
--- a/libraries/drivers/fleet/grant_planner.hpp
+++ b/libraries/drivers/fleet/grant_planner.hpp
@@ -43,6 +43,9 @@
     std::int64_t uncounted = 0;
     /// The account's record as it was sent with this change.
     domain::prepaid_record record;
+    /// Tokens that the record counts as granted, because it begins without
+    /// knowing what a restore of the store has undone.
+    std::int64_t reserved = 0;
 };
 
 /// An account's record as it is after a planned change, and the revision that
@@ -53,6 +56,8 @@
     domain::prepaid_record record;
     /// The earlier eras of which the store still has a record.
     std::set<ports::store_era> earlier_eras;
+    /// As in `planned_grant`.
+    std::int64_t reserved = 0;
 };
 
 /// Plans which tokens one router requests from the store and which it returns,
@@ -69,8 +74,8 @@
     /// never count.
     void begin_era(ports::store_era era);
 
-    /// Forgets which earlier records the store has, before all records are
-    /// updated from it.
+    /// Forgets which earlier records the store has, before all records of the
+    /// present era are updated from it.
     void begin_update();
 
     /// Returns the era for which changes are planned.
@@ -169,6 +174,8 @@
         /// Total of the tokens consumed and lent at the last measurement.
         std::int64_t last_drawn = 0;
         domain::spend_rate rate{rate_window};
+        /// What the other routers consume.
+        double peers_tokens_per_second = 0;
     };
 
     /// Returns whether this router may change an account's record now.
@@ -178,6 +185,10 @@
     /// Returns the tokens that count as granted to all routers.
     [[nodiscard]] std::int64_t granted_in_all(const std::string& account,
                                               const account_state& state) const;
+    /// Returns the tokens to be counted as granted because nobody knows what
+    /// was granted before the store was restored.
+    [[nodiscard]] std::int64_t reserve_of(const std::string& account,
+                                          const account_state& state) const;
     /// Returns the record that a change of the account begins with.
     [[nodiscard]] domain::prepaid_record
     base_record(const std::string& account, const account_state& state) const;
--- a/libraries/drivers/fleet/token_grant_client_state.cpp
+++ b/libraries/drivers/fleet/token_grant_client_state.cpp
@@ -149,6 +149,7 @@
 {
     const planned_record next = planner.apply(planned);
     planned.record = next.record;
+    planned.reserved = next.reserved;
     const std::string key = write_record_key({planner.era(), planned.account});
     change.conditions.push_back({key, next.expected_revision});
     change.writes.push_back(
@@ -269,6 +270,13 @@
                    {"era", store.eras().current()},
                    {"attempts", attempts},
                    {"record_age_ms", record_age_ms()}});
+        if (planned.reserved > 0)
+        {
+            log.write(log_level::warning, log_event::lost_grants_reserved,
+                      {{"account", planned.account},
+                       {"tokens", planned.reserved},
+                       {"era", store.eras().current()}});
+        }
     }
     attempts = 0;
     if (applied)
--- a/libraries/drivers/fleet/total_exchange.cpp
+++ b/libraries/drivers/fleet/total_exchange.cpp
@@ -166,6 +166,7 @@
         if (static_cast<std::int64_t>(parts.size()) >= message.parts)
         {
             m_reported.insert(message.sender);
+            m_totals.add_known_era(message.known_since);
         }
     }
 }
@@ -209,6 +210,7 @@
     message.kind = kind;
     message.sender = m_self;
     message.era = std::max(m_eras.current(), m_reported_era);
+    message.known_since = m_totals.known_since();
     return message;
 }
 
