Granted totals: Say what a total counts of the eras before

What callers saw: after a second restore from the same copy, accounts seemed to be used up, and requests were refused (503, 3002) though up to half of what the accounts had paid for was unspent.

Cause: a record says up to which version it counts each earlier era, so that a router can add what is missing. The second restore loses the record of the era between, and the totals that routers exchange had only the position of that era. The next record therefore named that era alone, and routers with changes of the era before added them all, though the total counted them.

Change: a total has the versions of all eras that it counts, in memory and in reports; records begin with those, not with those of the copy. A router that begins a record itself also drops its changes that the record counts.

Why it works: what a record counts no longer depends on which records the copy has, as its total does not either.

--- a/libraries/codecs/fleet/granted_totals_message.cpp
+++ b/libraries/codecs/fleet/granted_totals_message.cpp
@@ -32,6 +32,7 @@
     row_era,
     row_version,
     row_tokens,
+    row_earlier_eras,
     row_element_count,
 };
 
@@ -69,7 +70,8 @@
 {
     if (!row.is_array() || row.size() != row_element_count ||
         !row[row_account].is_string() ||
-        !are_integers(row, row_era, row_tokens))
+        !are_integers(row, row_era, row_tokens) ||
+        !row[row_earlier_eras].is_array())
     {
         return std::nullopt;
     }
@@ -77,6 +79,15 @@
     total.at.era = row[row_era].get<std::int64_t>();
     total.at.version = row[row_version].get<std::int64_t>();
     total.tokens = row[row_tokens].get<std::int64_t>();
+    for (const json& pair : row[row_earlier_eras])
+    {
+        if (!pair.is_array() || pair.size() != 2 || !are_integers(pair, 0, 1))
+        {
+            return std::nullopt;
+        }
+        total.earlier_eras[pair[0].get<std::int64_t>()] =
+            pair[1].get<std::int64_t>();
+    }
     return std::make_pair(row[row_account].get<std::string>(), total);
 }
 
@@ -87,7 +98,13 @@
     json rows = json::array();
     for (const auto& [account, total] : message.totals)
     {
-        rows.push_back({account, total.at.era, total.at.version, total.tokens});
+        json earlier_eras = json::array();
+        for (const auto& [era, version] : total.earlier_eras)
+        {
+            earlier_eras.push_back(json::array({era, version}));
+        }
+        rows.push_back({account, total.at.era, total.at.version, total.tokens,
+                        earlier_eras});
     }
     const json encoded = {static_cast<int>(message.kind),
                           message.sender,
--- a/libraries/domain/prepaid/granted_totals.hpp
+++ b/libraries/domain/prepaid/granted_totals.hpp
@@ -25,11 +25,17 @@
     }
 };
 
+/// By era, the version of that era's record up to which its changes count.
+using counted_versions = std::map<std::int64_t, std::int64_t>;
+
 /// The tokens that the store counted as granted to all routers at a position.
 struct granted_total
 {
     record_position at;
     std::int64_t tokens = 0;
+    /// What counts of the eras before. The restored store may have lost the
+    /// records that say so.
+    counted_versions earlier_eras;
 };
 
 /// The latest granted total that is known of each account, from this router's
--- a/libraries/domain/prepaid/prepaid_record.cpp
+++ b/libraries/domain/prepaid/prepaid_record.cpp
@@ -96,13 +96,12 @@
     return std::max(decayed, static_cast<std::int64_t>(tokens_per_second));
 }
 
-prepaid_record begin_era_record(const prepaid_record& earlier,
-                                const granted_total& total)
+prepaid_record begin_era_record(const granted_total& total)
 {
     prepaid_record record;
     record.granted_in_all = total.tokens;
     record.version = total.at.version;
-    record.restored_from = earlier.restored_from;
+    record.restored_from = total.earlier_eras;
     record.restored_from[total.at.era] = total.at.version;
     while (record.restored_from.size() > max_earlier_eras)
     {
--- a/libraries/domain/prepaid/prepaid_record.hpp
+++ b/libraries/domain/prepaid/prepaid_record.hpp
@@ -23,9 +23,8 @@
     std::map<std::string, std::int64_t> granted_to;
     /// The number of changes, counted on from the era before.
     std::int64_t version = 0;
-    /// By earlier era, the version of that era's record up to which the total
-    /// counts its changes.
-    std::map<std::int64_t, std::int64_t> restored_from;
+    /// What the total counts of the eras before.
+    counted_versions restored_from;
     /// What all routers together consumed around the last change.
     std::int64_t tokens_per_second = 0;
 };
@@ -45,10 +44,8 @@
 
 /// Returns the record with which an account goes on in a new era: it counts
 /// all of `total`, whoever was granted it, so that nothing is granted twice
-/// whatever the store has lost. `earlier` is the record of an earlier era.
-/// Thread safe.
-[[nodiscard]] prepaid_record begin_era_record(const prepaid_record& earlier,
-                                              const granted_total& total);
+/// whatever the store has lost. Thread safe.
+[[nodiscard]] prepaid_record begin_era_record(const granted_total& total);
 
 /// Returns the record with `tokens` more for `incarnation`, or fewer when
 /// negative, and one more change. `own_granted` is the total that the
--- a/libraries/drivers/fleet/grant_planner.cpp
+++ b/libraries/drivers/fleet/grant_planner.cpp
@@ -89,8 +89,9 @@
                                   ports::revision revision,
                                   domain::prepaid_record record)
 {
-    m_totals.merge(key.account,
-                   {{key.era, record.version}, record.granted_in_all});
+    m_totals.merge(key.account, {{key.era, record.version},
+                                 record.granted_in_all,
+                                 record.restored_from});
     account_state& state = m_accounts[key.account];
     if (key.era != m_era)
     {
@@ -101,14 +102,9 @@
         }
         return;
     }
-    if (!state.is_record_current)
-    {
-        state.is_record_current = true;
-        state.uncounted +=
-            state.history.take_uncounted(record, m_era, state.own_granted);
-    }
     state.revision = revision;
     state.record = std::move(record);
+    set_record_current(state);
     const auto own = state.record.granted_to.find(m_incarnation);
     if (own != state.record.granted_to.end())
     {
@@ -122,6 +118,17 @@
     drop_uncertain_return(state);
 }
 
+void grant_planner::set_record_current(account_state& state)
+{
+    if (state.is_record_current)
+    {
+        return;
+    }
+    state.is_record_current = true;
+    state.uncounted +=
+        state.history.take_uncounted(state.record, m_era, state.own_granted);
+}
+
 void grant_planner::drop_uncertain_return(account_state& state)
 {
     state.pending_return = std::max<std::int64_t>(
@@ -271,7 +278,7 @@
     {
         return state.record;
     }
-    return domain::begin_era_record(state.record, *total);
+    return domain::begin_era_record(*total);
 }
 
 planned_record grant_planner::apply(const planned_grant& planned)
@@ -297,11 +304,12 @@
     account_state& state = m_accounts[planned.account];
     state.record = planned.record;
     state.revision = at;
-    state.is_record_current = true;
-    state.earlier_eras.clear();
     state.uncounted -= planned.uncounted;
+    set_record_current(state);
+    state.earlier_eras.clear();
     const domain::record_position position{m_era, state.record.version};
-    m_totals.merge(planned.account, {position, state.record.granted_in_all});
+    m_totals.merge(planned.account, {position, state.record.granted_in_all,
+                                     state.record.restored_from});
     if (m_era != 0)
     {
         state.history.add(position, planned.tokens);
--- a/libraries/drivers/fleet/grant_planner.hpp
+++ b/libraries/drivers/fleet/grant_planner.hpp
@@ -192,6 +192,9 @@
     /// Returns the record that a change of the account begins with.
     [[nodiscard]] domain::prepaid_record
     base_record(const std::string& account, const account_state& state) const;
+    /// Records that an account's record is of the present era from now on, and
+    /// finds the changes of this router that it does not count.
+    void set_record_current(account_state& state);
     /// Drops returns whose outcome cannot become known any more.
     static void drop_uncertain_return(account_state& state);
     static void set_own_granted(account_state& state, std::int64_t granted);
--- a/tests/prepaid/restored_record_test.cpp
+++ b/tests/prepaid/restored_record_test.cpp
@@ -14,15 +14,15 @@
 TEST(restored_record_group, the_latest_total_of_an_account_counts)
 {
     domain::granted_totals totals;
-    totals.merge("acme", {{1, 5}, 500});
-    totals.merge("acme", {{1, 4}, 900});
+    totals.merge("acme", {{1, 5}, 500, {}});
+    totals.merge("acme", {{1, 4}, 900, {}});
     LONGS_EQUAL(500, totals.find("acme")->tokens);
-    totals.merge("acme", {{2, 1}, 100});
+    totals.merge("acme", {{2, 1}, 100, {}});
     LONGS_EQUAL(100, totals.find("acme")->tokens);
     // A change that the restored store has executed late, and the one that it
     // has lost, at the same position.
-    totals.merge("acme", {{2, 1}, 130});
-    totals.merge("acme", {{2, 1}, 120});
+    totals.merge("acme", {{2, 1}, 130, {}});
+    totals.merge("acme", {{2, 1}, 120, {}});
     LONGS_EQUAL(130, totals.find("acme")->tokens);
 }
 
@@ -33,7 +33,7 @@
     history.add({1, 5}, 40);
     history.add({1, 7}, -10);
     const domain::prepaid_record record =
-        domain::begin_era_record({}, {{1, 4}, 600});
+        domain::begin_era_record({{1, 4}, 600, {}});
     LONGS_EQUAL(30, history.take_uncounted(record, 2, 130));
     LONGS_EQUAL(0, history.take_uncounted(record, 2, 130));
 }
@@ -44,9 +44,9 @@
     history.add({1, 3}, 100);
     history.add({1, 5}, 40);
     const domain::prepaid_record second =
-        domain::begin_era_record({}, {{1, 4}, 600});
+        domain::begin_era_record({{1, 4}, 600, {}});
     const domain::prepaid_record third =
-        domain::begin_era_record(second, {{2, 9}, 800});
+        domain::begin_era_record({{2, 9}, 800, second.restored_from});
     LONGS_EQUAL(40, history.take_uncounted(third, 3, 140));
 }
 
@@ -58,13 +58,13 @@
         history.add({1, version}, 10);
     }
     const domain::prepaid_record record =
-        domain::begin_era_record({}, {{1, 4}, 40});
+        domain::begin_era_record({{1, 4}, 40, {}});
     LONGS_EQUAL(500, history.take_uncounted(record, 2, 500));
 }
 
 TEST(restored_record_group, a_record_keeps_its_eras)
 {
-    domain::prepaid_record record = domain::begin_era_record({}, {{3, 8}, 600});
+    domain::prepaid_record record = domain::begin_era_record({{3, 8}, 600, {}});
     record = domain::apply_grant_change(record, "a", 50, 20, {"a"});
     const domain::prepaid_record read =
         codecs::read_prepaid_record(codecs::write_prepaid_record(record))
@@ -111,12 +111,14 @@
     message.sender = "one";
     message.era = 2;
     message.known_since = 1;
-    message.totals.emplace_back("acme", domain::granted_total{{1, 5}, 500});
+    message.totals.emplace_back("acme",
+                                domain::granted_total{{2, 5}, 500, {{1, 7}}});
     const std::string bytes = codecs::write_totals_message(message);
     const codecs::granted_totals_message read =
         codecs::read_totals_message(bytes).value();
     LONGS_EQUAL(500, read.totals.front().second.tokens);
     LONGS_EQUAL(1, read.known_since);
+    LONGS_EQUAL(7, read.totals.front().second.earlier_eras.at(1));
     for (std::size_t length = 0; length < bytes.size(); ++length)
     {
         CHECK_FALSE(bool(codecs::read_totals_message(
