Connections, store fake: Split files that had grown

The timer queue of the tests was the second class in fake_asynchronous_store.hpp (429 lines) and has its own header now.

--- a/libraries/adapters/asio/caller_connection.cpp
+++ b/libraries/adapters/asio/caller_connection.cpp
@@ -15,17 +15,11 @@
 
 namespace http = boost::beast::http;
 
-/// Bytes of pipelined requests after which a connection stops reading until
-/// the present request has its response. One read may exceed it.
-constexpr std::size_t max_pipelined_bytes = 64 << 10;
 /// How long a connection stays open for reading after its last response, so
 /// that the caller receives the response before the connection closes.
 constexpr std::chrono::milliseconds linger_timeout{500};
 
-constexpr int bad_request = 400;
 constexpr int request_timeout = 408;
-constexpr int content_too_large = 413;
-constexpr int header_fields_too_large = 431;
 
 } // namespace
 
@@ -52,137 +46,6 @@
     set_timer(m_server.m_limits.idle_timeout);
 }
 
-void caller_connection::read_more()
-{
-    if (m_is_reading || m_is_closed)
-    {
-        return;
-    }
-    m_is_reading = true;
-    const std::shared_ptr<caller_connection> self = shared_from_this();
-    m_socket.async_read_some(
-        m_buffer.read_target(),
-        [self](const boost::system::error_code& error_code, std::size_t bytes)
-        { self->on_read(error_code, bytes); });
-}
-
-void caller_connection::on_read(const boost::system::error_code& error_code,
-                                std::size_t bytes)
-{
-    m_is_reading = false;
-    if (m_is_closed)
-    {
-        return;
-    }
-    if (error_code)
-    {
-        close(false);
-        return;
-    }
-    if (m_is_refused)
-    {
-        read_more();
-        return;
-    }
-    m_buffer.append(bytes);
-    if (m_is_handling_request)
-    {
-        // Pipelined requests stay in the buffer. Reading goes on meanwhile to
-        // detect that the caller closes the connection.
-        if (m_buffer.size() < max_pipelined_bytes)
-        {
-            read_more();
-        }
-        return;
-    }
-    parse();
-}
-
-void caller_connection::parse()
-{
-    if (m_buffer.size() > 0 && !m_parser->got_some())
-    {
-        m_arrived_at = m_server.m_clock.steady_now();
-        set_timer(m_server.m_limits.header_timeout);
-    }
-    while (m_buffer.size() > 0 && !m_parser->is_done())
-    {
-        const boost::system::error_code error_code = m_buffer.feed(*m_parser);
-        if (error_code == http::error::need_more)
-        {
-            break;
-        }
-        if (error_code)
-        {
-            on_parse_error(error_code);
-            return;
-        }
-        if (m_parser->is_header_done() && !is_framing_valid())
-        {
-            refuse(bad_request, "Bad Request");
-            return;
-        }
-    }
-    if (m_parser->is_done())
-    {
-        on_request();
-        return;
-    }
-    if (m_parser->is_header_done())
-    {
-        send_continue_if_expected();
-    }
-    read_more();
-}
-
-bool caller_connection::is_framing_valid() const
-{
-    // If the upstream delimits the body in another way than this parser, a
-    // caller can hide a second request in the body (request smuggling). So
-    // "chunked" is the only transfer coding accepted, and never together with
-    // Content-Length.
-    const auto& message = m_parser->get();
-    const auto codings =
-        message.base().equal_range(http::field::transfer_encoding);
-    const std::size_t count =
-        static_cast<std::size_t>(std::distance(codings.first, codings.second));
-    if (count == 0)
-    {
-        return true;
-    }
-    return count == 1 &&
-           boost::beast::iequals(codings.first->value(), "chunked") &&
-           message.find(http::field::content_length) == message.end();
-}
-
-void caller_connection::send_continue_if_expected()
-{
-    const auto& message = m_parser->get();
-    if (m_has_sent_continue ||
-        !boost::beast::iequals(message[http::field::expect], "100-continue"))
-    {
-        return;
-    }
-    m_has_sent_continue = true;
-    write("HTTP/1.1 100 Continue\r\n\r\n", nullptr);
-}
-
-void caller_connection::on_parse_error(
-    const boost::system::error_code& error_code)
-{
-    if (error_code == http::error::header_limit)
-    {
-        refuse(header_fields_too_large, "Request Header Fields Too Large");
-        return;
-    }
-    if (error_code == http::error::body_limit)
-    {
-        refuse(content_too_large, "Content Too Large");
-        return;
-    }
-    refuse(bad_request, "Bad Request");
-}
-
 void caller_connection::refuse(int status, std::string_view reason)
 {
     m_is_handling_request = true;
--- a/tests/exchange/exchange_fixture.hpp
+++ b/tests/exchange/exchange_fixture.hpp
@@ -8,7 +8,7 @@
 #include "libraries/fakes/manual_clock.hpp"
 #include "libraries/fakes/seeded_random.hpp"
 #include "platform/platform_dialect.hpp"
-#include "tests/fleet/fake_asynchronous_store.hpp"
+#include "tests/fleet/manual_timer_queue.hpp"
 
 #include <map>
 #include <memory>
--- a/tests/fleet/member_registry_test.cpp
+++ b/tests/fleet/member_registry_test.cpp
@@ -1,6 +1,7 @@
 #include "libraries/drivers/fleet/member_registry.hpp"
 #include "libraries/fakes/counting_logger.hpp"
 #include "tests/fleet/fake_asynchronous_store.hpp"
+#include "tests/fleet/manual_timer_queue.hpp"
 
 #include <CppUTest/TestHarness.h>
 
--- a/tests/fleet/token_grant_client_test.cpp
+++ b/tests/fleet/token_grant_client_test.cpp
@@ -4,6 +4,7 @@
 #include "libraries/domain/prepaid/prepaid_ledger.hpp"
 #include "libraries/drivers/fleet/token_grant_client.hpp"
 #include "libraries/fakes/counting_logger.hpp"
+#include "libraries/fakes/manual_clock.hpp"
 #include "tests/fleet/fake_asynchronous_store.hpp"
 
 #include <CppUTest/TestHarness.h>
