--- a/libraries/adapters/asio/caller_connection.cpp
+++ b/libraries/adapters/asio/caller_connection.cpp
@@ -13,8 +13,6 @@
 namespace
 {
 
-namespace http = boost::beast::http;
-
 /// How long a connection stays open for reading after its last response, so
 /// that the caller receives the response before the connection closes.
 constexpr std::chrono::milliseconds linger_timeout{500};
