Crashing requests test: Play several requests that crash upstreams at once

Late arrivals are counted for each request now, as the rule does; for one request the count is what it was.

--- a/tests/budget_crashing_requests/budget_crashing_requests_test.cpp
+++ b/tests/budget_crashing_requests/budget_crashing_requests_test.cpp
@@ -23,9 +23,11 @@
 
 void check_that_request_is_blocked(const fleet_case& played,
                                    simulated_traffic_kind kind,
-                                   std::uint64_t lost_percent)
+                                   std::uint64_t lost_percent,
+                                   std::uint64_t crashing_requests = 1)
 {
     traffic_fleet fleet(played.size, kind);
+    fleet.set_crashing_requests(crashing_requests);
     fleet.start();
     fleet.lose_datagrams(lost_percent);
     const double before = fleet.play(2s).complete_fraction();
@@ -70,6 +72,16 @@
         grown_fleet, simulated_traffic_kind::idempotent, lost_percent);
 }
 
+TEST(budget_crashing_requests_group, requests_that_crash_at_once_are_blocked)
+{
+    constexpr std::uint64_t crashing_requests = 3;
+    for (const fleet_case& played : {small_fleet, grown_fleet})
+    {
+        check_that_request_is_blocked(
+            played, simulated_traffic_kind::idempotent, 0, crashing_requests);
+    }
+}
+
 TEST(budget_crashing_requests_group, it_stays_blocked_when_all_routers_restart)
 {
     traffic_fleet fleet(small_fleet.size, simulated_traffic_kind::idempotent);
--- a/tests/simulation/fleet_cases.hpp
+++ b/tests/simulation/fleet_cases.hpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <chrono>
 #include <cstdint>
+#include <map>
+#include <string>
 #include <vector>
 
 namespace turmeric::tests
@@ -27,23 +29,35 @@
                                  std::chrono::milliseconds(4'000)};
 #endif
 
-/// Returns how many requests that crash upstreams reached one later than
-/// `contact_time` after the crash with the number `tolerated_crashes`.
+/// Returns how many repeats of one request, or of the requests with one prompt
+/// part, reached upstreams later than `contact_time` after its crash with the
+/// number `tolerated_crashes`. Of several such requests, the worst one counts.
 inline std::int64_t count_late_arrivals(traffic_fleet& fleet,
                                         std::size_t tolerated_crashes,
                                         std::chrono::milliseconds contact_time)
 {
-    const std::vector<ports::steady_time>& crashes = fleet.upstreams().crashes;
-    if (crashes.size() < tolerated_crashes)
+    std::map<std::string, std::vector<ports::steady_time>> crashes;
+    for (const upstream_crash& crash : fleet.upstreams().crashes)
     {
-        return 0;
+        crashes[crash.request_line].push_back(crash.at);
     }
-    const ports::steady_time bound =
-        crashes[tolerated_crashes - 1] + contact_time;
-    const std::vector<upstream_arrival>& arrivals = fleet.upstreams().arrivals;
-    return std::count_if(arrivals.begin(), arrivals.end(),
-                         [&](const upstream_arrival& one)
-                         { return one.is_crashing && one.at > bound; });
+    std::map<std::string, std::int64_t> late;
+    for (const upstream_arrival& arrival : fleet.upstreams().arrivals)
+    {
+        const std::vector<ports::steady_time>& ends =
+            crashes[arrival.request_line];
+        if (arrival.is_crashing && ends.size() >= tolerated_crashes &&
+            arrival.at > ends[tolerated_crashes - 1] + contact_time)
+        {
+            ++late[arrival.request_line];
+        }
+    }
+    std::int64_t most = 0;
+    for (const auto& [request_line, count] : late)
+    {
+        most = std::max(most, count);
+    }
+    return most;
 }
 
 } // namespace turmeric::tests
--- a/tests/simulation/simulated_upstreams.cpp
+++ b/tests/simulation/simulated_upstreams.cpp
@@ -128,28 +128,31 @@
         is_plain
             ? call->sent.bytes.ends_with(std::string("\n") + crashing_body)
             : parts.find(std::string(crashing_part) + ":") != std::string::npos;
-    arrivals.push_back(
-        {m_clock.steady_now(), call->router, called.number, is_crashing});
+    const std::string request_line =
+        call->sent.bytes.substr(0, call->sent.bytes.find('\r'));
+    arrivals.push_back({m_clock.steady_now(), call->router, called.number,
+                        is_crashing, request_line});
     call->upstream = called.number;
     call->incarnation = called.id;
     called.calls.push_back(call);
     const std::chrono::milliseconds reading_time(50 + m_random.next() % 150);
-    m_events.run_after(reading_time,
-                       [this, call, is_crashing, is_plain]
-                       {
-                           if (is_crashing && call->listener != nullptr)
-                           {
-                               crashes.push_back(m_clock.steady_now());
-                               crash(call->upstream);
-                               return;
-                           }
-                           if (is_plain)
-                           {
-                               send_plain_response(call);
-                               return;
-                           }
-                           send_event(call, 1);
-                       });
+    m_events.run_after(
+        reading_time,
+        [this, call, is_crashing, is_plain, request_line]
+        {
+            if (is_crashing && call->listener != nullptr)
+            {
+                crashes.push_back({m_clock.steady_now(), request_line});
+                crash(call->upstream);
+                return;
+            }
+            if (is_plain)
+            {
+                send_plain_response(call);
+                return;
+            }
+            send_event(call, 1);
+        });
 }
 
 void simulated_upstreams::send_plain_response(
--- a/tests/simulation/simulated_upstreams.hpp
+++ b/tests/simulation/simulated_upstreams.hpp
@@ -26,6 +26,15 @@
     std::size_t upstream = 0;
     /// Whether it crashes upstreams.
     bool is_crashing = false;
+    /// Its request line, which tells requests apart that crash upstreams.
+    std::string request_line;
+};
+
+/// The end of an upstream under a request that crashes upstreams.
+struct upstream_crash
+{
+    ports::steady_time at;
+    std::string request_line;
 };
 
 /// When a router passed on a response of an upstream that named its limit.
@@ -68,8 +77,7 @@
 
     std::vector<upstream_arrival> arrivals;
     std::vector<passed_on_limit> passed_on_limits;
-    /// When upstreams ended because of the crashing part.
-    std::vector<ports::steady_time> crashes;
+    std::vector<upstream_crash> crashes;
 
 private:
     class running_call;
--- a/tests/simulation/traffic_fleet.cpp
+++ b/tests/simulation/traffic_fleet.cpp
@@ -262,6 +262,11 @@
                        [this] { start_requests(); });
 }
 
+void traffic_fleet::set_crashing_requests(std::uint64_t count)
+{
+    m_crashing_requests = count;
+}
+
 void traffic_fleet::send_request()
 {
     const bool is_crashing = m_random.next() % 100 < m_crashing_percent;
@@ -310,6 +315,11 @@
     ports::received_request request;
     request.head.target =
         m_kind == simulated_traffic_kind::idempotent ? "/look/x" : "/pay/x";
+    if (is_crashing && m_crashing_requests > 1)
+    {
+        request.head.target +=
+            std::to_string(m_random.next() % m_crashing_requests);
+    }
     request.head.fields = {{"X-Request-Id", std::to_string(++m_last_request)}};
     request.body = is_crashing ? std::string(simulated_upstreams::crashing_body)
                                : "sound " + std::to_string(number);
--- a/tests/simulation/traffic_fleet.hpp
+++ b/tests/simulation/traffic_fleet.hpp
@@ -68,6 +68,9 @@
     caller_outcomes play(std::chrono::milliseconds duration,
                          std::uint64_t crashing_percent = 0);
 
+    /// Makes several requests crash upstreams instead of one.
+    void set_crashing_requests(std::uint64_t count);
+
     /// Replaces a router by one that has just started.
     void restart_router(std::size_t number);
 
@@ -115,6 +118,7 @@
     /// them.
     std::vector<std::unique_ptr<router>> m_stopped_routers;
     std::uint64_t m_crashing_percent = 0;
+    std::uint64_t m_crashing_requests = 1;
     std::int64_t m_last_request = 0;
     bool m_is_playing = false;
     std::shared_ptr<caller_outcomes> m_outcomes;
