Prepaid tokens: Let the reserve for lost grants follow the rate after a restart

Cause: the reserve for what nobody remembers was inferred from the rate in the copy's record alone, and an account that was idle at the copy has none.

Change: a record says for which rate it counts a reserve. For 15 s after a router has found or begun it, the reserve rises to the rate at which the account is consumed: that of the time right after the restart stands for that before it. Totals carry the rate, so that a further restore does not end this.

Why it works: an account that was in use in the lost seconds is asked for right after them too. An idle one stays idle, and loses nothing to a reserve.

Evidence: accounts_that_were_idle_at_the_copy_are_not_overspent fails without the change and passes.

--- a/libraries/codecs/fleet/prepaid_record_codec.cpp
+++ b/libraries/codecs/fleet/prepaid_record_codec.cpp
@@ -4,6 +4,7 @@
 
 #include <charconv>
 #include <functional>
+#include <optional>
 
 namespace turmeric::codecs
 {
@@ -60,19 +61,22 @@
                          });
 }
 
-/// Reads the rate, which records of older releases do not have.
-bool read_rate(const json& encoded, domain::prepaid_record& record)
+/// Reads a rate in tokens per second into `rate`, which stays as it is if the
+/// record does not have it, as those of older releases. Returns false if it is
+/// malformed.
+bool read_rate(const json& encoded, const char* name,
+               std::optional<std::int64_t>& rate)
 {
-    const auto rate = encoded.find("tokens_per_second");
-    if (rate == encoded.end())
+    const auto found = encoded.find(name);
+    if (found == encoded.end())
     {
         return true;
     }
-    if (!rate->is_number_integer() || *rate < 0 || *rate > max_rate)
+    if (!found->is_number_integer() || *found < 0 || *found > max_rate)
     {
         return false;
     }
-    record.tokens_per_second = rate->get<std::int64_t>();
+    rate = found->get<std::int64_t>();
     return true;
 }
 
@@ -89,6 +93,10 @@
     {
         encoded["granted_to"] = json::object();
     }
+    if (record.reserved_rate)
+    {
+        encoded["reserved_rate"] = *record.reserved_rate;
+    }
     for (const auto& [era, version] : record.restored_from)
     {
         encoded["restored_from"][std::to_string(era)] = version;
@@ -133,11 +141,14 @@
         return error{result_code::corrupt_value, "restored_from",
                      "an earlier era of the prepaid record is malformed"};
     }
-    if (!read_rate(encoded, record))
+    std::optional<std::int64_t> rate;
+    if (!read_rate(encoded, "tokens_per_second", rate) ||
+        !read_rate(encoded, "reserved_rate", record.reserved_rate))
     {
         return error{result_code::corrupt_value, "tokens_per_second",
-                     "the rate of the prepaid record is malformed"};
+                     "a rate of the prepaid record is malformed"};
     }
+    record.tokens_per_second = rate.value_or(0);
     return record;
 }
 
--- a/libraries/domain/prepaid/granted_totals.hpp
+++ b/libraries/domain/prepaid/granted_totals.hpp
@@ -35,7 +35,9 @@
     std::int64_t tokens = 0;
     /// What counts of the eras before. The restored store may have lost the
     /// records that say so.
-    counted_versions earlier_eras;
+    counted_versions earlier_eras = {};
+    /// As in `prepaid_record`.
+    std::optional<std::int64_t> reserved_rate = std::nullopt;
 };
 
 /// The latest granted total that is known of each account, from this router's
--- a/libraries/domain/prepaid/prepaid_record.hpp
+++ b/libraries/domain/prepaid/prepaid_record.hpp
@@ -2,8 +2,10 @@
 
 #include "libraries/domain/prepaid/granted_totals.hpp"
 
+#include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -27,14 +29,30 @@
     counted_versions restored_from;
     /// What all routers together consumed around the last change.
     std::int64_t tokens_per_second = 0;
+    /// Set if the record was begun when nobody knew what had been granted since
+    /// the copy of the store: the rate for which it counts a reserve.
+    std::optional<std::int64_t> reserved_rate = std::nullopt;
 };
 
-/// Returns what the fleet may have been granted, beyond what `record` counts,
-/// until the store was restored from a copy with this record: tokens that
-/// nobody knows of if all routers have ended since. It covers copies of up to
-/// 15 s and a rate that doubles after the copy. Thread safe.
+/// The age of a copy of the store up to which a reserve covers its loss.
+constexpr std::chrono::seconds covered_copy_age{15};
+
+/// Returns what the fleet may have been granted, at `tokens_per_second` around
+/// the time of a copy, between the copy and the restore: tokens that nobody
+/// knows of if all routers have ended since. It covers a copy of
+/// `covered_copy_age` and a rate that doubles after the copy. Thread safe.
 [[nodiscard]] std::int64_t
-reserve_for_lost_grants(const prepaid_record& record);
+reserve_for_lost_grants(std::int64_t tokens_per_second);
+
+/// Counts a reserve in a record that has been begun without the grants since
+/// the copy. Returns the reserve. Thread safe.
+std::int64_t add_reserve(prepaid_record& record);
+
+/// Raises the reserve of such a record to the rate at which the account is
+/// consumed after the restore: before the copy it may have been idle. Does
+/// nothing for other records. Returns what the reserve was raised by. Thread
+/// safe.
+std::int64_t raise_reserve(prepaid_record& record);
 
 /// Returns the fleet's rate of consumption for a record whose rate was
 /// `previous`, by a router that sees `tokens_per_second`. It falls slowly,
@@ -42,6 +60,10 @@
 [[nodiscard]] std::int64_t update_fleet_rate(std::int64_t previous,
                                              double tokens_per_second);
 
+/// Returns what a record of the era `era` counts. Thread safe.
+[[nodiscard]] granted_total total_of(std::int64_t era,
+                                     const prepaid_record& record);
+
 /// Returns the record with which an account goes on in a new era: it counts
 /// all of `total`, whoever was granted it, so that nothing is granted twice
 /// whatever the store has lost. Thread safe.
--- a/libraries/drivers/fleet/grant_planner.cpp
+++ b/libraries/drivers/fleet/grant_planner.cpp
@@ -89,9 +89,7 @@
                                   ports::revision revision,
                                   domain::prepaid_record record)
 {
-    m_totals.merge(key.account, {{key.era, record.version},
-                                 record.granted_in_all,
-                                 record.restored_from});
+    m_totals.merge(key.account, domain::total_of(key.era, record));
     account_state& state = m_accounts[key.account];
     if (key.era != m_era)
     {
@@ -125,6 +123,7 @@
         return;
     }
     state.is_record_current = true;
+    state.current_since = m_clock.steady_now();
     state.uncounted +=
         state.history.take_uncounted(state.record, m_era, state.own_granted);
 }
@@ -250,23 +249,16 @@
 std::int64_t grant_planner::granted_in_all(const std::string& account,
                                            const account_state& state) const
 {
-    if (state.is_record_current)
-    {
-        return state.record.granted_in_all + state.uncounted;
-    }
-    const std::optional<domain::granted_total> total = m_totals.find(account);
-    return total ? total->tokens + reserve_of(account, state) : 0;
+    return base_record(account, state).granted_in_all +
+           (state.is_record_current ? state.uncounted : 0);
 }
 
-std::int64_t grant_planner::reserve_of(const std::string& account,
-                                       const account_state& state) const
+bool grant_planner::may_lack_grants(const account_state& state,
+                                    const domain::granted_total& total) const
 {
-    const std::optional<domain::granted_total> total = m_totals.find(account);
     // A store that names no era is never restored.
-    const bool may_lack_grants = !state.is_record_current && total &&
-                                 total->at.era != 0 &&
-                                 total->at.era < m_totals.known_since();
-    return may_lack_grants ? domain::reserve_for_lost_grants(state.record) : 0;
+    return !state.is_record_current && total.at.era != 0 &&
+           total.at.era < m_totals.known_since();
 }
 
 domain::prepaid_record
@@ -278,7 +270,13 @@
     {
         return state.record;
     }
-    return domain::begin_era_record(*total);
+    domain::prepaid_record record = domain::begin_era_record(*total);
+    record.tokens_per_second = state.record.tokens_per_second;
+    if (may_lack_grants(state, *total))
+    {
+        domain::add_reserve(record);
+    }
+    return record;
 }
 
 planned_record grant_planner::apply(const planned_grant& planned)
@@ -286,18 +284,33 @@
     const account_state& state = m_accounts[planned.account];
     planned_record next;
     next.expected_revision = state.revision;
-    next.record = domain::apply_grant_change(
-        base_record(planned.account, state), m_incarnation, state.own_granted,
-        planned.tokens, m_members);
-    next.reserved = reserve_of(planned.account, state);
-    next.record.granted_in_all += planned.uncounted + next.reserved;
-    next.record.tokens_per_second = domain::update_fleet_rate(
-        state.record.tokens_per_second,
+    domain::prepaid_record record = base_record(planned.account, state);
+    if (!state.is_record_current && record.reserved_rate)
+    {
+        next.reserved = domain::reserve_for_lost_grants(*record.reserved_rate);
+    }
+    record.tokens_per_second = domain::update_fleet_rate(
+        record.tokens_per_second,
         tokens_per_second_of(state) + state.peers_tokens_per_second);
+    if (is_rate_of_restart(state))
+    {
+        next.reserved += domain::raise_reserve(record);
+    }
+    next.record = domain::apply_grant_change(std::move(record), m_incarnation,
+                                             state.own_granted, planned.tokens,
+                                             m_members);
+    next.record.granted_in_all += planned.uncounted;
     next.earlier_eras = state.earlier_eras;
     return next;
 }
 
+bool grant_planner::is_rate_of_restart(const account_state& state) const
+{
+    return !state.is_record_current ||
+           m_clock.steady_now() - state.current_since <
+               domain::covered_copy_age;
+}
+
 grant_summary grant_planner::record_committed(const planned_grant& planned,
                                               ports::revision at)
 {
@@ -308,8 +321,7 @@
     set_record_current(state);
     state.earlier_eras.clear();
     const domain::record_position position{m_era, state.record.version};
-    m_totals.merge(planned.account, {position, state.record.granted_in_all,
-                                     state.record.restored_from});
+    m_totals.merge(planned.account, domain::total_of(m_era, state.record));
     if (m_era != 0)
     {
         state.history.add(position, planned.tokens);
--- a/libraries/drivers/fleet/grant_planner.hpp
+++ b/libraries/drivers/fleet/grant_planner.hpp
@@ -174,6 +174,8 @@
         /// Total of the tokens consumed and lent at the last measurement.
         std::int64_t last_drawn = 0;
         domain::spend_rate rate{rate_window};
+        /// When this router found or began the record of the present era.
+        ports::steady_time current_since;
         /// What the other routers consume.
         double peers_tokens_per_second = 0;
     };
@@ -185,11 +187,16 @@
     /// Returns the tokens that count as granted to all routers.
     [[nodiscard]] std::int64_t granted_in_all(const std::string& account,
                                               const account_state& state) const;
-    /// Returns the tokens to be counted as granted because nobody knows what
-    /// was granted before the store was restored.
-    [[nodiscard]] std::int64_t reserve_of(const std::string& account,
-                                          const account_state& state) const;
-    /// Returns the record that a change of the account begins with.
+    /// Returns whether the account goes on from a total that may lack grants,
+    /// because nobody knows what was granted before the store was restored.
+    [[nodiscard]] bool
+    may_lack_grants(const account_state& state,
+                    const domain::granted_total& total) const;
+    /// Returns whether the account's rate tells how fast it was consumed before
+    /// all routers ended: it is that of the time right after.
+    [[nodiscard]] bool is_rate_of_restart(const account_state& state) const;
+    /// Returns the record that a change of the account begins with. It has a
+    /// reserve if it may lack grants.
     [[nodiscard]] domain::prepaid_record
     base_record(const std::string& account, const account_state& state) const;
     /// Records that an account's record is of the present era from now on, and
--- a/tests/budget_all_routers_lost/budget_all_routers_lost_test.cpp
+++ b/tests/budget_all_routers_lost/budget_all_routers_lost_test.cpp
@@ -40,6 +40,20 @@
     }
 }
 
+TEST(budget_all_routers_lost_group,
+     accounts_that_were_idle_at_the_copy_are_not_overspent)
+{
+    simulated_fleet fleet(small_fleet_size);
+    fleet.start();
+    fleet.take_copy();
+    fleet.play(8s);
+    fleet.set_cut(true);
+    fleet.replace_all_routers();
+    fleet.restore_store(1s);
+    fleet.play(40s);
+    CHECK(fleet.usable_tokens() <= paid_tokens);
+}
+
 TEST(budget_all_routers_lost_group, a_loss_without_a_restore_withholds_nothing)
 {
     simulated_fleet fleet(small_fleet_size);
--- a/tests/prepaid/restored_record_test.cpp
+++ b/tests/prepaid/restored_record_test.cpp
@@ -14,15 +14,15 @@
 TEST(restored_record_group, the_latest_total_of_an_account_counts)
 {
     domain::granted_totals totals;
-    totals.merge("acme", {{1, 5}, 500, {}});
-    totals.merge("acme", {{1, 4}, 900, {}});
+    totals.merge("acme", {{1, 5}, 500});
+    totals.merge("acme", {{1, 4}, 900});
     LONGS_EQUAL(500, totals.find("acme")->tokens);
-    totals.merge("acme", {{2, 1}, 100, {}});
+    totals.merge("acme", {{2, 1}, 100});
     LONGS_EQUAL(100, totals.find("acme")->tokens);
     // A change that the restored store has executed late, and the one that it
     // has lost, at the same position.
-    totals.merge("acme", {{2, 1}, 130, {}});
-    totals.merge("acme", {{2, 1}, 120, {}});
+    totals.merge("acme", {{2, 1}, 130});
+    totals.merge("acme", {{2, 1}, 120});
     LONGS_EQUAL(130, totals.find("acme")->tokens);
 }
 
@@ -33,7 +33,7 @@
     history.add({1, 5}, 40);
     history.add({1, 7}, -10);
     const domain::prepaid_record record =
-        domain::begin_era_record({{1, 4}, 600, {}});
+        domain::begin_era_record({{1, 4}, 600});
     LONGS_EQUAL(30, history.take_uncounted(record, 2, 130));
     LONGS_EQUAL(0, history.take_uncounted(record, 2, 130));
 }
@@ -44,7 +44,7 @@
     history.add({1, 3}, 100);
     history.add({1, 5}, 40);
     const domain::prepaid_record second =
-        domain::begin_era_record({{1, 4}, 600, {}});
+        domain::begin_era_record({{1, 4}, 600});
     const domain::prepaid_record third =
         domain::begin_era_record({{2, 9}, 800, second.restored_from});
     LONGS_EQUAL(40, history.take_uncounted(third, 3, 140));
@@ -58,13 +58,13 @@
         history.add({1, version}, 10);
     }
     const domain::prepaid_record record =
-        domain::begin_era_record({{1, 4}, 40, {}});
+        domain::begin_era_record({{1, 4}, 40});
     LONGS_EQUAL(500, history.take_uncounted(record, 2, 500));
 }
 
 TEST(restored_record_group, a_record_keeps_its_eras)
 {
-    domain::prepaid_record record = domain::begin_era_record({{3, 8}, 600, {}});
+    domain::prepaid_record record = domain::begin_era_record({{3, 8}, 600});
     record = domain::apply_grant_change(record, "a", 50, 20, {"a"});
     const domain::prepaid_record read =
         codecs::read_prepaid_record(codecs::write_prepaid_record(record))
@@ -111,14 +111,15 @@
     message.sender = "one";
     message.era = 2;
     message.known_since = 1;
-    message.totals.emplace_back("acme",
-                                domain::granted_total{{2, 5}, 500, {{1, 7}}});
+    message.totals.emplace_back(
+        "acme", domain::granted_total{{2, 5}, 500, {{1, 7}}, 30});
     const std::string bytes = codecs::write_totals_message(message);
     const codecs::granted_totals_message read =
         codecs::read_totals_message(bytes).value();
     LONGS_EQUAL(500, read.totals.front().second.tokens);
     LONGS_EQUAL(1, read.known_since);
     LONGS_EQUAL(7, read.totals.front().second.earlier_eras.at(1));
+    LONGS_EQUAL(30, *read.totals.front().second.reserved_rate);
     for (std::size_t length = 0; length < bytes.size(); ++length)
     {
         CHECK_FALSE(bool(codecs::read_totals_message(
@@ -134,11 +135,13 @@
     domain::prepaid_record record;
     record.tokens_per_second = 100;
     // 15 s at twice the rate.
-    LONGS_EQUAL(3'000, domain::reserve_for_lost_grants(record));
+    LONGS_EQUAL(3'000, domain::add_reserve(record));
+    LONGS_EQUAL(3'000, record.granted_in_all);
     const domain::prepaid_record read =
         codecs::read_prepaid_record(codecs::write_prepaid_record(record))
             .value();
     LONGS_EQUAL(100, read.tokens_per_second);
+    LONGS_EQUAL(100, *read.reserved_rate);
     for (const char* rate : {"-1", "1.5", "\"1\"", "9000000000000000000"})
     {
         const std::string malformed =
@@ -149,6 +152,25 @@
     }
 }
 
+TEST(restored_record_group, a_reserve_follows_the_rate_after_the_restore)
+{
+    domain::prepaid_record record;
+    record.tokens_per_second = 10;
+    LONGS_EQUAL(0, domain::raise_reserve(record));
+    domain::add_reserve(record);
+    LONGS_EQUAL(0, domain::raise_reserve(record));
+    record.tokens_per_second = 40;
+    LONGS_EQUAL(900, domain::raise_reserve(record));
+    record.tokens_per_second = 20;
+    LONGS_EQUAL(0, domain::raise_reserve(record));
+    LONGS_EQUAL(1'200, record.granted_in_all);
+    // The reserve still follows the rate after the next restore.
+    domain::prepaid_record next =
+        domain::begin_era_record(domain::total_of(1, record));
+    next.tokens_per_second = 50;
+    LONGS_EQUAL(300, domain::raise_reserve(next));
+}
+
 TEST(restored_record_group, the_rate_of_a_record_falls_slowly)
 {
     LONGS_EQUAL(900, domain::update_fleet_rate(800, 900.0));
