Grant planner: Find granted totals without copying records

The total that counts for an account was read from a copy of its record, with the entries of all routers, at each digest. It is read from the record itself again; and event 313 names only what a change adds to a reserve, not what the total had before. Found on reading the diff. Tests of prepaid, fleet and budget_all_routers_lost pass (31, 36 and 4).

--- a/libraries/drivers/fleet/grant_planner.cpp
+++ b/libraries/drivers/fleet/grant_planner.cpp
@@ -249,8 +249,12 @@
 std::int64_t grant_planner::granted_in_all(const std::string& account,
                                            const account_state& state) const
 {
-    return base_record(account, state).granted_in_all +
-           (state.is_record_current ? state.uncounted : 0);
+    if (state.is_record_current)
+    {
+        return state.record.granted_in_all + state.uncounted;
+    }
+    const std::optional<domain::granted_total> total = m_totals.find(account);
+    return total ? total->tokens + first_reserve(account, state) : 0;
 }
 
 bool grant_planner::may_lack_grants(const account_state& state,
@@ -261,6 +265,15 @@
            total.at.era < m_totals.known_since();
 }
 
+std::int64_t grant_planner::first_reserve(const std::string& account,
+                                          const account_state& state) const
+{
+    const std::optional<domain::granted_total> total = m_totals.find(account);
+    return total && may_lack_grants(state, *total)
+               ? domain::reserve_for_lost_grants(state.record.tokens_per_second)
+               : 0;
+}
+
 domain::prepaid_record
 grant_planner::base_record(const std::string& account,
                            const account_state& state) const
@@ -285,10 +298,7 @@
     planned_record next;
     next.expected_revision = state.revision;
     domain::prepaid_record record = base_record(planned.account, state);
-    if (!state.is_record_current && record.reserved_rate)
-    {
-        next.reserved = domain::reserve_for_lost_grants(*record.reserved_rate);
-    }
+    next.reserved = first_reserve(planned.account, state);
     record.tokens_per_second = domain::update_fleet_rate(
         record.tokens_per_second,
         tokens_per_second_of(state) + state.peers_tokens_per_second);
--- a/libraries/drivers/fleet/grant_planner.hpp
+++ b/libraries/drivers/fleet/grant_planner.hpp
@@ -43,8 +43,8 @@
     std::int64_t uncounted = 0;
     /// The account's record as it was sent with this change.
     domain::prepaid_record record;
-    /// Tokens that the record counts as granted, because it begins without
-    /// knowing what a restore of the store has undone.
+    /// Tokens that the change adds to the reserve for what a restore of the
+    /// store has undone.
     std::int64_t reserved = 0;
 };
 
@@ -192,6 +192,9 @@
     [[nodiscard]] bool
     may_lack_grants(const account_state& state,
                     const domain::granted_total& total) const;
+    /// Returns the reserve with which the account's record is to begin.
+    [[nodiscard]] std::int64_t first_reserve(const std::string& account,
+                                             const account_state& state) const;
     /// Returns whether the account's rate tells how fast it was consumed before
     /// all routers ended: it is that of the time right after.
     [[nodiscard]] bool is_rate_of_restart(const account_state& state) const;
