Granted totals: Announce each new total to eight peers

Cause: a router announces a new total to three peers before it spends the grant. All three ended with it, and the router that was left had not read the store since. By the logs it began four records 1,624 to 13,598 tokens below the last total.

Change: eight peers learn of it, which are all of a small fleet, at no more calls. A grown fleet sends eight datagrams a change in place of three; each router sends a digest to each other anyway.

Why it works: with up to nine routers, any one that is left knows all grants.

Evidence: all_peers_of_a_small_fleet_learn_of_a_grant failed before (3 of 5) and passes. A test in the simulation was tried and was not red: its router that is left reads the store ten times a second.

--- a/libraries/drivers/fleet/total_exchange.cpp
+++ b/libraries/drivers/fleet/total_exchange.cpp
@@ -15,8 +15,9 @@
 constexpr std::chrono::milliseconds max_peer_silence{3'000};
 /// The interval between requests to peers that have not reported.
 constexpr std::chrono::milliseconds request_interval{200};
-/// The number of peers that learn of a grant before it is spent.
-constexpr std::size_t announcement_receivers = 3;
+/// The number of peers that learn of a grant before it is spent. One of them
+/// must outlive the others for the grant to be known after a restore.
+constexpr std::size_t announcement_receivers = 8;
 /// The totals in one datagram.
 constexpr std::size_t max_totals_per_part = 200;
 
