--- a/libraries/domain/prepaid/prepaid_record.hpp
+++ b/libraries/domain/prepaid/prepaid_record.hpp
@@ -29,7 +29,7 @@
     counted_versions restored_from;
     /// What all routers together consumed around the last change.
     std::int64_t tokens_per_second = 0;
-    /// Set if the record was begun when nobody knew what had been granted since
+    /// Set if the record was begun when no router knew what was granted since
     /// the copy of the store: the rate for which it counts a reserve.
     std::optional<std::int64_t> reserved_rate = std::nullopt;
 };
@@ -38,7 +38,7 @@
 constexpr std::chrono::seconds covered_copy_age{15};
 
 /// Returns what the fleet may have been granted, at `tokens_per_second` around
-/// the time of a copy, between the copy and the restore: tokens that nobody
+/// the time of a copy, between the copy and the restore: tokens that no router
 /// knows of if all routers have ended since. It covers a copy of
 /// `covered_copy_age` and a rate that doubles after the copy. Thread safe.
 [[nodiscard]] std::int64_t
--- a/libraries/drivers/fleet/grant_planner.hpp
+++ b/libraries/drivers/fleet/grant_planner.hpp
@@ -188,7 +188,7 @@
     [[nodiscard]] std::int64_t granted_in_all(const std::string& account,
                                               const account_state& state) const;
     /// Returns whether the account goes on from a total that may lack grants,
-    /// because nobody knows what was granted before the store was restored.
+    /// because no router knows what was granted before the store was restored.
     [[nodiscard]] bool
     may_lack_grants(const account_state& state,
                     const domain::granted_total& total) const;
