Review: Show that a resumed stream ends as complete too early

Rule: ORDER, a stream ends as complete before its last piece.

A stream that a crash broke off and that was resumed at a server whose answer was truncated to its head ended as complete. Nothing was fixed.

--- a/review/lib/platform_standin.py
+++ b/review/lib/platform_standin.py
@@ -448,6 +448,7 @@
         self.runs = []
         # Ids of the requests whose head has arrived.
         self.received = set()
+        self.channels = set()
         self.running = 0
         # Bytes a second at which bodies are read; None: as they come.
         self.read_rate = read_rate
@@ -488,7 +489,15 @@
             body += part
         return bytes(body)
 
+    def crash(self):
+        """Ends at once: all channels are reset, and nothing is reported."""
+        self.server.close()
+        self._task.cancel()
+        for writer in list(self.channels):
+            writer.transport.abort()
+
     async def _serve(self, reader, writer):
+        self.channels.add(writer)
         try:
             while True:
                 head = await read_head(reader)
@@ -529,6 +538,7 @@
         except (ConnectionError, asyncio.IncompleteReadError):
             pass
         finally:
+            self.channels.discard(writer)
             writer.close()
 
 
