--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -167,10 +167,9 @@
         self.record.file.close()
 
 
-def main(run, folder):
+def main(run, folder, trouble):
     """Runs a case and exits as the review asks: 1 broken, 0 held, 2 could
     not run."""
-    trouble = os.environ.get('TROUBLE', '1') != '0'
     fleet = Fleet(folder)
 
     async def whole():
