--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -3,6 +3,7 @@
 import os
 import random
 import shutil
+import signal
 import sys
 import tempfile
 import time
@@ -161,6 +162,7 @@
                                 f'{server.id} for {run["fields"].get("x-tenant")}')
 
     async def stop(self):
+        Machine.is_over = True
         for machine in self.machines:
             await machine.kill()
         shutil.rmtree(self.temporary, ignore_errors=True)
@@ -173,6 +175,10 @@
     fleet = Fleet(folder)
 
     async def whole():
+        # A script that is ended from outside ends its processes too.
+        task = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         try:
             return await run(fleet, trouble)
         finally:
@@ -181,7 +187,7 @@
 
     try:
         is_broken = asyncio.run(asyncio.wait_for(whole(), 115))
-    except Exception as failure:
+    except (Exception, asyncio.CancelledError) as failure:
         print(f'could not run: {type(failure).__name__}: {failure}')
         sys.exit(2)
     sys.exit(1 if is_broken else 0)
--- a/review/lib/platform_standin.py
+++ b/review/lib/platform_standin.py
@@ -259,6 +259,8 @@
     """An entry machine: one process, started as the deploy file says."""
 
     used = 0
+    # Set at the end of a script: no process is started after that.
+    is_over = False
 
     def __init__(self, store, folder, zone='zone-a', grace_s=8, log='info',
                  memory_mb=110, name=None):
@@ -300,6 +302,8 @@
         self.process = None
 
     async def start(self):
+        if Machine.is_over:
+            return
         root = repository()
         with open(os.path.join(root, 'deploy', 'system.toml')) as file:
             run = re.search(r'^run = "(.*)"', file.read(), re.M).group(1)
@@ -308,6 +312,8 @@
                 *run.split(' '), cwd=root, stdout=output, stderr=output,
                 env={'TURMERICFRONT_NODE_FILE': self.settings,
                      'PATH': os.environ['PATH'], 'LANG': 'C'})
+        if Machine.is_over:
+            self.process.kill()
 
     def signal(self, number):
         self.process.send_signal(number)
