Entry: Tell how each caller's connection ended and under which configuration

turmeric_entry_connection_closes_total counts the ends of callers' connections by reason and by whether a request had begun, and event 201 names the configuration of the request and the one in force as it ended.

Runs: test_requests_beside_configuration_changes, test_asio, test_exchange and test_requests_cut_without_response pass. The new fields of event 201 have no test of their own.

--- a/libraries/adapters/asio/caller_connection.cpp
+++ b/libraries/adapters/asio/caller_connection.cpp
@@ -34,6 +34,11 @@
     read_more();
 }
 
+bool caller_connection::is_in_request() const
+{
+    return m_is_handling_request || (m_parser && m_parser->got_some());
+}
+
 bool caller_connection::has_unwritten_bytes() const
 {
     return !m_output_in_progress.empty() || !m_queued_output.empty();
@@ -324,6 +329,10 @@
         m_socket.close(ignored);
     }
     m_server.m_connections.erase(self);
+    if (m_server.m_close_handler)
+    {
+        m_server.m_close_handler(reason, is_in_request());
+    }
     if (const std::shared_ptr<ports::exchange_in_flight> exchange =
             std::exchange(m_exchange, nullptr))
     {
--- a/libraries/adapters/asio/caller_connection.hpp
+++ b/libraries/adapters/asio/caller_connection.hpp
@@ -52,6 +52,9 @@
     void set_timer(std::chrono::milliseconds timeout,
                    ports::close_reason reason);
     void on_timer();
+    /// Returns whether the first bytes of a request have been read whose
+    /// response is not written completely.
+    [[nodiscard]] bool is_in_request() const;
     /// Returns whether the caller has closed the connection behind the request
     /// that was just read: the process may have been held up for longer than
     /// the caller waits.
--- a/libraries/adapters/asio/caller_server.cpp
+++ b/libraries/adapters/asio/caller_server.cpp
@@ -55,6 +55,12 @@
     m_is_keep_alive_enabled = false;
 }
 
+void caller_server::set_close_handler(
+    std::function<void(ports::close_reason reason, bool is_in_request)> handler)
+{
+    m_close_handler = std::move(handler);
+}
+
 std::size_t caller_server::open_connections() const
 {
     return m_connections.size();
--- a/libraries/adapters/asio/caller_server.hpp
+++ b/libraries/adapters/asio/caller_server.hpp
@@ -8,6 +8,7 @@
 #include "libraries/ports/clock.hpp"
 
 #include <cstddef>
+#include <functional>
 #include <memory>
 #include <string>
 #include <unordered_set>
@@ -52,6 +53,13 @@
     /// `Connection: close`, so that callers connect to another process.
     void disable_keep_alive();
 
+    /// Sets what is called as a connection ends, with the reason and whether
+    /// the first bytes of a request had been read whose response was not
+    /// written completely. Precondition: not called from `handler`.
+    void set_close_handler(
+        std::function<void(ports::close_reason reason, bool is_in_request)>
+            handler);
+
     /// Returns the number of open connections.
     [[nodiscard]] std::size_t open_connections() const;
 
@@ -71,6 +79,7 @@
     ports::request_handler& m_request_handler;
     caller_server_settings m_settings;
     domain::caller_limits m_limits;
+    std::function<void(ports::close_reason, bool)> m_close_handler;
     bool m_is_keep_alive_enabled = true;
     tcp::acceptor m_listener;
     one_shot_timer m_accept_retry_timer;
--- a/libraries/drivers/exchange/exchange_response.cpp
+++ b/libraries/drivers/exchange/exchange_response.cpp
@@ -294,7 +294,9 @@
              m_time_to_first_byte ? m_time_to_first_byte->count() : -1)},
         {"total_ms",
          static_cast<std::int64_t>(time_since_arrival(now).count())},
-        {"tokens", consumed_tokens()}};
+        {"tokens", consumed_tokens()},
+        {"configuration_version", m_context.routes->version()},
+        {"version_in_force", m_state.routes->version()}};
     if (m_close_reason)
     {
         fields.push_back(
--- a/libraries/drivers/exchange/traffic_metrics.cpp
+++ b/libraries/drivers/exchange/traffic_metrics.cpp
@@ -40,6 +40,13 @@
            {"service", "result"},
            256,
            {}}))
+    , connection_closes(registry.make<metrics::counter>(
+          {"turmeric_entry_connection_closes_total",
+           "Callers' connections that ended, by reason and by whether a "
+           "request had begun.",
+           {"reason", "in_request"},
+           32,
+           {}}))
     , time_to_first_byte(registry.make<metrics::histogram>(
           {"turmeric_entry_first_byte_seconds",
            "From the arrival of a request to the first byte of its response.",
--- a/libraries/drivers/exchange/traffic_metrics.hpp
+++ b/libraries/drivers/exchange/traffic_metrics.hpp
@@ -28,6 +28,9 @@
     /// Connections opened to find out whether upstreams are reached, by service
     /// and result.
     metrics::family<metrics::counter>& path_probes;
+    /// Callers' connections that this router closed or saw closed, by reason
+    /// and by whether a request had begun.
+    metrics::family<metrics::counter>& connection_closes;
     /// From the arrival of a request to the first byte of its response.
     metrics::family<metrics::histogram>& time_to_first_byte;
     /// From the arrival of a request to the end of its response.
--- a/services/entry/entry_process.cpp
+++ b/services/entry/entry_process.cpp
@@ -93,6 +93,14 @@
     , m_signals(m_control_loop, SIGTERM, SIGINT, SIGHUP)
 {
     m_link.connect(m_dispatcher, m_caller_server);
+    m_caller_server.set_close_handler(
+        [this](ports::close_reason reason, bool is_in_request)
+        {
+            m_metrics.connection_closes
+                .with_labels({std::string(ports::name_of(reason)),
+                              is_in_request ? "yes" : "no"})
+                .add();
+        });
     m_dispatcher.set_token_demand_handler(
         [this] {
             asio::post(m_control_loop,
