Adapters: Close idle connections no sooner than their callers were told

What callers saw: after a configuration change a kept connection closed while its caller still counted on it, so its next request got no response.

Cause: the head of a response announces the idle limit of that moment, but the connection took its limit as the response ended. A limit that a configuration shortened while a response was open (a stream, say) closed the connection before the announced time. The other way round, a connection that waited kept the shorter limit of an earlier configuration while the one in force gave callers a longer one. Peers that forward requests are such callers, too.

Fix: a connection remembers what it announced last and waits for that time or for the limit in force, whichever is longer, and looks at the limit in force again as its timer ends. So whichever of the two its caller goes by, the connection outlives it.

--- a/libraries/adapters/asio/caller_connection.cpp
+++ b/libraries/adapters/asio/caller_connection.cpp
@@ -3,6 +3,7 @@
 #include "libraries/adapters/asio/connection_channel.hpp"
 #include "libraries/adapters/asio/socket_options.hpp"
 
+#include <algorithm>
 #include <cassert>
 #include <iterator>
 #include <utility>
@@ -51,8 +52,22 @@
         static_cast<std::uint32_t>(m_server.m_limits.header_bytes));
     m_parser->body_limit(m_server.m_limits.body_bytes);
     m_has_sent_continue = false;
-    set_timer(m_server.m_limits.idle_timeout,
-              ports::close_reason::idle_timeout);
+    m_idle_since = m_server.m_clock.steady_now();
+    set_timer(idle_timeout(), ports::close_reason::idle_timeout);
+}
+
+std::chrono::milliseconds caller_connection::idle_timeout() const
+{
+    return std::max(m_announced_idle_timeout, m_server.m_limits.idle_timeout);
+}
+
+std::chrono::milliseconds caller_connection::announce_idle_timeout()
+{
+    if (m_is_keep_alive)
+    {
+        m_announced_idle_timeout = m_server.m_limits.idle_timeout;
+    }
+    return m_server.m_limits.idle_timeout;
 }
 
 void caller_connection::refuse(int status, std::string_view reason)
@@ -114,7 +129,7 @@
     m_is_response_ended = true;
     std::string bytes =
         format_response_head(head, body_framing::content_length, body.size(),
-                             m_is_keep_alive, m_server.m_limits.idle_timeout);
+                             m_is_keep_alive, announce_idle_timeout());
     bytes += body;
     write(bytes, nullptr);
 }
@@ -127,7 +142,7 @@
                                      ? body_framing::chunked
                                      : body_framing::until_close;
     write(format_response_head(head, framing, 0, m_is_keep_alive,
-                               m_server.m_limits.idle_timeout),
+                               announce_idle_timeout()),
           nullptr);
 }
 
@@ -261,8 +276,17 @@
         refuse(request_timeout, "Request Timeout");
         return;
     }
-    if (m_timer_reason == ports::close_reason::idle_timeout &&
-        has_unread_bytes())
+    const bool is_idle = m_timer_reason == ports::close_reason::idle_timeout;
+    const std::chrono::milliseconds time_left =
+        std::chrono::ceil<std::chrono::milliseconds>(
+            m_idle_since + idle_timeout() - m_server.m_clock.steady_now());
+    if (is_idle && time_left.count() > 0)
+    {
+        // The limit has become longer since the connection went idle.
+        set_timer(time_left, m_timer_reason);
+        return;
+    }
+    if (is_idle && has_unread_bytes())
     {
         // The process was held up: these bytes arrived within the limit, or
         // cross the close. The pending read takes them next.
--- a/libraries/adapters/asio/caller_connection.hpp
+++ b/libraries/adapters/asio/caller_connection.hpp
@@ -52,6 +52,12 @@
     void set_timer(std::chrono::milliseconds timeout,
                    ports::close_reason reason);
     void on_timer();
+    /// Returns how long the connection may wait for the next request: what its
+    /// caller was told, or longer if the limit in force is longer.
+    [[nodiscard]] std::chrono::milliseconds idle_timeout() const;
+    /// Returns the limit for the head of a response, and notes that the caller
+    /// is told it.
+    [[nodiscard]] std::chrono::milliseconds announce_idle_timeout();
     /// Returns whether the first bytes of a request have been read whose
     /// response is not written completely.
     [[nodiscard]] bool is_in_request() const;
@@ -85,6 +91,9 @@
     read_buffer<8 << 10> m_buffer;
     std::optional<request_parser> m_parser;
     ports::steady_time m_arrived_at{};
+    ports::steady_time m_idle_since{};
+    /// The limit in the head of the last response; 0 before the first one.
+    std::chrono::milliseconds m_announced_idle_timeout{0};
     std::shared_ptr<ports::exchange_in_flight> m_exchange;
     /// Bytes to write after those of the write in progress.
     std::string m_queued_output;
--- a/libraries/adapters/asio/caller_server.hpp
+++ b/libraries/adapters/asio/caller_server.hpp
@@ -45,8 +45,9 @@
     status start();
 
     /// Sets the limits for requests that begin after this call. A connection
-    /// that already waits for a request keeps the earlier ones for it, but for
-    /// the header timeout.
+    /// that already waits for a request keeps the earlier sizes for it. It
+    /// stays open at least as long as its caller was last told, and longer if
+    /// the new limit is longer.
     void set_limits(const domain::caller_limits& limits);
 
     /// Closes each connection after its next response, which announces it by
--- a/tests/requests_beside_configuration_changes/idle_limit_test.cpp
+++ b/tests/requests_beside_configuration_changes/idle_limit_test.cpp
@@ -125,6 +125,36 @@
     }
 };
 
+// Guards against a connection that closes under a limit shorter than the one
+// that its caller was told, so that the next request gets no response.
+TEST(idle_limit_group, a_limit_announced_before_a_shorter_one_is_kept)
+{
+    set_limits(long_limit);
+    connect();
+    ports::caller_channel& stream = request();
+    stream.start_response({200, "OK", {}});
+    CHECK(wait_for_text("Keep-Alive: timeout=60"));
+    set_limits(short_limit);
+    stream.finish_response();
+    CHECK(wait_for_text("0\r\n\r\n"));
+    run_past_short_limit();
+    LONGS_EQUAL(1, server.open_connections());
+    respond(request());
+}
+
+// Guards against a connection that closes under the earlier limit while the
+// configuration in force lets its caller use it for longer.
+TEST(idle_limit_group, a_longer_limit_holds_for_connections_that_wait)
+{
+    set_limits(short_limit);
+    connect();
+    respond(request());
+    set_limits(long_limit);
+    run_past_short_limit();
+    LONGS_EQUAL(1, server.open_connections());
+    respond(request());
+}
+
 TEST(idle_limit_group, a_shorter_limit_holds_once_it_was_announced)
 {
     set_limits(long_limit);
