Adapters: Apply the size limits in force as a request begins

What callers saw: after a configuration had raised MaxBodyBytes or MaxHeaderBytes, a request on a kept connection was refused with 413 or 431, which callers do not retry, though the configuration in force allowed it.

Cause: a connection took the sizes as it began to wait for a request, which may be the whole idle limit before the request's first byte.

Fix: the sizes are set as the first bytes of the request are read, so they are those of the configuration in force then, like the header limit. They stay as they are while the rest of the request is read. caller_server_test loses a comment that is no longer true; its checks are unchanged.

--- a/libraries/adapters/asio/caller_connection.cpp
+++ b/libraries/adapters/asio/caller_connection.cpp
@@ -48,9 +48,6 @@
 void caller_connection::prepare_next_request()
 {
     m_parser.emplace();
-    m_parser->header_limit(
-        static_cast<std::uint32_t>(m_server.m_limits.header_bytes));
-    m_parser->body_limit(m_server.m_limits.body_bytes);
     m_has_sent_continue = false;
     m_idle_since = m_server.m_clock.steady_now();
     set_timer(idle_timeout(), ports::close_reason::idle_timeout);
--- a/libraries/adapters/asio/caller_connection_reading.cpp
+++ b/libraries/adapters/asio/caller_connection_reading.cpp
@@ -71,6 +71,9 @@
     if (m_buffer.size() > 0 && !m_parser->got_some())
     {
         m_arrived_at = m_server.m_clock.steady_now();
+        m_parser->header_limit(
+            static_cast<std::uint32_t>(m_server.m_limits.header_bytes));
+        m_parser->body_limit(m_server.m_limits.body_bytes);
         set_timer(m_server.m_limits.header_timeout,
                   ports::close_reason::header_timeout);
     }
--- a/libraries/adapters/asio/caller_server.hpp
+++ b/libraries/adapters/asio/caller_server.hpp
@@ -44,10 +44,9 @@
     /// the address is malformed or cannot be listened on.
     status start();
 
-    /// Sets the limits for requests that begin after this call. A connection
-    /// that already waits for a request keeps the earlier sizes for it. It
-    /// stays open at least as long as its caller was last told, and longer if
-    /// the new limit is longer.
+    /// Sets the limits for requests whose first bytes are read after this call.
+    /// A connection that already waits for a request stays open at least as
+    /// long as its caller was last told, and longer if the new limit is longer.
     void set_limits(const domain::caller_limits& limits);
 
     /// Closes each connection after its next response, which announces it by
--- a/tests/asio/caller_server_test.cpp
+++ b/tests/asio/caller_server_test.cpp
@@ -153,7 +153,6 @@
     limits.header_bytes = 256;
     limits.body_bytes = 10;
     server.set_limits(limits);
-    // The open connection already waits for a request with the old limits.
     caller.close();
     caller = tcp::socket(loop);
     connect_caller();
--- a/tests/requests_beside_configuration_changes/idle_limit_test.cpp
+++ b/tests/requests_beside_configuration_changes/idle_limit_test.cpp
@@ -180,3 +180,16 @@
     CHECK(closes[true] ==
           std::vector<ports::close_reason>{ports::close_reason::caller_closed});
 }
+
+// Guards against a request that the configuration in force allows and that is
+// refused by the limits of an earlier one.
+TEST(idle_limit_group, a_waiting_connection_takes_the_sizes_of_new_limits)
+{
+    set_limits(long_limit, few_bytes);
+    connect();
+    respond(request());
+    set_limits(long_limit, many_bytes);
+    const std::string body(many_bytes, 'b');
+    respond(request(body));
+    STRCMP_EQUAL(body.c_str(), request_handler.bodies.back().c_str());
+}
