Asio: Take no memory for the length that a response announces

What callers saw: a server whose head announced a body of a huge length ended the process that had called it, and all requests on that process with it.

Cause: the parser's string body reserves the announced length before the first byte of the body. With a length of 10^18 bytes the reservation throws std::bad_alloc out of the event loop, which nothing catches.

Why the fix works: the parser's body takes memory for received bytes only. A read takes at most 16 KiB, at most 64 KiB more stay unparsed, and each part is passed on before the next read.

--- a/libraries/adapters/asio/http_serialization.cpp
+++ b/libraries/adapters/asio/http_serialization.cpp
@@ -10,11 +10,10 @@
 
 namespace http = boost::beast::http;
 
-template <class Message>
-ports::header_fields header_fields_of(const Message& message)
+ports::header_fields header_fields_of(const http::fields& received)
 {
     ports::header_fields fields;
-    for (const auto& field : message.base())
+    for (const auto& field : received)
     {
         fields.push_back(
             {std::string(field.name_string()), std::string(field.value())});
@@ -27,10 +26,10 @@
 ports::request_head head_of(const http::request<http::string_body>& message)
 {
     return {std::string(message.method_string()), std::string(message.target()),
-            header_fields_of(message)};
+            header_fields_of(message.base())};
 }
 
-ports::response_head head_of(const http::response<http::string_body>& message)
+ports::response_head head_of(const http::response_header<>& message)
 {
     return {static_cast<int>(message.result_int()),
             std::string(message.reason()), header_fields_of(message)};
--- a/libraries/adapters/asio/http_serialization.hpp
+++ b/libraries/adapters/asio/http_serialization.hpp
@@ -21,8 +21,7 @@
 
 /// Returns the head of a parsed response. Thread safe.
 [[nodiscard]] ports::response_head
-head_of(const boost::beast::http::response<boost::beast::http::string_body>&
-            message);
+head_of(const boost::beast::http::response_header<>& message);
 
 /// How the end of a response's body is delimited.
 enum class body_framing : std::uint8_t
--- a/libraries/adapters/asio/upstream_connection.hpp
+++ b/libraries/adapters/asio/upstream_connection.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "libraries/adapters/asio/asio.hpp"
+#include "libraries/adapters/asio/growing_body.hpp"
 #include "libraries/adapters/asio/http_serialization.hpp"
 #include "libraries/adapters/asio/one_shot_timer.hpp"
 #include "libraries/adapters/asio/read_buffer.hpp"
@@ -50,8 +51,7 @@
     [[nodiscard]] const std::string& address() const;
 
 private:
-    using response_parser =
-        boost::beast::http::response_parser<boost::beast::http::string_body>;
+    using response_parser = boost::beast::http::response_parser<growing_body>;
 
     /// How a response's echoed field relates it to the request of the call.
     enum class echoed_id : std::uint8_t
--- a/tests/asio/loopback.hpp
+++ b/tests/asio/loopback.hpp
@@ -213,7 +213,10 @@
 
     void on_part(std::string part) override
     {
-        body += part;
+        if (is_keeping_body)
+        {
+            body += part;
+        }
         if (call != nullptr)
         {
             call->read_more();
@@ -235,6 +238,8 @@
     std::shared_ptr<ports::upstream_call> call;
     int status = 0;
     std::string body;
+    /// Whether the parts of the body are recorded.
+    bool is_keeping_body = true;
     bool is_complete = false;
     bool is_finished = false;
     std::optional<ports::transport_failure> failure;
