Asio: Refuse requests whose chunk header or trailers never end

A caller that sent a chunk size, a chunk extension or trailers without end was read until the header timeout (3 s by default), and all of it was kept: the limit of the head ends with the head, and the limit of the body counts the bytes of the chunks only.

Why the fix works: what the parser cannot use before more arrives is limited to 64 KiB beyond the head, as it is for responses. Beyond it the request is refused with 400, and the rest is read and discarded until the linger timeout.

--- a/libraries/adapters/asio/caller_connection_reading.cpp
+++ b/libraries/adapters/asio/caller_connection_reading.cpp
@@ -14,6 +14,9 @@
 /// Bytes of pipelined requests after which a connection stops reading until
 /// the present request has its response. One read may exceed it.
 constexpr std::size_t max_pipelined_bytes = 64 << 10;
+/// Size limit for bytes of a body that the parser cannot use before more
+/// arrive, such as a chunk header or trailers.
+constexpr std::size_t max_unparsed_bytes = 64 << 10;
 constexpr int bad_request = 400;
 constexpr int content_too_large = 413;
 constexpr int header_fields_too_large = 431;
@@ -77,7 +80,9 @@
     while (m_buffer.size() > 0 && !m_parser->is_done())
     {
         const boost::system::error_code error_code = m_buffer.feed(*m_parser);
-        if (error_code == http::error::need_more)
+        if (error_code == http::error::need_more &&
+            (!m_parser->is_header_done() ||
+             m_buffer.size() <= max_unparsed_bytes))
         {
             break;
         }
