Exchange: Limit what the responses to all calls of the store take together

Each response of the store may take 8 MiB, and nothing limited how many of them were received at once: a store that answers each call without end, slowly enough that none reaches its limit before its timeout, takes 8 MiB for each call in progress of a machine that has 110 MB.

Why the fix works: the calls of a store share a budget of 16 MiB while they are received. A part that exceeds it fails its call in the same way as one that exceeds the limit of a call, and frees what that call has kept.

--- a/libraries/drivers/exchange/buffered_call.cpp
+++ b/libraries/drivers/exchange/buffered_call.cpp
@@ -14,9 +14,11 @@
 {
 public:
     buffering_listener(std::size_t max_response_bytes,
-                       std::function<void(buffered_response)> done)
+                       std::function<void(buffered_response)> done,
+                       std::shared_ptr<byte_budget> budget)
         : m_max_response_bytes(max_response_bytes)
         , m_done(std::move(done))
+        , m_budget(std::move(budget))
     {
     }
 
@@ -43,12 +45,16 @@
 
     void on_part(std::string part) override
     {
-        m_response.body += part;
-        if (m_response.body.size() > m_max_response_bytes)
+        const bool has_room =
+            part.size() <= m_max_response_bytes - m_response.body.size() &&
+            (m_budget == nullptr || m_budget->try_take(part.size()));
+        if (!has_room)
         {
             abort_call();
             return;
         }
+        m_taken_bytes += part.size();
+        m_response.body += part;
         m_call->read_more();
     }
 
@@ -61,6 +67,7 @@
     {
         buffered_response response;
         response.failure = failure;
+        m_response = {};
         finish(std::move(response));
     }
 
@@ -75,6 +82,10 @@
     void finish(buffered_response response)
     {
         m_timer.reset();
+        if (m_budget != nullptr)
+        {
+            m_budget->give_back(std::exchange(m_taken_bytes, 0));
+        }
         if (const auto done = std::exchange(m_done, nullptr))
         {
             done(std::move(response));
@@ -85,6 +96,9 @@
     std::function<void(buffered_response)> m_done;
     std::shared_ptr<ports::upstream_call> m_call;
     std::unique_ptr<ports::timer> m_timer;
+    /// Not set if the call shares none.
+    std::shared_ptr<byte_budget> m_budget;
+    std::size_t m_taken_bytes = 0;
     buffered_response m_response;
 };
 
@@ -94,11 +108,12 @@
                    ports::timer_queue& timers, const ports::clock& clock,
                    ports::outgoing_call call, std::chrono::milliseconds timeout,
                    std::size_t max_response_bytes,
-                   std::function<void(buffered_response)> done)
+                   std::function<void(buffered_response)> done,
+                   std::shared_ptr<byte_budget> budget)
 {
     const std::shared_ptr<buffering_listener> listener =
-        std::make_shared<buffering_listener>(max_response_bytes,
-                                             std::move(done));
+        std::make_shared<buffering_listener>(
+            max_response_bytes, std::move(done), std::move(budget));
     listener->begin(transport, timers, clock.steady_now() + timeout,
                     std::move(call));
 }
--- a/libraries/drivers/exchange/buffered_call.hpp
+++ b/libraries/drivers/exchange/buffered_call.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "libraries/drivers/exchange/byte_budget.hpp"
 #include "libraries/ports/clock.hpp"
 #include "libraries/ports/timer_queue.hpp"
 #include "libraries/ports/upstream_transport.hpp"
@@ -26,12 +27,14 @@
 /// Makes one call, reads its complete response and then calls `done` exactly
 /// once. A call that takes longer than `timeout`, or whose response body has
 /// more than `max_response_bytes` bytes, is cancelled and fails with
-/// `transport_failure::broken`. Precondition: transport, timers and clock
-/// outlive the call. Not thread safe.
+/// `transport_failure::broken`. So does one whose body exceeds what is free of
+/// `budget`, which calls can share, if it is set. Precondition: transport,
+/// timers and clock outlive the call. Not thread safe.
 void call_buffered(ports::upstream_transport& transport,
                    ports::timer_queue& timers, const ports::clock& clock,
                    ports::outgoing_call call, std::chrono::milliseconds timeout,
                    std::size_t max_response_bytes,
-                   std::function<void(buffered_response)> done);
+                   std::function<void(buffered_response)> done,
+                   std::shared_ptr<byte_budget> budget = nullptr);
 
 } // namespace turmeric::drivers
--- a/tests/endless_bytes/endless_store_test.cpp
+++ b/tests/endless_bytes/endless_store_test.cpp
@@ -2,6 +2,7 @@
 #include "tests/exchange/exchange_fixture.hpp"
 
 #include <CppUTest/TestHarness.h>
+#include <algorithm>
 #include <fmt/format.h>
 
 using namespace turmeric;
@@ -80,3 +81,43 @@
     CHECK(call.is_cancelled);
     CHECK(range->failure().code == result_code::platform_timeout);
 }
+
+TEST(endless_store_group, responses_without_end_of_many_calls_are_not_all_kept)
+{
+    // What the store's client keeps of all responses.
+    constexpr std::size_t max_kept_bytes = 16 << 20;
+    constexpr int calls = 16;
+    int failed = 0;
+    for (int number = 0; number < calls; ++number)
+    {
+        store.list("a/", [&](const result<ports::key_range>& received)
+                   { failed += received ? 0 : 1; });
+        transport.calls.back()->head(200, {});
+    }
+    std::size_t kept = 0;
+    for (std::size_t sent = 0; sent < (4U << 20); sent += item_bytes)
+    {
+        for (const auto& call : transport.calls)
+        {
+            if (!call->is_cancelled)
+            {
+                call->part(std::string(item_bytes, 'x'));
+            }
+        }
+        const auto open =
+            std::count_if(transport.calls.begin(), transport.calls.end(),
+                          [](const auto& call) { return !call->is_cancelled; });
+        kept = static_cast<std::size_t>(open) * (sent + item_bytes);
+        CHECK(kept <= max_kept_bytes);
+    }
+    CHECK(failed > 0 && failed < calls);
+    // What the cancelled calls kept is free again.
+    timers.advance(std::chrono::seconds(2));
+    store.list("a/", [&](result<ports::key_range> received)
+               { range = std::move(received); });
+    fake_upstream_call& call = *transport.calls.back();
+    call.head(200, {});
+    call.part(R"({"Items":[],"CurrentRev":9})");
+    call.end();
+    CHECK(range->has_value());
+}
