VM list: Keep no list without end

Why the fix works: the body is received in parts, up to 8 MiB. A longer one ends the call, and the list counts as corrupt.

Open: the library that reads the head has no limit for its number of lines, nor for the length of a line.

--- a/libraries/adapters/vm_list/http_vm_list.cpp
+++ b/libraries/adapters/vm_list/http_vm_list.cpp
@@ -1,6 +1,7 @@
 #include "libraries/adapters/vm_list/http_vm_list.hpp"
 
 #include "libraries/adapters/etcd/host_port.hpp"
+#include "libraries/adapters/httplib/limited_body.hpp"
 #include "libraries/codecs/common/json_reader.hpp"
 
 #include <httplib.h>
@@ -14,6 +15,7 @@
 {
 
 constexpr int http_ok = 200;
+constexpr std::size_t max_list_bytes = 8 << 20;
 
 error corrupt_value_error(std::string field, std::string detail)
 {
@@ -110,7 +112,14 @@
     client.set_connection_timeout(m_settings.connect_timeout);
     client.set_read_timeout(m_settings.call_timeout);
     client.set_tcp_nodelay(true);
-    const httplib::Result response = client.Get("/vms");
+    limited_body body(max_list_bytes);
+    const httplib::Result response =
+        client.Get("/vms", [&body](const char* data, std::size_t size)
+                   { return body.append(data, size); });
+    if (response.error() == httplib::Error::Canceled)
+    {
+        return corrupt_value_error("vms", "the VM list is too long");
+    }
     if (!response)
     {
         const bool was_connected = response.error() == httplib::Error::Read;
@@ -124,7 +133,7 @@
                      "the VM list service responded with status " +
                          std::to_string(response->status)};
     }
-    return parse_vm_list(response->body);
+    return parse_vm_list(body.text());
 }
 
 } // namespace turmeric::adapters
--- /dev/null
+++ b/tests/endless_bytes/endless_platform_test.cpp
@@ -0,0 +1,45 @@
+#include "libraries/adapters/vm_list/http_vm_list.hpp"
+#include "tests/endless_bytes/endless_server.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace turmeric;
+using namespace turmeric::tests;
+
+namespace
+{
+
+/// The most that a client may keep of a response.
+constexpr std::size_t max_kept_bytes = 16 << 20;
+/// Chunks of two bytes take seven bytes of a connection, whose sockets hold
+/// some more.
+constexpr std::size_t max_endless_bytes = 4 * max_kept_bytes + (16 << 20);
+
+/// Returns the responses whose bodies never end.
+std::vector<endless_response> make_endless_bodies()
+{
+    std::vector<endless_response> bodies;
+    for (const endless_response& response : make_endless_responses())
+    {
+        if (response.effect == endless_effect::endless_body)
+        {
+            bodies.push_back(response);
+        }
+    }
+    return bodies;
+}
+
+} // namespace
+
+TEST_GROUP(endless_platform_group){};
+
+TEST(endless_platform_group, a_vm_list_without_end_is_not_kept)
+{
+    for (const endless_response& response : make_endless_bodies())
+    {
+        const endless_server server(response, max_endless_bytes);
+        adapters::http_vm_list list({server.address_text()});
+        CHECK_TEXT(!list.read(), response.name);
+        CHECK_TEXT(server.sent() < max_endless_bytes, response.name);
+    }
+}
