Etcd: Keep no reply without end

The product's processes kept whatever the key-value service sent as a reply, and as the body of a failed watch.

Evidence: on the code before, the tests' servers had sent the 32 MiB at which the tests gave up, for a reply of a huge length and for the body of a failure.

Why the fix works: bodies are received in parts, up to 16 MiB. A longer one ends the call, which fails as one whose connection ended: a write has an unknown outcome, a read may go to the next endpoint.

Open: as for the VM list, the head of a reply has no limit.

--- a/libraries/adapters/etcd/etcd_gateway_client.cpp
+++ b/libraries/adapters/etcd/etcd_gateway_client.cpp
@@ -2,6 +2,7 @@
 
 #include "libraries/adapters/etcd/etcd_errors.hpp"
 #include "libraries/adapters/etcd/host_port.hpp"
+#include "libraries/adapters/httplib/limited_body.hpp"
 #include "libraries/codecs/common/json_reader.hpp"
 
 #include <httplib.h>
@@ -17,6 +18,7 @@
 {
 
 constexpr int http_ok = 200;
+constexpr std::size_t max_reply_bytes = 16 << 20;
 
 const httplib::Headers& call_headers()
 {
@@ -25,6 +27,17 @@
     return headers;
 }
 
+httplib::Request make_request(const std::string& path, const json& body)
+{
+    httplib::Request request;
+    request.method = "POST";
+    request.path = path;
+    request.headers = call_headers();
+    request.set_header("Content-Type", "application/json");
+    request.body = body.dump();
+    return request;
+}
+
 bool is_connect_failure(httplib::Error client_error)
 {
     return client_error == httplib::Error::Connection ||
@@ -128,14 +141,16 @@
 
 etcd_gateway_client::attempt
 etcd_gateway_client::call_endpoint(endpoint& target, etcd_call_kind kind,
-                                   const std::string& path,
-                                   const std::string& body)
+                                   httplib::Request request)
 {
     std::unique_ptr<httplib::Client> client = acquire_client(target);
     const std::chrono::steady_clock::time_point started_at =
         std::chrono::steady_clock::now();
-    const httplib::Result reply =
-        client->Post(path, call_headers(), body, "application/json");
+    limited_body received(max_reply_bytes);
+    request.content_receiver = [&received](const char* data, std::size_t size,
+                                           std::uint64_t, std::uint64_t)
+    { return received.append(data, size); };
+    const httplib::Result reply = client->send(request);
     if (!reply)
     {
         if (is_connect_failure(reply.error()))
@@ -154,13 +169,13 @@
     if (reply->status != http_ok)
     {
         const error mapped_error =
-            map_etcd_error_response(kind, reply->status, reply->body);
+            map_etcd_error_response(kind, reply->status, received.text());
         const bool may_try_next_endpoint =
             mapped_error.code == result_code::platform_unavailable;
         return attempt{mapped_error, may_try_next_endpoint};
     }
     result<json> parsed = codecs::parse_json(
-        reply->body, result_code::platform_unavailable, "reply");
+        received.text(), result_code::platform_unavailable, "reply");
     if (!parsed || !parsed.value().is_object())
     {
         return attempt{lost_reply_error(kind, false), false};
@@ -172,14 +187,14 @@
                                        const std::string& path,
                                        const json& body)
 {
-    const std::string text = body.dump();
+    const httplib::Request request = make_request(path, body);
     const std::size_t first =
         m_preferred_endpoint.load(std::memory_order_relaxed);
     std::optional<attempt> last;
     for (std::size_t step = 0; step < m_endpoints.size(); ++step)
     {
         const std::size_t index = (first + step) % m_endpoints.size();
-        last.emplace(call_endpoint(*m_endpoints[index], kind, path, text));
+        last.emplace(call_endpoint(*m_endpoints[index], kind, request));
         if (!last->may_try_next_endpoint)
         {
             m_preferred_endpoint.store(index, std::memory_order_relaxed);
@@ -204,13 +219,8 @@
         client->set_keep_alive(false);
         client->set_read_timeout(idle_timeout);
         int response_status = 0;
-        std::string error_body;
-        httplib::Request request;
-        request.method = "POST";
-        request.path = path;
-        request.headers = call_headers();
-        request.set_header("Content-Type", "application/json");
-        request.body = body.dump();
+        limited_body error_body(max_reply_bytes);
+        httplib::Request request = make_request(path, body);
         request.response_handler =
             [&response_status](const httplib::Response& head)
         {
@@ -222,8 +232,7 @@
         {
             if (response_status != http_ok)
             {
-                error_body.append(data, size);
-                return true;
+                return error_body.append(data, size);
             }
             return on_data(std::string_view(data, size));
         };
@@ -236,7 +245,7 @@
         if (response_status != 0)
         {
             return map_etcd_error_response(etcd_call_kind::read,
-                                           response_status, error_body);
+                                           response_status, error_body.text());
         }
         if (!reply && reply.error() == httplib::Error::Read)
         {
--- a/libraries/adapters/etcd/etcd_gateway_client.hpp
+++ b/libraries/adapters/etcd/etcd_gateway_client.hpp
@@ -16,7 +16,8 @@
 namespace httplib
 {
 class Client;
-}
+struct Request;
+} // namespace httplib
 
 namespace turmeric::adapters
 {
@@ -63,7 +64,7 @@
                         std::unique_ptr<httplib::Client> client);
     std::unique_ptr<httplib::Client> make_client(const endpoint& target) const;
     attempt call_endpoint(endpoint& target, etcd_call_kind kind,
-                          const std::string& path, const std::string& body);
+                          httplib::Request request);
 
     etcd_settings m_settings;
     std::vector<std::unique_ptr<endpoint>> m_endpoints;
--- a/tests/endless_bytes/endless_platform_test.cpp
+++ b/tests/endless_bytes/endless_platform_test.cpp
@@ -1,3 +1,4 @@
+#include "libraries/adapters/etcd/etcd_gateway_client.hpp"
 #include "libraries/adapters/vm_list/http_vm_list.hpp"
 #include "tests/endless_bytes/endless_server.hpp"
 
@@ -43,3 +44,32 @@
         CHECK_TEXT(server.sent() < max_endless_bytes, response.name);
     }
 }
+
+TEST(endless_platform_group, an_etcd_response_without_end_is_not_kept)
+{
+    for (const endless_response& response : make_endless_bodies())
+    {
+        const endless_server server(response, max_endless_bytes);
+        adapters::etcd_settings settings;
+        settings.endpoints = {server.address_text()};
+        adapters::etcd_gateway_client client(settings);
+        CHECK_TEXT(!client.call(adapters::etcd_call_kind::read, "/v3/kv/range",
+                                json::object()),
+                   response.name);
+        CHECK_TEXT(server.sent() < max_endless_bytes, response.name);
+    }
+}
+
+TEST(endless_platform_group, a_failure_without_end_ends_an_etcd_stream)
+{
+    const endless_response response{"a failure's body",
+                                    "HTTP/1.1 500 X\r\n\r\n", "x",
+                                    endless_effect::endless_body};
+    const endless_server server(response, max_endless_bytes);
+    adapters::etcd_settings settings;
+    settings.endpoints = {server.address_text()};
+    adapters::etcd_gateway_client client(settings);
+    CHECK(!client.stream("/v3/watch", json::object(), std::chrono::seconds(2),
+                         [](std::string_view /*bytes*/) { return true; }));
+    CHECK(server.sent() < max_endless_bytes);
+}
