Etcd: End a watch whose event never ends

What callers saw: nothing was reported for this place. A watch kept a line of its stream, which it needs whole, however long it became, and searched all of it for its end with each part.

Why the fix works: a line may have 16 MiB; a longer one ends the watch as unreadable. Only new bytes are searched.

--- a/libraries/adapters/etcd/etcd_watch_reader.cpp
+++ b/libraries/adapters/etcd/etcd_watch_reader.cpp
@@ -10,6 +10,14 @@
 namespace turmeric::adapters
 {
 
+namespace
+{
+
+/// Size limit for a line of the stream, which has one or more events.
+constexpr std::size_t max_line_bytes = 16 << 20;
+
+} // namespace
+
 etcd_watch_reader::etcd_watch_reader(
     ports::revision start, std::chrono::steady_clock::time_point deadline)
     : m_start(start)
@@ -19,9 +27,10 @@
 
 bool etcd_watch_reader::consume(std::string_view data)
 {
+    const std::size_t searched = m_buffer.size();
     m_buffer.append(data);
     std::size_t begin = 0;
-    std::size_t end = m_buffer.find('\n');
+    std::size_t end = m_buffer.find('\n', searched);
     while (end != std::string::npos)
     {
         if (!consume_line(m_buffer.substr(begin, end - begin)))
@@ -32,6 +41,11 @@
         end = m_buffer.find('\n', begin);
     }
     m_buffer.erase(0, begin);
+    if (m_buffer.size() > max_line_bytes)
+    {
+        m_is_unreadable = true;
+        return false;
+    }
     return std::chrono::steady_clock::now() < m_deadline;
 }
 
--- a/tests/endless_bytes/endless_platform_test.cpp
+++ b/tests/endless_bytes/endless_platform_test.cpp
@@ -1,4 +1,5 @@
 #include "libraries/adapters/etcd/etcd_gateway_client.hpp"
+#include "libraries/adapters/etcd/etcd_watch_reader.hpp"
 #include "libraries/adapters/vm_list/http_vm_list.hpp"
 #include "tests/endless_bytes/endless_server.hpp"
 
@@ -73,3 +74,17 @@
                          [](std::string_view /*bytes*/) { return true; }));
     CHECK(server.sent() < max_endless_bytes);
 }
+
+TEST(endless_platform_group, an_etcd_event_without_end_ends_its_watch)
+{
+    const std::string part(std::size_t{64} << 10, 'x');
+    adapters::etcd_watch_reader reader(0, std::chrono::steady_clock::now() +
+                                              std::chrono::seconds(60));
+    std::size_t sent = part.size();
+    while (reader.consume(part) && sent < max_endless_bytes)
+    {
+        sent += part.size();
+    }
+    CHECK(sent < max_endless_bytes);
+    CHECK(!reader.finish());
+}
