--- /dev/null
+++ b/tests/endless_bytes/endless_platform_test.cpp
@@ -0,0 +1,90 @@
+#include "libraries/adapters/etcd/etcd_gateway_client.hpp"
+#include "libraries/adapters/etcd/etcd_watch_reader.hpp"
+#include "libraries/adapters/vm_list/http_vm_list.hpp"
+#include "tests/endless_bytes/endless_server.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace turmeric;
+using namespace turmeric::tests;
+
+namespace
+{
+
+/// The most that a client may keep of a response.
+constexpr std::size_t max_kept_bytes = 16 << 20;
+/// Chunks of two bytes take seven bytes of a connection, whose sockets hold
+/// some more.
+constexpr std::size_t max_endless_bytes = 4 * max_kept_bytes + (16 << 20);
+
+/// Returns the responses whose bodies never end.
+std::vector<endless_response> make_endless_bodies()
+{
+    std::vector<endless_response> bodies;
+    for (const endless_response& response : make_endless_responses())
+    {
+        if (response.effect == endless_effect::endless_body)
+        {
+            bodies.push_back(response);
+        }
+    }
+    return bodies;
+}
+
+} // namespace
+
+TEST_GROUP(endless_platform_group){};
+
+TEST(endless_platform_group, a_vm_list_without_end_is_not_kept)
+{
+    for (const endless_response& response : make_endless_bodies())
+    {
+        const endless_server server(response, max_endless_bytes);
+        adapters::http_vm_list list({server.address_text()});
+        CHECK_TEXT(!list.read(), response.name);
+        CHECK_TEXT(server.sent() < max_endless_bytes, response.name);
+    }
+}
+
+TEST(endless_platform_group, an_etcd_response_without_end_is_not_kept)
+{
+    for (const endless_response& response : make_endless_bodies())
+    {
+        const endless_server server(response, max_endless_bytes);
+        adapters::etcd_settings settings;
+        settings.endpoints = {server.address_text()};
+        adapters::etcd_gateway_client client(settings);
+        CHECK_TEXT(!client.call(adapters::etcd_call_kind::read, "/v3/kv/range",
+                                json::object()),
+                   response.name);
+        CHECK_TEXT(server.sent() < max_endless_bytes, response.name);
+    }
+}
+
+TEST(endless_platform_group, a_failure_without_end_ends_an_etcd_stream)
+{
+    const endless_response response{"a failure's body",
+                                    "HTTP/1.1 500 X\r\n\r\n", "x",
+                                    endless_effect::endless_body};
+    const endless_server server(response, max_endless_bytes);
+    adapters::etcd_settings settings;
+    settings.endpoints = {server.address_text()};
+    adapters::etcd_gateway_client client(settings);
+    CHECK(!client.stream("/v3/watch", json::object(), std::chrono::seconds(2),
+                         [](std::string_view /*bytes*/) { return true; }));
+    CHECK(server.sent() < max_endless_bytes);
+}
+
+TEST(endless_platform_group, an_etcd_event_without_end_ends_its_watch)
+{
+    const std::string part(std::size_t{64} << 10, 'x');
+    adapters::etcd_watch_reader reader(0, std::chrono::steady_clock::now() +
+                                              std::chrono::seconds(60));
+    std::size_t sent = part.size();
+    while (reader.consume(part) && sent < max_endless_bytes)
+    {
+        sent += part.size();
+    }
+    CHECK(sent < max_endless_bytes);
+    CHECK(!reader.finish());
+}
