Exchange: End a resumed stream as complete only after an event of its own

Callers of resumable streams got a complete response with events missing: the stream broke off at one upstream, the next one answered the resumption with 200, the right media type and nothing else, and the router sent the last chunk.

The cause: for a response that had begun, a continuation counted as empty only if its connection marked its end. A length of 0 or a lone last chunk was taken for the proper end of the stream. A response that was truncated to its head looks just like that, and so does one that only repeats events which were passed on. The same was true of a response that came through a peer, whatever its framing.

Now a stream ends as complete only if an event of that very response was passed on and its proper end followed; for a first response nothing changes in that. A continuation without a new event is a failed attempt: the stream goes on at another upstream if attempts and the retry budget allow, and is broken off otherwise. A response that has its own end no longer counts as the end of an upstream that crashed, since it did not; that had kept a third upstream from being called.

What it costs: a stream whose upstream broke between its last event and the end mark is broken off, though nothing was missing (decision 0008). Neither the request's token count nor the events' ids can tell the two apart.

Elsewhere: the engine's own protocol ends a stream with an event (engine_exchange), and bodies that are shorter than their length are failures of the connection already; read, no change.

--- a/libraries/drivers/exchange/peer_attempt.cpp
+++ b/libraries/drivers/exchange/peer_attempt.cpp
@@ -186,6 +186,7 @@
         m_call->read_more();
         return;
     }
+    m_has_event = true;
     owner.on_body_part(*m_head, std::move(events));
 }
 
@@ -217,7 +218,8 @@
 
 void peer_attempt::finish_events(exchange& owner)
 {
-    if (owner.m_events.has_partial())
+    // As with an upstream, a response without an event proves no end.
+    if (owner.m_events.has_partial() || !m_has_event)
     {
         report_failure(owner, ports::transport_failure::broken);
         return;
--- a/libraries/drivers/exchange/peer_attempt.hpp
+++ b/libraries/drivers/exchange/peer_attempt.hpp
@@ -75,6 +75,8 @@
     response_classification m_classification;
     const body_handler* m_body_handler = nullptr;
     std::string m_buffered_body;
+    /// Whether an event of the response has been passed on.
+    bool m_has_event = false;
     bool m_is_finished = false;
 };
 
--- a/libraries/drivers/exchange/upstream_attempt.cpp
+++ b/libraries/drivers/exchange/upstream_attempt.cpp
@@ -287,7 +287,6 @@
 
 void upstream_attempt::relay_events(exchange& owner, std::string&& part)
 {
-    m_has_body = true;
     std::string events = owner.m_events.feed(part);
     if (owner.m_events.has_gap())
     {
@@ -353,18 +352,18 @@
 
 void upstream_attempt::finish_events(exchange& owner)
 {
-    // If the end of the connection marks the end of the body, a failing
-    // upstream can look like a complete body that ends within an event, or
-    // before the first one. Only a resumed stream may have no event left.
-    const bool is_empty = owner.m_is_response_started
-                              ? !m_has_body && !has_delimited_body(*m_head)
-                              : !m_output_since;
+    // A truncated response can have a proper end too. Only an event of this
+    // very response shows that the stream reached the upstream's end of it.
+    const bool is_empty = !m_output_since;
     if (owner.m_events.has_partial() || is_empty)
     {
         record_outcome(false, is_empty ? "empty_stream" : "partial_event");
         release_slot();
         log_broken_call(owner, ports::transport_failure::broken);
-        record_upstream_end(owner);
+        if (!has_delimited_body(*m_head))
+        {
+            record_upstream_end(owner);
+        }
         owner.on_transport_failure(ports::transport_failure::broken);
         return;
     }
--- a/libraries/drivers/exchange/upstream_attempt.hpp
+++ b/libraries/drivers/exchange/upstream_attempt.hpp
@@ -132,8 +132,6 @@
     std::string m_buffered_body;
     /// When the first output arrived.
     std::optional<ports::steady_time> m_output_since;
-    /// Whether a part of a stream's body has arrived.
-    bool m_has_body = false;
     bool m_has_survived_beginning = false;
     bool m_has_slot = true;
     bool m_is_finished = false;
--- a/tests/exchange/exchange_fixture.hpp
+++ b/tests/exchange/exchange_fixture.hpp
@@ -229,8 +229,9 @@
 /// A traffic dispatcher with fakes around it. It has one client account,
 /// "acme", with 1,000 prepaid tokens, and one service with three upstreams of
 /// four slots each. The routes are "read" (idempotent), "pay" (at most once),
-/// "ask" (a resumable stream), "once" (a stream that is not resumable) and
-/// "prompt" (a stream that must carry a prompt).
+/// "ask" (a resumable stream), "talk" (the same with three attempts), "once" (a
+/// stream that is not resumable) and "prompt" (a stream that must carry a
+/// prompt).
 class exchange_fixture
 {
 public:
@@ -264,6 +265,7 @@
         add("read", domain::request_kind::idempotent, false, 2);
         add("pay", domain::request_kind::at_most_once, false, 2);
         add("ask", domain::request_kind::streaming, true, 2);
+        add("talk", domain::request_kind::streaming, true, 3);
         add("once", domain::request_kind::streaming, false, 2);
         add("prompt", domain::request_kind::streaming, false, 2);
         made.routes.back().carries_prompts = true;
--- a/tests/requests_at_a_cut_router/requests_at_a_cut_router_test.cpp
+++ b/tests/requests_at_a_cut_router/requests_at_a_cut_router_test.cpp
@@ -566,6 +566,22 @@
     STRCMP_EQUAL((event(1) + event(2)).c_str(), response->body.c_str());
 }
 
+// Guards against a stream that ends as complete at a peer's empty response.
+TEST(cut_router_group, an_empty_response_of_a_peer_does_not_end_a_stream)
+{
+    for (const char* framing : {"Content-Length", "Transfer-Encoding", "X-No"})
+    {
+        const auto response = break_stream_off();
+        ports::header_fields fields = event_stream_fields;
+        fields.push_back({framing, "0"});
+        last_call().head(200, fields);
+        last_call().end();
+        CHECK(response->is_aborted);
+        CHECK_FALSE(response->is_complete);
+        STRCMP_EQUAL((event(1) + event(2)).c_str(), response->body.c_str());
+    }
+}
+
 TEST(cut_router_group, another_kind_of_response_of_a_peer_resumes_no_stream)
 {
     const auto response = break_stream_off();
