Fleet: Drop upstreams that left while only this router was cut from the store

A router that was cut from the store went on sending requests to upstreams that had left in the meantime, 2.1 s from its first answer on, and unsafe calls were lost as these upstreams exited.

The cause: entries that are missing after an outage are kept for 2.1 s, as they may have expired with the store. The outage was inferred from the router's own failed calls, which look the same if only the router was cut; and the time began with its first answer, up to 2.1 s after its path was back.

Now each router notes since when the store has answered it without a pause of over 1.7 s (observed_store), and its digest has the two ends of that time. If the answers of all routers join up from before the cut to now, the store was not away, and what the first read lacks is gone. Otherwise the 2.1 s begin with the first answer after the return of the store that any router got. A restored store keeps its own 2.1 s. Reads of upstreams now begin every 500 ms during an outage, also beside one without an answer, so that a lone router, which has no witness, knows the end of a cut 0.5 s after it. The form of digests changes (version 12).

--- a/libraries/codecs/fleet/digest_codec.cpp
+++ b/libraries/codecs/fleet/digest_codec.cpp
@@ -7,6 +7,7 @@
 #include "libraries/core/json.hpp"
 
 #include <algorithm>
+#include <chrono>
 #include <utility>
 
 namespace turmeric::codecs
@@ -16,11 +17,14 @@
 {
 
 /// The version of the digest format. Digests of other versions are rejected.
-constexpr std::int64_t format_version = 11;
+constexpr std::int64_t format_version = 12;
 /// Larger loads count as this one, so that the sum of all peers' stays in
 /// range. Callers' token counts add up to such loads.
 constexpr std::int64_t max_load = 1'000'000'000'000;
 
+/// Longer ages are written and read as this one.
+constexpr std::int64_t max_contact_age_ms = 60'000;
+
 error unreadable_digest(const char* field)
 {
     return {result_code::peer_protocol, field,
@@ -40,6 +44,45 @@
     return true;
 }
 
+std::int64_t age_of(ports::steady_time at, ports::steady_time now)
+{
+    const auto age =
+        std::chrono::duration_cast<std::chrono::milliseconds>(now - at);
+    return std::clamp<std::int64_t>(age.count(), 0, max_contact_age_ms);
+}
+
+/// Writes the ages of the first and the last answer in ms, or nothing.
+json write_contact(const std::optional<domain::contact_span>& span,
+                   ports::steady_time now)
+{
+    json ages = json::array();
+    if (span)
+    {
+        ages = {age_of(span->first, now), age_of(span->last, now)};
+    }
+    return ages;
+}
+
+/// Returns false if the ages are malformed.
+bool read_contact(const json& ages, ports::steady_time now,
+                  std::optional<domain::contact_span>& span)
+{
+    if (ages.is_array() && ages.empty())
+    {
+        return true;
+    }
+    std::int64_t first_age = 0;
+    std::int64_t last_age = 0;
+    if (!read_number(ages, 0, first_age) || !read_number(ages, 1, last_age) ||
+        last_age < 0 || first_age < last_age || first_age > max_contact_age_ms)
+    {
+        return false;
+    }
+    span = domain::contact_span{now - std::chrono::milliseconds(first_age),
+                                now - std::chrono::milliseconds(last_age)};
+    return true;
+}
+
 } // namespace
 
 std::string write_digest(const peer_digest& digest, ports::steady_time now)
@@ -67,14 +110,15 @@
         write_suspect_parts(digest.observations.suspect_parts, now),
         write_rate_limits(digest.observations.rate_limits, now),
         digest.cut_off_services,
-        write_brittle(digest.observations.brittle, now)};
+        write_brittle(digest.observations.brittle, now),
+        write_contact(digest.store_contact, now)};
     const std::vector<std::uint8_t> bytes = json::to_cbor(encoded);
     return std::string(bytes.begin(), bytes.end());
 }
 
 result<peer_digest> read_digest(std::string_view bytes, ports::steady_time now)
 {
-    constexpr std::size_t element_count = 12;
+    constexpr std::size_t element_count = 13;
     const json encoded = read_cbor(bytes);
     std::int64_t received_version = 0;
     if (!encoded.is_array() || encoded.size() != element_count ||
@@ -146,6 +190,10 @@
     {
         return brittle.failure();
     }
+    if (!read_contact(encoded[12], now, digest.store_contact))
+    {
+        return unreadable_digest("store_contact");
+    }
     digest.observations.brittle = std::move(brittle.value());
     digest.observations.suspect_parts = std::move(suspect_parts.value());
     digest.observations.rate_limits = std::move(rate_limits.value());
--- a/libraries/codecs/fleet/digest_codec.hpp
+++ b/libraries/codecs/fleet/digest_codec.hpp
@@ -1,11 +1,13 @@
 #pragma once
 
 #include "libraries/core/result.hpp"
+#include "libraries/domain/membership/contact_record.hpp"
 #include "libraries/domain/placement/upstream_load_balancer.hpp"
 #include "libraries/domain/placement/upstream_observations.hpp"
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -34,6 +36,8 @@
     bool is_leaving = false;
     /// Whether the store is unavailable to this router.
     bool is_store_unavailable = false;
+    /// When the store last answered this router; nothing if it never did.
+    std::optional<domain::contact_span> store_contact;
     std::map<std::string, domain::upstream_load> load;
     std::map<std::string, peer_account_tokens> accounts;
     domain::upstream_observations observations;
--- a/libraries/drivers/fleet/fleet_control.cpp
+++ b/libraries/drivers/fleet/fleet_control.cpp
@@ -22,6 +22,9 @@
 /// An upstream that is running registers again within two seconds of the end
 /// of a store outage in which its entry expired.
 constexpr std::chrono::milliseconds upstream_deletion_grace{2'100};
+/// An outage ends for a router with the first read that succeeds; the grace
+/// begins then.
+constexpr std::chrono::milliseconds outage_read_interval{500};
 
 } // namespace
 
@@ -31,30 +34,34 @@
     : m_dependencies(std::move(dependencies))
     , m_formats(formats)
     , m_self(std::move(self))
-    , m_configuration(m_dependencies.store, m_dependencies.timers,
-                      m_dependencies.clock, m_dependencies.log,
+    , m_store(m_dependencies.store, m_dependencies.clock)
+    , m_configuration(m_store, m_dependencies.timers, m_dependencies.clock,
+                      m_dependencies.log,
                       {m_formats.operator_prefix.empty()
                            ? m_formats.configuration_key
                            : m_formats.operator_prefix,
                        watch_wait, std::chrono::milliseconds(0)})
     , m_upstreams(
-          m_dependencies.store, m_dependencies.timers, m_dependencies.clock,
+          m_store, m_dependencies.timers, m_dependencies.clock,
           m_dependencies.log,
-          {m_formats.upstream_prefix, watch_wait, upstream_deletion_grace})
-    , m_registry(m_dependencies.store, m_dependencies.timers,
-                 m_dependencies.clock, m_dependencies.log, m_self)
+          {m_formats.upstream_prefix, watch_wait, upstream_deletion_grace,
+           [this](ports::steady_time now)
+           { return m_peers.store_available_since(m_store.contact(), now); },
+           outage_read_interval})
+    , m_registry(m_store, m_dependencies.timers, m_dependencies.clock,
+                 m_dependencies.log, m_self)
     , m_peers(m_self)
-    , m_tokens({m_dependencies.store, m_dependencies.timers,
-                m_dependencies.clock, m_dependencies.peers,
-                m_dependencies.traffic, m_dependencies.log},
+    , m_tokens({m_store, m_dependencies.timers, m_dependencies.clock,
+                m_dependencies.peers, m_dependencies.traffic,
+                m_dependencies.log},
                m_peers, m_self.incarnation,
                [this] { return store_unavailable_since().has_value(); })
-    , m_rollouts({m_dependencies.store, m_dependencies.clock,
-                  m_dependencies.peers, m_dependencies.log},
+    , m_rollouts({m_store, m_dependencies.clock, m_dependencies.peers,
+                  m_dependencies.log},
                  m_peers, m_formats, rollouts, m_self.incarnation,
                  [this] { update_traffic(); })
-    , m_blocked_parts(m_dependencies.store, m_dependencies.timers,
-                      m_dependencies.clock, m_dependencies.log)
+    , m_blocked_parts(m_store, m_dependencies.timers, m_dependencies.clock,
+                      m_dependencies.log)
 {
 }
 
@@ -136,6 +143,7 @@
         m_routes == nullptr ? 0 : m_routes->version();
     digest.is_leaving = m_is_leaving;
     digest.is_store_unavailable = store_unavailable_since().has_value();
+    digest.store_contact = m_store.contact().latest();
     digest.load = traffic.load;
     digest.accounts = m_tokens.report(traffic);
     digest.observations = traffic.observations;
--- a/libraries/drivers/fleet/fleet_control.hpp
+++ b/libraries/drivers/fleet/fleet_control.hpp
@@ -7,6 +7,7 @@
 #include "libraries/drivers/fleet/document_formats.hpp"
 #include "libraries/drivers/fleet/fleet_member.hpp"
 #include "libraries/drivers/fleet/member_registry.hpp"
+#include "libraries/drivers/fleet/observed_store.hpp"
 #include "libraries/drivers/fleet/peer_table.hpp"
 #include "libraries/drivers/fleet/prefix_follower.hpp"
 #include "libraries/drivers/fleet/rollout_control.hpp"
@@ -128,6 +129,7 @@
     fleet_control_dependencies m_dependencies;
     document_formats m_formats;
     fleet_member m_self;
+    observed_store m_store;
     prefix_follower m_configuration;
     prefix_follower m_upstreams;
     member_registry m_registry;
--- a/libraries/drivers/fleet/peer_table.cpp
+++ b/libraries/drivers/fleet/peer_table.cpp
@@ -48,10 +48,26 @@
     {
         return;
     }
+    if (digest.store_contact)
+    {
+        m_store_contact.add(*digest.store_contact);
+    }
     peer.digest = std::move(digest);
     peer.last_digest_at = now;
 }
 
+ports::steady_time
+peer_table::store_available_since(const domain::contact_record& own,
+                                  ports::steady_time now) const
+{
+    domain::contact_record all = m_store_contact;
+    if (const std::optional<domain::contact_span> span = own.latest())
+    {
+        all.add(*span);
+    }
+    return all.present_since(now);
+}
+
 std::vector<std::string> peer_table::peer_addresses() const
 {
     std::vector<std::string> addresses;
--- a/libraries/drivers/fleet/peer_table.hpp
+++ b/libraries/drivers/fleet/peer_table.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "libraries/codecs/fleet/digest_codec.hpp"
+#include "libraries/domain/membership/contact_record.hpp"
 #include "libraries/domain/membership/entry_list.hpp"
 #include "libraries/drivers/exchange/fleet_view.hpp"
 #include "libraries/drivers/fleet/fleet_member.hpp"
@@ -36,6 +37,12 @@
     /// Returns the addresses to which digests are sent.
     [[nodiscard]] std::vector<std::string> peer_addresses() const;
 
+    /// Returns since when the store has answered routers up to `now` without a
+    /// long pause; `own` is when it answered this router.
+    [[nodiscard]] ports::steady_time
+    store_available_since(const domain::contact_record& own,
+                          ports::steady_time now) const;
+
     /// Returns how many routers may be serving, including this one; at least
     /// 1.
     [[nodiscard]] std::int64_t count_routers(ports::steady_time now) const;
@@ -98,6 +105,8 @@
     /// All peers that ever sent a digest, by incarnation. They are never
     /// removed: the tokens that a stopped router has spent still count.
     std::map<std::string, peer_state> m_peers;
+    /// When the store answered peers.
+    domain::contact_record m_store_contact;
 };
 
 } // namespace turmeric::drivers
--- a/libraries/drivers/fleet/prefix_follower.cpp
+++ b/libraries/drivers/fleet/prefix_follower.cpp
@@ -36,11 +36,15 @@
     /// no longer counts.
     void restart();
     void read();
+    void schedule_read(std::chrono::milliseconds delay);
     void watch();
     void on_read_result(result<ports::key_range> response);
     void on_watch_result(result<ports::watch_batch> response);
     void on_failure(const error& failure);
     void on_success();
+    /// Records that calls have failed since the last success, and from when the
+    /// store has been available after that.
+    void end_outage();
     void apply(const ports::key_event& event);
     void remove(const std::string& key);
     void apply_pending_deletions();
@@ -61,8 +65,15 @@
     std::int64_t run = 0;
     bool is_started = false;
     bool has_read = false;
+    /// The reads that have not ended, without those of earlier runs.
+    int reads_under_way = 0;
+    std::optional<ports::steady_time> last_success_at;
     std::optional<ports::steady_time> unavailable_since;
+    /// The latest time at which the store may have been away.
     std::optional<ports::steady_time> recovered_at;
+    /// When the store was found to be restored. Keys that the copy lacks may be
+    /// written again by those who own them.
+    std::optional<ports::steady_time> restored_at;
     std::chrono::milliseconds backoff = initial_backoff;
     std::unique_ptr<ports::timer> retry_timer;
     std::unique_ptr<ports::timer> watch_timer;
@@ -77,24 +88,43 @@
         return;
     }
     ++run;
+    reads_under_way = 0;
     retry_timer.reset();
     watch_timer.reset();
-    // Keys that the copy lacks may be written again by those who own them.
-    recovered_at = clock.steady_now();
+    restored_at = clock.steady_now();
     read();
 }
 
 void prefix_follower::state::read()
 {
     const std::shared_ptr<state> self = shared_from_this();
+    ++reads_under_way;
     store.list(settings.prefix,
                [self, started_in = run](result<ports::key_range> response)
                {
                    if (started_in == self->run)
                    {
+                       --self->reads_under_way;
                        self->on_read_result(std::move(response));
                    }
                });
+    if (unavailable_since && settings.outage_read_interval.count() > 0)
+    {
+        schedule_read(settings.outage_read_interval);
+    }
+}
+
+void prefix_follower::state::schedule_read(std::chrono::milliseconds delay)
+{
+    const std::weak_ptr<state> weak = weak_from_this();
+    retry_timer = timers.schedule(clock.steady_now() + delay,
+                                  [weak]
+                                  {
+                                      if (const auto self = weak.lock())
+                                      {
+                                          self->read();
+                                      }
+                                  });
 }
 
 void prefix_follower::state::watch()
@@ -209,9 +239,10 @@
 
 void prefix_follower::state::remove(const std::string& key)
 {
+    const std::optional<ports::steady_time> latest =
+        std::max(recovered_at, restored_at);
     const bool is_in_grace_period =
-        settings.deletion_grace.count() > 0 && recovered_at &&
-        clock.steady_now() - *recovered_at < settings.deletion_grace;
+        latest && clock.steady_now() - *latest < settings.deletion_grace;
     if (!is_in_grace_period)
     {
         items.erase(key);
@@ -219,7 +250,7 @@
     }
     pending_deletions.insert(key);
     const std::weak_ptr<state> weak = weak_from_this();
-    deletion_timer = timers.schedule(*recovered_at + settings.deletion_grace,
+    deletion_timer = timers.schedule(*latest + settings.deletion_grace,
                                      [weak]
                                      {
                                          if (const auto self = weak.lock())
@@ -248,28 +279,40 @@
                    {"code", static_cast<std::int64_t>(failure.code)},
                    {"reason", failure.detail}});
     }
-    const std::weak_ptr<state> weak = weak_from_this();
-    retry_timer = timers.schedule(clock.steady_now() + backoff,
-                                  [weak]
-                                  {
-                                      if (const auto self = weak.lock())
-                                      {
-                                          self->read();
-                                      }
-                                  });
+    if (reads_under_way > 0)
+    {
+        return;
+    }
+    schedule_read(backoff);
     backoff = std::min(backoff * 2, max_backoff);
 }
 
 void prefix_follower::state::on_success()
 {
     backoff = initial_backoff;
-    if (!unavailable_since)
+    if (unavailable_since)
     {
-        return;
+        end_outage();
+    }
+    last_success_at = clock.steady_now();
+}
+
+void prefix_follower::state::end_outage()
+{
+    // Reads that are still under way no longer count.
+    ++run;
+    reads_under_way = 0;
+    retry_timer.reset();
+    const ports::steady_time now = clock.steady_now();
+    recovered_at =
+        settings.available_since ? settings.available_since(now) : now;
+    if (last_success_at && *recovered_at <= *last_success_at)
+    {
+        // The store was never away; only this router did not reach it.
+        recovered_at.reset();
     }
-    recovered_at = clock.steady_now();
     const auto outage = std::chrono::duration_cast<std::chrono::milliseconds>(
-        *recovered_at - *unavailable_since);
+        now - *unavailable_since);
     log.write(log_level::info, log_event::platform_recovered,
               {{"prefix", settings.prefix},
                {"silent_ms", static_cast<std::int64_t>(outage.count())}});
--- a/libraries/drivers/fleet/prefix_follower.hpp
+++ b/libraries/drivers/fleet/prefix_follower.hpp
@@ -27,6 +27,16 @@
     /// store was restored. Their leases may have expired during the outage, or
     /// the copy may lack them, and writers that still run write them again.
     std::chrono::milliseconds deletion_grace{0};
+    /// Returns since when the store is known to have been available up to the
+    /// time that it is called with; that time itself if nothing is known. Keys
+    /// that were deleted while the store served others are not kept. May be
+    /// empty.
+    std::function<ports::steady_time(ports::steady_time)> available_since =
+        nullptr;
+    /// While the store does not respond, reads begin at least this often, so
+    /// that the end of the outage is known soon; 0 if only a read that has
+    /// failed is followed by another.
+    std::chrono::milliseconds outage_read_interval{0};
 };
 
 /// The entries under a prefix, by key, as they were last read.
--- a/tests/fleet/peer_table_test.cpp
+++ b/tests/fleet/peer_table_test.cpp
@@ -20,6 +20,7 @@
     digest.sequence = 7;
     digest.configuration_version = 3;
     digest.is_store_unavailable = true;
+    digest.store_contact = {ports::steady_time(90s), ports::steady_time(98s)};
     digest.load["u1"] = {2, 900};
     digest.accounts["acme"] = {10, 20, 30, 4};
     digest.observations.suspect_parts.push_back(
@@ -66,6 +67,8 @@
     LONGS_EQUAL(3, digest.configuration_version);
     CHECK_FALSE(digest.is_leaving);
     CHECK(digest.is_store_unavailable);
+    CHECK(digest.store_contact->first == ports::steady_time(90s));
+    CHECK(digest.store_contact->last == ports::steady_time(98s));
     LONGS_EQUAL(900, digest.load.at("u1").unread_tokens);
     LONGS_EQUAL(30, digest.accounts.at("acme").free);
     LONGS_EQUAL(4, digest.accounts.at("acme").rate);
@@ -95,6 +98,29 @@
     CHECK(brittle.at(1).rejected_at == std::nullopt);
 }
 
+TEST(peer_table_group, a_digest_may_tell_of_no_answer_of_the_store)
+{
+    codecs::peer_digest digest = sample_digest();
+    digest.store_contact.reset();
+    const result<codecs::peer_digest> read =
+        codecs::read_digest(codecs::write_digest(digest, now), now);
+    CHECK(bool(read));
+    CHECK_FALSE(read.value().store_contact.has_value());
+}
+
+TEST(peer_table_group, the_store_is_available_since_it_answered_any_router)
+{
+    domain::contact_record own;
+    own.add(now);
+    CHECK(peers.store_available_since(own, now) == now);
+    codecs::peer_digest digest = sample_digest();
+    digest.store_contact = {ports::steady_time(90s), ports::steady_time(99s)};
+    peers.apply_digest(digest, now);
+    CHECK(peers.store_available_since(own, now) == ports::steady_time(90s));
+    CHECK(peers.store_available_since({}, now) == ports::steady_time(90s));
+    CHECK(peers.store_available_since({}, now + 1s) == now + 1s);
+}
+
 TEST(peer_table_group, a_damaged_digest_is_rejected)
 {
     const std::string complete = codecs::write_digest(sample_digest(), now);
--- a/tests/fleet/prefix_follower_test.cpp
+++ b/tests/fleet/prefix_follower_test.cpp
@@ -20,10 +20,23 @@
     std::unique_ptr<drivers::prefix_follower> follower;
 
     void follow(std::chrono::milliseconds grace)
+    {
+        follow(drivers::follower_settings{"servers/", 2'200ms, grace});
+    }
+
+    /// Follows the prefix with what others know of the store: since when it
+    /// has been available.
+    void follow_with_witness(
+        std::function<ports::steady_time(ports::steady_time)> witness)
+    {
+        follow(drivers::follower_settings{"servers/", 2'200ms, 2'100ms,
+                                          std::move(witness)});
+    }
+
+    void follow(drivers::follower_settings settings)
     {
         follower = std::make_unique<drivers::prefix_follower>(
-            store, timers, clock, log,
-            drivers::follower_settings{"servers/", 2'200ms, grace});
+            store, timers, clock, log, std::move(settings));
         follower->start(
             [this](const drivers::followed_items& items)
             {
@@ -109,6 +122,83 @@
     LONGS_EQUAL(1, latest_items.count("servers/a"));
 }
 
+// Guards against a router that was cut from the store going on with upstreams
+// that have left in the meantime.
+TEST(prefix_follower_group,
+     a_key_deleted_while_only_this_router_was_cut_is_gone)
+{
+    store.put("servers/a", "1");
+    store.put("servers/b", "1");
+    follow_with_witness([](ports::steady_time)
+                        { return ports::steady_time(0s); });
+    store.fail_watches();
+    store.erase("servers/a");
+    timers.advance(1s);
+    store.serve_all();
+    LONGS_EQUAL(1, latest_items.size());
+    LONGS_EQUAL(1, latest_items.count("servers/b"));
+    store.erase("servers/b");
+    store.respond_to_watches();
+    LONGS_EQUAL(0, latest_items.size());
+}
+
+TEST(prefix_follower_group, a_key_stays_if_the_store_was_away_for_others_too)
+{
+    store.put("servers/a", "1");
+    const ports::steady_time cut_at = clock.steady_now();
+    follow_with_witness([cut_at](ports::steady_time)
+                        { return cut_at + 700ms; });
+    store.fail_watches();
+    store.erase("servers/a");
+    timers.advance(1s);
+    store.serve_all();
+    LONGS_EQUAL(1, latest_items.size());
+    // The store was back 300 ms before this router found out.
+    timers.advance(1'700ms);
+    LONGS_EQUAL(1, latest_items.size());
+    timers.advance(200ms);
+    LONGS_EQUAL(0, latest_items.size());
+}
+
+TEST(prefix_follower_group, keys_stay_in_a_restore_that_a_cut_hid)
+{
+    store.begin_era();
+    store.take_copy();
+    store.put("servers/a", "1");
+    follow_with_witness([](ports::steady_time)
+                        { return ports::steady_time(0s); });
+    store.fail_watches();
+    store.restore_copy();
+    store.serve_all();
+    LONGS_EQUAL(1, latest_items.size());
+    timers.advance(2'200ms);
+    LONGS_EQUAL(0, latest_items.size());
+}
+
+TEST(prefix_follower_group, a_silent_read_does_not_delay_the_next)
+{
+    store.put("servers/a", "1");
+    follow(drivers::follower_settings{"servers/", 2'200ms, 2'100ms, nullptr,
+                                      500ms});
+    store.fail_watches();
+    timers.advance(100ms);
+    LONGS_EQUAL(1, store.pending_call_count());
+    timers.advance(1s);
+    LONGS_EQUAL(3, store.pending_call_count());
+    // A failed read starts no other while some are under way.
+    store.serve_next(simulated_outcome::failed);
+    timers.advance(400ms);
+    LONGS_EQUAL(2, store.pending_call_count());
+    const int changes = change_count;
+    store.put("servers/b", "1");
+    store.serve_all();
+    LONGS_EQUAL(2, latest_items.size());
+    LONGS_EQUAL(changes + 1, change_count);
+    CHECK_FALSE(follower->unavailable_since().has_value());
+    timers.advance(5s);
+    LONGS_EQUAL(0, store.pending_call_count());
+}
+
 TEST(prefix_follower_group, a_key_deleted_without_an_outage_is_removed_at_once)
 {
     store.put("servers/a", "1");
--- a/tests/simulation/delayed_store.hpp
+++ b/tests/simulation/delayed_store.hpp
@@ -54,7 +54,14 @@
         m_store.watch(
             prefix, after, wait,
             [this, done = std::move(done)](result<ports::watch_batch> response)
-            { deliver(m_store.eras().current(), response, done); });
+            {
+                if (is_cut && loses_watches)
+                {
+                    fail<ports::watch_batch>(done);
+                    return;
+                }
+                deliver(m_store.eras().current(), response, done);
+            });
     }
 
     void commit(const ports::store_change& change,
@@ -93,6 +100,8 @@
     }
 
     bool is_cut = false;
+    /// Whether a cut also ends the watches that wait already.
+    bool loses_watches = false;
     std::int64_t read_count = 0;
     std::int64_t commit_count = 0;
 
