--- a/tests/endless_bytes/endless_exchange_test.cpp
+++ b/tests/endless_bytes/endless_exchange_test.cpp
@@ -1,6 +1,7 @@
 #include "tests/exchange/exchange_fixture.hpp"
 
 #include <CppUTest/TestHarness.h>
+#include <string_view>
 
 using namespace turmeric;
 using namespace turmeric::tests;
@@ -186,3 +187,37 @@
     fixture.timers.advance(3s);
     CHECK(response->is_aborted);
 }
+
+TEST(endless_exchange_group, a_response_without_end_of_a_peer_is_cut)
+{
+    for (const char* route : {"pay", "once"})
+    {
+        for (const int status : {200, 500, 503})
+        {
+            // A success that is no stream is relayed as it arrives.
+            if (status == 200 && std::string_view(route) == "pay")
+            {
+                continue;
+            }
+            exchange_fixture forwarding;
+            drivers::fleet_view view;
+            view.routers = 2;
+            view.peer_paths.push_back({"10.1.0.0:9000", "east", {}});
+            forwarding.dispatcher.set_fleet(std::move(view));
+            const auto response = forwarding.send_request(route);
+            std::size_t last = 0;
+            while (!forwarding.call(last).sent.address.starts_with("10.1."))
+            {
+                forwarding.call(last++).fail(
+                    ports::transport_failure::not_connected);
+            }
+            forwarding.call(last).head(
+                status, {{"X-Server-Stamp", "s"}, {"X-Request-Id", "r"}});
+            CHECK(send_endless_body(forwarding, last, repeat("x")) <=
+                  max_kept_bytes());
+            CHECK(forwarding.call(last).is_cancelled);
+            LONGS_EQUAL(502, response->status);
+            CHECK(response->is_complete);
+        }
+    }
+}
