--- a/libraries/adapters/asio/caller_connection.cpp
+++ b/libraries/adapters/asio/caller_connection.cpp
@@ -18,6 +18,8 @@
 constexpr std::chrono::milliseconds linger_timeout{500};
 
 constexpr int request_timeout = 408;
+/// What a connection takes beside its messages: the object with its buffers.
+constexpr std::int64_t connection_bytes = 16 << 10;
 
 } // namespace
 
@@ -25,7 +27,12 @@
     : m_server(server)
     , m_socket(std::move(socket))
     , m_timer(server.m_loop)
+    , m_connection_memory(server.m_settings.memory, memory_kind::connections)
+    , m_body_memory(server.m_settings.memory, memory_kind::reading)
+    , m_pipelined_memory(server.m_settings.memory, memory_kind::pipelined)
+    , m_output_memory(server.m_settings.memory, memory_kind::responses)
 {
+    m_connection_memory.resize(connection_bytes);
 }
 
 void caller_connection::start()
@@ -83,6 +90,10 @@
     request.head = head_of(m_parser->get());
     request.body = std::move(m_parser->get().body());
     request.arrived_at = m_arrived_at;
+    m_body_memory.set_kind(memory_kind::requests);
+    request.memory = std::exchange(
+        m_body_memory,
+        memory_reservation(m_server.m_settings.memory, memory_kind::reading));
     constexpr unsigned int version_1_0 = 10;
     m_has_chunked_support = m_parser->get().version() > version_1_0;
     m_parser.reset();
@@ -165,6 +176,7 @@
         return;
     }
     m_queued_output += bytes;
+    count_unwritten_bytes();
     if (written)
     {
         assert(m_on_written == nullptr);
@@ -183,7 +195,8 @@
 
 void caller_connection::on_written(const boost::system::error_code& error_code)
 {
-    m_output_in_progress.clear();
+    m_output_in_progress = std::string();
+    count_unwritten_bytes();
     if (m_is_closed)
     {
         return;
@@ -222,6 +235,7 @@
         return;
     }
     m_is_handling_request = false;
+    m_pipelined_memory.resize(0);
     prepare_next_request();
     if (m_buffer.size() > 0)
     {
@@ -249,6 +263,11 @@
 
 void caller_connection::on_timer()
 {
+    if (m_is_waiting_for_memory)
+    {
+        refuse_body(ports::body_refusal::no_memory_now);
+        return;
+    }
     const bool is_mid_request =
         !m_is_handling_request && m_parser && m_parser->got_some();
     if (is_mid_request)
@@ -310,6 +329,7 @@
     m_is_closed = true;
     const std::shared_ptr<caller_connection> self = shared_from_this();
     m_timer.cancel();
+    stop_waiting();
     m_on_written = nullptr;
     // A chunked body without its last chunk is recognised as truncated. A body
     // that ends with the connection needs a reset for that.
--- a/libraries/adapters/asio/caller_connection.hpp
+++ b/libraries/adapters/asio/caller_connection.hpp
@@ -5,9 +5,11 @@
 #include "libraries/adapters/asio/http_serialization.hpp"
 #include "libraries/adapters/asio/one_shot_timer.hpp"
 #include "libraries/adapters/asio/read_buffer.hpp"
+#include "libraries/core/memory_budget.hpp"
 #include "libraries/ports/caller_channel.hpp"
 
 #include <boost/beast/http.hpp>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -32,6 +34,10 @@
     /// Returns whether bytes of a response are not written yet.
     [[nodiscard]] bool has_unwritten_bytes() const;
 
+    /// Reads on if there is memory for the body by now. Returns false if the
+    /// connection still waits.
+    bool resume_reading();
+
 private:
     friend class connection_channel;
 
@@ -59,6 +65,25 @@
     /// Returns whether the caller has sent bytes that were not read yet.
     [[nodiscard]] bool has_unread_bytes() const;
 
+    // caller_connection_memory.cpp: the memory of requests and responses.
+    /// Returns the bytes that the body takes, as far as they are known.
+    /// Precondition: the head has been read.
+    [[nodiscard]] std::int64_t needed_body_bytes() const;
+    /// Reserves the memory of the body, before it is read. Returns false if
+    /// there is no room.
+    bool try_reserve_body();
+    /// The same for a request that is not yet waiting, which goes behind those
+    /// that are.
+    bool may_read_body();
+    /// Stops reading until there is memory for the body, so that the caller's
+    /// sending stops too.
+    void wait_for_memory();
+    void stop_waiting();
+    /// Passes the request on without its body, to be refused.
+    void refuse_body(ports::body_refusal refusal);
+    /// Counts the bytes that the caller has not yet read.
+    void count_unwritten_bytes();
+
     // Called by the channel of the present request.
     void send_response(const ports::response_head& head,
                        const std::string& body);
@@ -103,6 +128,11 @@
     /// Whether a request was refused because it was malformed, too large or too
     /// slow. All bytes that follow are discarded.
     bool m_is_refused = false;
+    bool m_is_waiting_for_memory = false;
+    memory_reservation m_connection_memory;
+    memory_reservation m_body_memory;
+    memory_reservation m_pipelined_memory;
+    memory_reservation m_output_memory;
 };
 
 } // namespace turmeric::adapters
--- /dev/null
+++ b/libraries/adapters/asio/caller_connection_memory.cpp
@@ -0,0 +1,146 @@
+#include "libraries/adapters/asio/caller_connection.hpp"
+
+#include "libraries/adapters/asio/connection_channel.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace turmeric::adapters
+{
+
+namespace
+{
+
+/// How long a request waits for the memory of its body; its caller still has
+/// time to try another router then.
+constexpr std::chrono::milliseconds max_memory_wait{400};
+/// The first memory of a body whose length is not known.
+constexpr std::int64_t first_chunked_bytes = 4 << 10;
+
+} // namespace
+
+std::int64_t caller_connection::needed_body_bytes() const
+{
+    if (const boost::optional<std::uint64_t> length =
+            m_parser->content_length())
+    {
+        return static_cast<std::int64_t>(*length);
+    }
+    if (!m_parser->chunked())
+    {
+        return 0;
+    }
+    const std::int64_t arrived = static_cast<std::int64_t>(
+        m_parser->get().body().size() + m_buffer.size());
+    if (arrived <= m_body_memory.bytes())
+    {
+        return m_body_memory.bytes();
+    }
+    return std::max({arrived, 2 * m_body_memory.bytes(), first_chunked_bytes});
+}
+
+bool caller_connection::try_reserve_body()
+{
+    const std::int64_t needed = needed_body_bytes();
+    if (!m_body_memory.try_resize(needed))
+    {
+        return false;
+    }
+    if (m_parser->chunked())
+    {
+        m_parser->get().body().reserve(static_cast<std::size_t>(needed));
+    }
+    return true;
+}
+
+bool caller_connection::may_read_body()
+{
+    if (m_server.m_settings.memory == nullptr || !m_parser->is_header_done())
+    {
+        return true;
+    }
+    const std::int64_t needed = needed_body_bytes();
+    if (needed <= m_body_memory.bytes())
+    {
+        return true;
+    }
+    const bool is_small = needed <= memory_budget::max_small_bytes;
+    return (is_small || !m_server.has_memory_waiters()) && try_reserve_body();
+}
+
+void caller_connection::wait_for_memory()
+{
+    if (!m_server.m_settings.memory->can_ever_hold(needed_body_bytes()))
+    {
+        refuse_body(ports::body_refusal::exceeds_memory);
+        return;
+    }
+    if (!m_server.add_memory_waiter(shared_from_this()))
+    {
+        refuse_body(ports::body_refusal::no_memory_now);
+        return;
+    }
+    m_is_waiting_for_memory = true;
+    set_timer(max_memory_wait, ports::close_reason::header_timeout);
+}
+
+void caller_connection::stop_waiting()
+{
+    if (m_is_waiting_for_memory)
+    {
+        m_is_waiting_for_memory = false;
+        m_server.remove_memory_waiter(*this);
+    }
+}
+
+bool caller_connection::resume_reading()
+{
+    if (!m_is_waiting_for_memory)
+    {
+        return true;
+    }
+    if (!try_reserve_body())
+    {
+        return false;
+    }
+    m_is_waiting_for_memory = false;
+    // The caller's own time begins anew: it could not send meanwhile.
+    set_timer(m_server.m_limits.header_timeout,
+              ports::close_reason::header_timeout);
+    parse();
+    return true;
+}
+
+void caller_connection::refuse_body(ports::body_refusal refusal)
+{
+    stop_waiting();
+    m_timer.cancel();
+    if (has_caller_left())
+    {
+        close(ports::close_reason::caller_closed);
+        return;
+    }
+    m_is_handling_request = true;
+    m_is_response_ended = false;
+    m_is_keep_alive = false;
+    // What follows is the body; it is read and discarded.
+    m_is_refused = true;
+    ports::received_request request;
+    request.head = head_of(m_parser->get());
+    request.arrived_at = m_arrived_at;
+    request.refusal = refusal;
+    m_parser.reset();
+    m_body_memory.resize(0);
+    m_server.m_request_handler.accept(
+        std::move(request),
+        std::make_shared<connection_channel>(shared_from_this()));
+    read_more();
+}
+
+void caller_connection::count_unwritten_bytes()
+{
+    m_output_memory.resize(static_cast<std::int64_t>(
+        m_queued_output.size() + m_output_in_progress.size()));
+}
+
+} // namespace turmeric::adapters
--- a/libraries/adapters/asio/caller_connection_reading.cpp
+++ b/libraries/adapters/asio/caller_connection_reading.cpp
@@ -53,10 +53,16 @@
         return;
     }
     m_buffer.append(bytes);
+    if (m_is_waiting_for_memory)
+    {
+        // This read began before the wait; the next one follows it.
+        return;
+    }
     if (m_is_handling_request)
     {
         // Pipelined requests stay in the buffer. Reading goes on meanwhile to
         // detect that the caller closes the connection.
+        m_pipelined_memory.resize(static_cast<std::int64_t>(m_buffer.size()));
         if (m_buffer.size() < max_pipelined_bytes)
         {
             read_more();
@@ -76,6 +82,11 @@
     }
     while (m_buffer.size() > 0 && !m_parser->is_done())
     {
+        if (!may_read_body())
+        {
+            wait_for_memory();
+            return;
+        }
         const boost::system::error_code error_code = m_buffer.feed(*m_parser);
         if (error_code == http::error::need_more)
         {
@@ -97,6 +108,11 @@
         on_request();
         return;
     }
+    if (!may_read_body())
+    {
+        wait_for_memory();
+        return;
+    }
     if (m_parser->is_header_done())
     {
         send_continue_if_expected();
--- a/libraries/adapters/asio/caller_server.cpp
+++ b/libraries/adapters/asio/caller_server.cpp
@@ -16,6 +16,9 @@
 /// process has no free file descriptor.
 constexpr std::chrono::milliseconds accept_retry_delay{20};
 constexpr std::chrono::milliseconds unacknowledged_timeout{5'000};
+/// Connections that may wait for memory; what their callers have sent meanwhile
+/// stays in the buffers of the kernel.
+constexpr std::size_t max_memory_waiters = 64;
 
 } // namespace
 
@@ -28,10 +31,72 @@
     , m_settings(std::move(settings))
     , m_listener(loop)
     , m_accept_retry_timer(loop)
+    , m_memory_timer(loop)
 {
+    if (m_settings.memory != nullptr)
+    {
+        m_settings.memory->set_release_handler([this] { schedule_resume(); });
+    }
+}
+
+caller_server::~caller_server()
+{
+    if (m_settings.memory != nullptr)
+    {
+        m_settings.memory->set_release_handler(nullptr);
+    }
+}
+
+bool caller_server::add_memory_waiter(
+    const std::shared_ptr<caller_connection>& connection)
+{
+    if (m_memory_waiters.size() >= max_memory_waiters)
+    {
+        return false;
+    }
+    m_memory_waiters.push_back(connection);
+    return true;
+}
+
+void caller_server::remove_memory_waiter(const caller_connection& connection)
+{
+    std::erase_if(m_memory_waiters,
+                  [&](const std::shared_ptr<caller_connection>& waiting)
+                  { return waiting.get() == &connection; });
+    schedule_resume();
+}
+
+bool caller_server::has_memory_waiters() const
+{
+    return !m_memory_waiters.empty();
+}
+
+void caller_server::schedule_resume()
+{
+    if (m_memory_waiters.empty() || m_is_resume_scheduled)
+    {
+        return;
+    }
+    m_is_resume_scheduled = true;
+    m_memory_timer.set(std::chrono::milliseconds::zero(),
+                       [this] { resume_memory_waiters(); });
 }
 
-caller_server::~caller_server() = default;
+void caller_server::resume_memory_waiters()
+{
+    m_is_resume_scheduled = false;
+    while (!m_memory_waiters.empty())
+    {
+        const std::shared_ptr<caller_connection> first =
+            std::move(m_memory_waiters.front());
+        m_memory_waiters.pop_front();
+        if (!first->resume_reading())
+        {
+            m_memory_waiters.push_front(first);
+            return;
+        }
+    }
+}
 
 status caller_server::start()
 {
--- a/libraries/adapters/asio/caller_server.hpp
+++ b/libraries/adapters/asio/caller_server.hpp
@@ -2,12 +2,14 @@
 
 #include "libraries/adapters/asio/asio.hpp"
 #include "libraries/adapters/asio/one_shot_timer.hpp"
+#include "libraries/core/memory_budget.hpp"
 #include "libraries/core/result.hpp"
 #include "libraries/domain/callers/route_table.hpp"
 #include "libraries/ports/caller_channel.hpp"
 #include "libraries/ports/clock.hpp"
 
 #include <cstddef>
+#include <deque>
 #include <memory>
 #include <string>
 #include <unordered_set>
@@ -24,6 +26,9 @@
     std::string address;
     /// Connections above this number are reset when they are accepted.
     std::size_t max_connections = 1'000;
+    /// Bounds what the connections hold; null for no bound. Used on the thread
+    /// of the server's event loop only, and outlives the server.
+    memory_budget* memory = nullptr;
 };
 
 /// Accepts callers' connections and reads their requests, within the limits
@@ -62,6 +67,20 @@
 private:
     friend class caller_connection;
 
+    /// Adds a connection to those that wait for the memory of a body. Returns
+    /// false if too many wait.
+    bool
+    add_memory_waiter(const std::shared_ptr<caller_connection>& connection);
+    /// Removes a connection that waits no longer. Without effect on others.
+    void remove_memory_waiter(const caller_connection& connection);
+    /// Returns whether a connection waits for the memory of a body.
+    [[nodiscard]] bool has_memory_waiters() const;
+    /// Calls `resume_memory_waiters` soon if a connection waits.
+    void schedule_resume();
+    /// Lets the connections that wait for memory go on, in the order of their
+    /// arrival, as far as there is room.
+    void resume_memory_waiters();
+
     void accept_next();
     void on_accepted(const boost::system::error_code& error_code,
                      tcp::socket socket);
@@ -74,6 +93,11 @@
     bool m_is_keep_alive_enabled = true;
     tcp::acceptor m_listener;
     one_shot_timer m_accept_retry_timer;
+    /// Expires at once after memory was given back, since waiting connections
+    /// cannot go on within the call that gives it back.
+    one_shot_timer m_memory_timer;
+    std::deque<std::shared_ptr<caller_connection>> m_memory_waiters;
+    bool m_is_resume_scheduled = false;
     std::unordered_set<std::shared_ptr<caller_connection>> m_connections;
 };
 
--- a/libraries/adapters/asio/upstream_connection.cpp
+++ b/libraries/adapters/asio/upstream_connection.cpp
@@ -3,6 +3,7 @@
 #include "libraries/adapters/asio/socket_options.hpp"
 
 #include <algorithm>
+#include <array>
 #include <cassert>
 #include <charconv>
 #include <limits>
@@ -134,8 +135,12 @@
 void upstream_connection::send()
 {
     const std::shared_ptr<upstream_connection> self = shared_from_this();
+    const std::array<asio::const_buffer, 2> buffers = {
+        asio::buffer(m_call.bytes), m_call.body == nullptr
+                                        ? asio::const_buffer()
+                                        : asio::buffer(m_call.body->bytes)};
     asio::async_write(
-        m_socket, asio::buffer(m_call.bytes),
+        m_socket, buffers,
         [self](const boost::system::error_code& error_code, std::size_t bytes)
         { self->on_sent(error_code, bytes); });
     // The response can arrive before the request is sent completely.
@@ -145,13 +150,20 @@
 void upstream_connection::on_sent(const boost::system::error_code& error_code,
                                   std::size_t bytes)
 {
+    const std::size_t body_bytes =
+        m_call.body == nullptr ? 0 : m_call.body->bytes.size();
+    const bool is_sent =
+        !error_code && bytes == m_call.bytes.size() + body_bytes;
+    m_call.bytes = std::string();
+    m_call.body.reset();
+    m_call.memory.resize(0);
     if (m_is_closed || m_listener == nullptr)
     {
         return;
     }
     // A failed write does not fail the call by itself. The upstream may have
     // responded already, so the outcome of reading decides.
-    m_is_request_sent = !error_code && bytes == m_call.bytes.size();
+    m_is_request_sent = is_sent;
 }
 
 std::chrono::milliseconds upstream_connection::compute_max_idle() const
--- a/libraries/core/result_code.hpp
+++ b/libraries/core/result_code.hpp
@@ -34,6 +34,7 @@
     deadline_exceeded = 2008,
     prompt_blocked = 2009,
     request_blocked = 2010,
+    memory_full = 2011,
 
     // 3000: budgets and billing.
     budget_exhausted = 3001,
--- a/libraries/drivers/exchange/exchange.hpp
+++ b/libraries/drivers/exchange/exchange.hpp
@@ -3,6 +3,7 @@
 #include "libraries/domain/callers/caller_request.hpp"
 #include "libraries/domain/streaming/event_splitter.hpp"
 #include "libraries/drivers/exchange/traffic_state.hpp"
+#include "libraries/ports/request_body.hpp"
 
 #include <chrono>
 #include <cstdint>
@@ -112,6 +113,11 @@
     /// maximum consumption, or 0 if it is not charged to prepaid tokens.
     [[nodiscard]] std::int64_t needed_tokens() const;
 
+    /// Gives up this exchange's hold on the request's body if it cannot be
+    /// sent again after the head of a response. `is_not_executed` is whether
+    /// the response states that the request did not run.
+    void release_body(bool is_not_executed);
+
 private:
     friend class peer_attempt;
     friend class upstream_attempt;
@@ -154,6 +160,8 @@
     [[nodiscard]] bool may_retry() const;
     bool try_retry(std::string_view reason);
     void place_again();
+    /// Adds the head and the body of the request to a call.
+    void add_request(ports::outgoing_call& call, std::string head) const;
     /// Returns how many upstreams the request may still be sent to.
     [[nodiscard]] std::int32_t attempts_left() const;
 
@@ -208,6 +216,9 @@
 
     traffic_state& m_state;
     request_context m_context;
+    memory_reservation m_memory;
+    /// The body of the request; null once it cannot be sent again.
+    std::shared_ptr<const ports::request_body> m_body;
     ports::steady_time m_deadline;
     exchange_phase m_phase = exchange_phase::waiting_for_tokens;
     std::optional<ports::steady_time> m_token_wait_deadline;
--- a/libraries/drivers/exchange/exchange_admission.cpp
+++ b/libraries/drivers/exchange/exchange_admission.cpp
@@ -37,14 +37,24 @@
     return context.request.arrived_at + timeout;
 }
 
+std::shared_ptr<const ports::request_body>
+take_body(ports::received_request& request)
+{
+    return std::make_shared<const ports::request_body>(ports::request_body{
+        std::move(request.body), std::move(request.memory)});
+}
+
 } // namespace
 
 exchange::exchange(traffic_state& state, request_context context)
     : m_state(state)
     , m_context(std::move(context))
+    , m_memory(state.dependencies.memory, memory_kind::requests)
+    , m_body(take_body(m_context.request))
     , m_deadline(deadline_of(m_context))
     , m_events(m_context.parsed_request.resume_after)
 {
+    m_memory.resize(m_state.settings.exchange_bytes);
 }
 
 exchange::~exchange() = default;
--- a/libraries/drivers/exchange/exchange_attempts.cpp
+++ b/libraries/drivers/exchange/exchange_attempts.cpp
@@ -41,8 +41,9 @@
 
     ports::outgoing_call call;
     call.address = chosen_placement.upstream.address;
-    call.bytes =
-        m_state.dependencies.dialect.write_request(m_context.request, metadata);
+    add_request(call,
+                m_state.dependencies.dialect.write_request(
+                    m_context.request.head, m_body->bytes.size(), metadata));
     call.echoed_field_name = m_state.dependencies.dialect.echoed_field_name();
     call.echoed_field_value = m_context.parsed_request.id;
     call.connect_timeout = m_state.settings.connect_timeout;
@@ -75,6 +76,35 @@
     m_attempt->begin(std::move(call));
 }
 
+void exchange::add_request(ports::outgoing_call& call, std::string head) const
+{
+    call.bytes = std::move(head);
+    if (!m_body->bytes.empty())
+    {
+        call.body = m_body;
+    }
+    call.memory =
+        memory_reservation(m_state.dependencies.memory, memory_kind::calls);
+    call.memory.resize(static_cast<std::int64_t>(call.bytes.size()));
+}
+
+void exchange::release_body(bool is_not_executed)
+{
+    const bool may_repeat = is_not_executed || m_context.route->is_repeatable();
+    if (m_body == nullptr || (may_repeat && attempts_left() > 0))
+    {
+        return;
+    }
+    // The fingerprint cannot be computed later, and the body of most requests
+    // is not worth its computation.
+    constexpr std::size_t min_released_bytes = 64 << 10;
+    if (m_body->bytes.size() >= min_released_bytes)
+    {
+        static_cast<void>(fingerprint());
+        m_body.reset();
+    }
+}
+
 std::uint64_t exchange::fingerprint() const
 {
     if (!m_fingerprint)
@@ -84,7 +114,7 @@
                                              : m_context.account->name;
         m_fingerprint = m_state.dependencies.digest.digest_of(
             {m_context.request.head.method, m_context.parsed_request.host,
-             m_context.request.head.target, account, m_context.request.body});
+             m_context.request.head.target, account, m_body->bytes});
     }
     return *m_fingerprint;
 }
--- a/libraries/drivers/exchange/exchange_forwarding.cpp
+++ b/libraries/drivers/exchange/exchange_forwarding.cpp
@@ -122,8 +122,9 @@
 
     ports::outgoing_call call;
     call.address = peer_address;
-    call.bytes = m_state.dependencies.dialect.write_forwarded_request(
-        m_context.request, metadata);
+    add_request(call,
+                m_state.dependencies.dialect.write_forwarded_request(
+                    m_context.request.head, m_body->bytes.size(), metadata));
     call.echoed_field_name = m_state.dependencies.dialect.echoed_field_name();
     call.echoed_field_value = m_context.parsed_request.id;
     call.connect_timeout = m_state.settings.connect_timeout;
--- a/libraries/drivers/exchange/peer_attempt.cpp
+++ b/libraries/drivers/exchange/peer_attempt.cpp
@@ -20,6 +20,7 @@
 peer_attempt::peer_attempt(traffic_state& state, std::weak_ptr<exchange> owner)
     : m_state(state)
     , m_owner(std::move(owner))
+    , m_memory(state.dependencies.memory, memory_kind::responses)
 {
 }
 
@@ -137,6 +138,11 @@
     owner.on_peer_failure();
 }
 
+void peer_attempt::count_held_bytes(std::size_t bytes)
+{
+    m_memory.resize(static_cast<std::int64_t>(bytes));
+}
+
 void peer_attempt::abandon(exchange& owner)
 {
     cancel();
@@ -146,6 +152,7 @@
 void peer_attempt::buffer_part(exchange& owner, std::string&& part)
 {
     m_buffered_body += part;
+    count_held_bytes(m_buffered_body.size());
     if (m_buffered_body.size() > m_state.settings.max_buffered_bytes)
     {
         // A truncated body must not look complete.
@@ -158,11 +165,13 @@
 void peer_attempt::buffer_or_relay_part(exchange& owner, std::string&& part)
 {
     m_buffered_body += part;
-    if (m_buffered_body.size() < m_state.settings.max_buffered_bytes)
+    count_held_bytes(m_buffered_body.size());
+    if (m_state.may_buffer_response(m_buffered_body.size()))
     {
         m_call->read_more();
         return;
     }
+    count_held_bytes(0);
     m_body_handler = &relaying_handler;
     owner.on_body_part(*m_head, std::exchange(m_buffered_body, std::string()));
 }
@@ -175,8 +184,9 @@
 void peer_attempt::relay_events(exchange& owner, std::string&& part)
 {
     std::string events = owner.m_events.feed(part);
+    count_held_bytes(owner.m_events.partial_size());
     if (owner.m_events.has_gap() ||
-        owner.m_events.partial_size() > m_state.settings.max_buffered_bytes)
+        !m_state.may_hold_event(owner.m_events.partial_size()))
     {
         abandon(owner);
         return;
--- a/libraries/drivers/exchange/peer_attempt.hpp
+++ b/libraries/drivers/exchange/peer_attempt.hpp
@@ -53,6 +53,7 @@
     static const body_handler event_handler;
 
     void buffer_part(exchange& owner, std::string&& part);
+    void count_held_bytes(std::size_t bytes);
     void buffer_or_relay_part(exchange& owner, std::string&& part);
     void relay_part(exchange& owner, std::string&& part);
     void relay_events(exchange& owner, std::string&& part);
@@ -75,6 +76,8 @@
     response_classification m_classification;
     const body_handler* m_body_handler = nullptr;
     std::string m_buffered_body;
+    /// The memory of the buffered body, or of the incomplete event.
+    memory_reservation m_memory;
     bool m_is_finished = false;
 };
 
--- a/libraries/drivers/exchange/traffic_dialect.hpp
+++ b/libraries/drivers/exchange/traffic_dialect.hpp
@@ -8,6 +8,7 @@
 #include "libraries/ports/http_message.hpp"
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -97,9 +98,10 @@
     [[nodiscard]] virtual result<domain::caller_request>
     read_request(const ports::request_head& head) const = 0;
 
-    /// Returns the request for an upstream as bytes, head and body.
+    /// Returns the head of the request for an upstream as bytes. The body
+    /// follows it unchanged; its length is `body_bytes`.
     [[nodiscard]] virtual std::string
-    write_request(const ports::received_request& request,
+    write_request(const ports::request_head& head, std::size_t body_bytes,
                   const upstream_request_metadata& metadata) const = 0;
 
     /// Returns the request by which a router finds out whether it reaches an
@@ -109,11 +111,13 @@
     write_path_probe(const domain::upstream_entry& upstream,
                      const domain::upstream_service* service) const = 0;
 
-    /// Returns the request for a peer's caller address as bytes, head and body.
-    /// It has the caller's key, since the peer handles it like a caller's
-    /// request, and it is marked so that the peer does not forward it again.
+    /// Returns the head of the request for a peer's caller address as bytes,
+    /// like `write_request`. It has the caller's key, since the peer handles it
+    /// like a caller's request, and it is marked so that the peer does not
+    /// forward it again.
     [[nodiscard]] virtual std::string
-    write_forwarded_request(const ports::received_request& request,
+    write_forwarded_request(const ports::request_head& head,
+                            std::size_t body_bytes,
                             const forwarding_metadata& metadata) const = 0;
 
     /// Returns the name of the header field in which a response repeats the id
--- a/libraries/drivers/exchange/traffic_dispatcher.cpp
+++ b/libraries/drivers/exchange/traffic_dispatcher.cpp
@@ -58,7 +58,7 @@
                      "too many requests are in flight", outcome::not_run,
                      full_retry_after};
     }
-    return std::nullopt;
+    return find_memory_refusal();
 }
 
 std::optional<error>
@@ -141,6 +141,11 @@
         refuse(*channel, *failure, parsed_request.value());
         return nullptr;
     }
+    if (const std::optional<error> failure = find_body_refusal(request))
+    {
+        refuse(*channel, *failure, parsed_request.value());
+        return nullptr;
+    }
     exchange::request_context context;
     context.exchange_id = m_state.next_exchange_id++;
     context.request = std::move(request);
@@ -282,6 +287,10 @@
 
 traffic_digest traffic_dispatcher::digest()
 {
+    if (m_state.dependencies.memory != nullptr)
+    {
+        m_state.dependencies.metrics.show_memory(*m_state.dependencies.memory);
+    }
     traffic_digest current;
     current.is_refusing = is_refusing();
     const ports::steady_time now = m_state.dependencies.clock.steady_now();
--- a/libraries/drivers/exchange/traffic_dispatcher.hpp
+++ b/libraries/drivers/exchange/traffic_dispatcher.hpp
@@ -92,6 +92,11 @@
     /// Returns why `request` is refused, if so.
     [[nodiscard]] std::optional<error>
     find_refusal(const domain::caller_request& request) const;
+    /// Returns why the memory left does not allow for one more request, if so.
+    [[nodiscard]] std::optional<error> find_memory_refusal() const;
+    /// Returns why a request is refused whose body was not received.
+    [[nodiscard]] static std::optional<error>
+    find_body_refusal(const ports::received_request& request);
     void refuse(ports::caller_channel& channel, const error& failure,
                 const domain::caller_request& request);
 
--- a/libraries/drivers/exchange/traffic_metrics.cpp
+++ b/libraries/drivers/exchange/traffic_metrics.cpp
@@ -52,7 +52,28 @@
            {"route"},
            64,
            {}}))
+    , memory(registry.make<metrics::gauge>(
+          {"turmeric_entry_memory_bytes",
+           "Bytes that the traffic holds, by kind.",
+           {"kind"},
+           all_memory_kinds.size(),
+           {}}))
+    , memory_limit(registry.make<metrics::gauge>(
+          {"turmeric_entry_memory_limit_bytes",
+           "Limit of the bytes that the traffic may hold.",
+           {},
+           1,
+           {}}))
+{
+}
+
+void traffic_metrics::show_memory(const memory_budget& budget)
 {
+    for (const memory_kind kind : all_memory_kinds)
+    {
+        memory.with_labels({std::string(name_of(kind))}).set(budget.used(kind));
+    }
+    memory_limit.with_labels({}).set(budget.limit());
 }
 
 } // namespace turmeric::drivers
--- a/libraries/drivers/exchange/traffic_metrics.hpp
+++ b/libraries/drivers/exchange/traffic_metrics.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "libraries/core/memory_budget.hpp"
 #include "libraries/core/metrics/counter.hpp"
+#include "libraries/core/metrics/gauge.hpp"
 #include "libraries/core/metrics/histogram.hpp"
 #include "libraries/core/metrics/registry.hpp"
 
@@ -15,6 +17,9 @@
     /// Precondition: `registry` outlives this and has no such names yet.
     explicit traffic_metrics(metrics::registry& registry);
 
+    /// Sets the gauges of the memory. Called by the thread of the budget.
+    void show_memory(const memory_budget& budget);
+
     /// Responses by route and result code name; the result is `ok` for
     /// responses of an upstream.
     metrics::family<metrics::counter>& responses;
@@ -32,6 +37,10 @@
     metrics::family<metrics::histogram>& time_to_first_byte;
     /// From the arrival of a request to the end of its response.
     metrics::family<metrics::histogram>& response_duration;
+    /// Bytes that the traffic holds, by kind.
+    metrics::family<metrics::gauge>& memory;
+    /// The limit of the sum of `memory`, in bytes.
+    metrics::family<metrics::gauge>& memory_limit;
 };
 
 } // namespace turmeric::drivers
--- a/libraries/drivers/exchange/traffic_settings.hpp
+++ b/libraries/drivers/exchange/traffic_settings.hpp
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <string>
 
 namespace turmeric::drivers
@@ -28,6 +29,9 @@
     std::size_t max_buffered_bytes = 256 << 10;
     /// Maximum number of requests in flight; further ones are refused.
     std::size_t max_exchanges = 1'500;
+    /// What a request in flight takes beside its messages: the exchange, its
+    /// attempt and the upstream's connection with its buffers.
+    std::int64_t exchange_bytes = 24 << 10;
 };
 
 } // namespace turmeric::drivers
--- a/libraries/drivers/exchange/traffic_state.cpp
+++ b/libraries/drivers/exchange/traffic_state.cpp
@@ -14,6 +14,8 @@
 /// Minimum time between two notifications of the control thread, so that one
 /// notification serves all requests that lack tokens in the meantime.
 constexpr std::chrono::milliseconds token_request_interval{20};
+/// Events of up to this size are forwarded also when memory is full.
+constexpr std::size_t ordinary_event_bytes = 16 << 10;
 
 } // namespace
 
@@ -119,6 +121,23 @@
                                                });
 }
 
+bool traffic_state::has_memory_for(std::size_t bytes) const
+{
+    return dependencies.memory == nullptr ||
+           dependencies.memory->has_room(0, static_cast<std::int64_t>(bytes));
+}
+
+bool traffic_state::may_buffer_response(std::size_t bytes) const
+{
+    return bytes < settings.max_buffered_bytes && has_memory_for(bytes);
+}
+
+bool traffic_state::may_hold_event(std::size_t bytes) const
+{
+    return bytes <= ordinary_event_bytes ||
+           (bytes <= settings.max_buffered_bytes && has_memory_for(bytes));
+}
+
 void traffic_state::erase_exchange(std::uint64_t exchange_id)
 {
     exchanges.erase(exchange_id);
--- a/libraries/drivers/exchange/traffic_state.hpp
+++ b/libraries/drivers/exchange/traffic_state.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "libraries/core/logger.hpp"
+#include "libraries/core/memory_budget.hpp"
 #include "libraries/domain/admission/slot_queue.hpp"
 #include "libraries/domain/callers/route_table.hpp"
 #include "libraries/domain/crashing_parts/crashing_part_detector.hpp"
@@ -49,6 +50,8 @@
     turmeric::logger& log;
     traffic_metrics& metrics;
     const ports::secure_digest& digest;
+    /// Null if the memory of the traffic is not bounded.
+    memory_budget* memory = nullptr;
 };
 
 /// A request that waits until prepaid tokens can be held for it.
@@ -87,6 +90,14 @@
     /// upstream ends, or the next brittle upstream opens.
     void schedule_pause_end();
 
+    /// Returns whether a response body of `bytes` may be held until it is
+    /// complete; if not, it is forwarded as it arrives.
+    [[nodiscard]] bool may_buffer_response(std::size_t bytes) const;
+
+    /// Returns whether `bytes` of an event may be held until it is complete; if
+    /// not, its response is given up.
+    [[nodiscard]] bool may_hold_event(std::size_t bytes) const;
+
     /// Removes the exchange of a request that has ended.
     void erase_exchange(std::uint64_t exchange_id);
 
@@ -119,6 +130,9 @@
     /// each short interval.
     void request_tokens();
 
+    /// Returns whether there is memory for `bytes` more.
+    [[nodiscard]] bool has_memory_for(std::size_t bytes) const;
+
     traffic_state_dependencies dependencies;
     traffic_settings settings;
     std::shared_ptr<const domain::route_table> routes;
--- a/libraries/drivers/exchange/upstream_attempt.cpp
+++ b/libraries/drivers/exchange/upstream_attempt.cpp
@@ -46,6 +46,7 @@
     , m_route(route.name)
     , m_is_stream(route.kind == domain::request_kind::streaming)
     , m_sent_at(sent_at)
+    , m_memory(state.dependencies.memory, memory_kind::responses)
 {
 }
 
@@ -162,6 +163,7 @@
     {
         record_notices(head);
     }
+    owner->release_body(classification.is_not_executed);
     const bool is_stream =
         owner->m_context.route->kind == domain::request_kind::streaming;
     if (classification.is_not_executed)
@@ -250,6 +252,7 @@
 void upstream_attempt::buffer_part(exchange& owner, std::string&& part)
 {
     m_buffered_body += part;
+    count_held_bytes(m_buffered_body.size());
     if (m_buffered_body.size() > m_state.settings.max_buffered_bytes)
     {
         // A truncated body must not look complete.
@@ -259,6 +262,11 @@
     m_call->read_more();
 }
 
+void upstream_attempt::count_held_bytes(std::size_t bytes)
+{
+    m_memory.resize(static_cast<std::int64_t>(bytes));
+}
+
 void upstream_attempt::abandon(exchange& owner, std::string_view result)
 {
     m_is_finished = true;
@@ -271,11 +279,13 @@
 void upstream_attempt::buffer_or_relay_part(exchange& owner, std::string&& part)
 {
     m_buffered_body += part;
-    if (m_buffered_body.size() < m_state.settings.max_buffered_bytes)
+    count_held_bytes(m_buffered_body.size());
+    if (m_state.may_buffer_response(m_buffered_body.size()))
     {
         m_call->read_more();
         return;
     }
+    count_held_bytes(0);
     m_body_handler = &relaying_handler;
     owner.on_body_part(*m_head, std::exchange(m_buffered_body, std::string()));
 }
@@ -294,7 +304,8 @@
         abandon(owner, "events_missing");
         return;
     }
-    if (owner.m_events.partial_size() > m_state.settings.max_buffered_bytes)
+    count_held_bytes(owner.m_events.partial_size());
+    if (!m_state.may_hold_event(owner.m_events.partial_size()))
     {
         abandon(owner, "event_too_long");
         return;
--- a/libraries/drivers/exchange/upstream_attempt.hpp
+++ b/libraries/drivers/exchange/upstream_attempt.hpp
@@ -65,6 +65,7 @@
 
     void discard_part(exchange& owner, std::string&& part);
     void buffer_part(exchange& owner, std::string&& part);
+    void count_held_bytes(std::size_t bytes);
     void buffer_or_relay_part(exchange& owner, std::string&& part);
     void relay_part(exchange& owner, std::string&& part);
     void relay_events(exchange& owner, std::string&& part);
@@ -130,6 +131,8 @@
     /// Bytes of the body of a response that did not run the request.
     std::size_t m_discarded_bytes = 0;
     std::string m_buffered_body;
+    /// The memory of the buffered body, or of the incomplete event.
+    memory_reservation m_memory;
     /// When the first output arrived.
     std::optional<ports::steady_time> m_output_since;
     /// Whether a part of a stream's body has arrived.
--- a/libraries/ports/caller_channel.hpp
+++ b/libraries/ports/caller_channel.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "libraries/core/memory_budget.hpp"
 #include "libraries/ports/clock.hpp"
 #include "libraries/ports/http_message.hpp"
 
@@ -66,13 +67,28 @@
            value == close_reason::caller_reset;
 }
 
-/// A request that was received completely.
+/// Why the body of a request was not received.
+enum class body_refusal : std::uint8_t
+{
+    /// It was received.
+    none,
+    /// The memory for it did not become free in time.
+    no_memory_now,
+    /// It is larger than all the memory for bodies.
+    exceeds_memory,
+};
+
+/// A request that was received completely, or whose body is refused.
 struct received_request
 {
     request_head head;
     std::string body;
     /// The time at which its first bytes were read.
     steady_time arrived_at;
+    /// The memory of the body.
+    memory_reservation memory = {};
+    /// If not `none`, `body` is empty and the handler must refuse the request.
+    body_refusal refusal = body_refusal::none;
 };
 
 /// Sends the response to one request to its caller. Each request gets exactly
--- a/libraries/ports/upstream_transport.hpp
+++ b/libraries/ports/upstream_transport.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "libraries/ports/http_message.hpp"
+#include "libraries/ports/request_body.hpp"
 
 #include <chrono>
 #include <cstdint>
@@ -51,8 +52,13 @@
 {
     /// Dotted IPv4 address and port, such as `10.0.0.1:8080`.
     std::string address;
-    /// The complete request, head and body, as written to the connection.
+    /// The request as written to the connection, without `body`.
     std::string bytes;
+    /// Written after `bytes`; null if there is nothing more to write. Released
+    /// once it is sent.
+    std::shared_ptr<const request_body> body = nullptr;
+    /// The memory of `bytes`; released with them.
+    memory_reservation memory = {};
     /// Name and value of a header field that the upstream echoes in its
     /// response. A response that has this field with another value belongs to
     /// another request and is dropped. One without this field is accepted only
--- a/services/entry/entry_process.cpp
+++ b/services/entry/entry_process.cpp
@@ -29,6 +29,7 @@
 constexpr std::chrono::milliseconds peer_timeout{1'000};
 constexpr std::size_t max_configuration_bytes = 8 << 20;
 constexpr std::size_t max_internal_connections = 200;
+constexpr std::size_t max_internal_body_bytes = 16 << 10;
 constexpr int status_ok = 200;
 
 std::string make_incarnation(const std::string& vm,
@@ -60,11 +61,12 @@
     , m_log(m_clock, m_settings.min_log_level, m_settings.format, m_settings.vm,
             STDOUT_FILENO)
     , m_metrics(m_registry)
+    , m_memory(m_settings.traffic_memory_bytes)
     , m_platform_store(m_control_pool, m_control_timers, m_clock,
                        m_settings.store_address)
     , m_store(m_platform_store, m_registry)
     , m_dispatcher({m_clock, m_traffic_timers, m_traffic_pool, m_random,
-                    m_dialect, m_log, m_metrics, m_digest},
+                    m_dialect, m_log, m_metrics, m_digest, &m_memory},
                    m_settings.traffic)
     , m_control({m_store, m_control_timers, m_clock, m_peers, m_link, m_log,
                  [this](const std::string& address,
@@ -75,8 +77,9 @@
                  m_settings.data_centre, m_settings.peer_address,
                  m_settings.caller_address},
                 m_settings.rollouts)
-    , m_caller_server(m_traffic_loop, m_clock, m_dispatcher,
-                      {m_settings.caller_address, m_settings.max_connections})
+    , m_caller_server(
+          m_traffic_loop, m_clock, m_dispatcher,
+          {m_settings.caller_address, m_settings.max_connections, &m_memory})
     , m_directory_handler({[this] { return m_control.is_ready(); },
                            [this](const std::string& data_centre)
                            { return m_control.list_entries(data_centre); }})
@@ -93,6 +96,13 @@
     , m_signals(m_control_loop, SIGTERM, SIGINT, SIGHUP)
 {
     m_link.connect(m_dispatcher, m_caller_server);
+    domain::caller_limits internal_limits;
+    internal_limits.body_bytes = max_internal_body_bytes;
+    for (adapters::caller_server* server :
+         {&m_readiness_server, &m_directory_server, &m_internal_server})
+    {
+        server->set_limits(internal_limits);
+    }
     m_dispatcher.set_token_demand_handler(
         [this] {
             asio::post(m_control_loop,
--- a/services/entry/entry_process.hpp
+++ b/services/entry/entry_process.hpp
@@ -82,6 +82,9 @@
     drivers::traffic_metrics m_metrics;
     platform::platform_dialect m_dialect;
 
+    /// Used on the traffic thread only, once that runs.
+    memory_budget m_memory;
+
     adapters::asio::io_context m_control_loop{1};
     adapters::asio::io_context m_traffic_loop{1};
     adapters::asio_timer_queue m_control_timers{m_control_loop};
--- a/services/entry/entry_settings.cpp
+++ b/services/entry/entry_settings.cpp
@@ -40,6 +40,28 @@
     return rollouts;
 }
 
+/// Returns the part of the process's memory that the traffic may hold. The rest
+/// is for the program, the state of the fleet and what the allocator cannot
+/// use.
+std::int64_t compute_traffic_memory(std::int64_t memory_bytes)
+{
+    constexpr std::int64_t base_bytes = 40 << 20;
+    constexpr std::int64_t min_divisor = 8;
+    return std::max((memory_bytes - base_bytes) / 4 * 3,
+                    memory_bytes / min_divisor);
+}
+
+/// Returns how many callers' connections the process may have, by its
+/// descriptors and so that half of the traffic's memory is left for messages.
+std::size_t compute_max_connections(std::size_t descriptors,
+                                    std::int64_t traffic_memory_bytes)
+{
+    constexpr std::int64_t connection_bytes = 16 << 10;
+    return std::min(
+        (descriptors - reserved_descriptors) / 2,
+        static_cast<std::size_t>(traffic_memory_bytes / 2 / connection_bytes));
+}
+
 std::chrono::milliseconds read_stop_timeout(const json& settings,
                                             std::chrono::milliseconds fallback)
 {
@@ -75,6 +97,11 @@
             "stop_ms": {"type": "integer", "minimum": 0},
             "stop_s": {"type": "number", "minimum": 0},
             "descriptors": {"type": "integer", "minimum": 400},
+            "memory_mb": {
+                "type": "integer",
+                "minimum": 32,
+                "maximum": 1048576
+            },
             "retries": {
                 "type": "object",
                 "properties": {
@@ -124,7 +151,13 @@
     constexpr std::size_t default_descriptors = 2'000;
     const std::size_t descriptors =
         settings.value("descriptors", default_descriptors);
-    parsed.max_connections = (descriptors - reserved_descriptors) / 2;
+    constexpr std::int64_t bytes_per_mb = 1'000'000;
+    constexpr std::int64_t default_memory_mb = 256;
+    parsed.memory_bytes =
+        settings.value("memory_mb", default_memory_mb) * bytes_per_mb;
+    parsed.traffic_memory_bytes = compute_traffic_memory(parsed.memory_bytes);
+    parsed.max_connections =
+        compute_max_connections(descriptors, parsed.traffic_memory_bytes);
     const json log = settings.value("log", json::object());
     parsed.min_log_level =
         adapters::parse_log_level(log.value("level", std::string("info")));
--- a/services/entry/entry_settings.hpp
+++ b/services/entry/entry_settings.hpp
@@ -8,6 +8,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <string>
 
 namespace turmeric::entry
@@ -27,6 +28,10 @@
     std::string store_address;
     /// The time limit of a graceful stop.
     std::chrono::milliseconds stop_timeout{8'000};
+    /// The memory limit of the process, in bytes.
+    std::int64_t memory_bytes = 256'000'000;
+    /// The part of it that the traffic may hold, in bytes.
+    std::int64_t traffic_memory_bytes = 0;
     /// The maximum number of callers' connections.
     std::size_t max_connections = 1'000;
     log_level min_log_level = log_level::info;
--- a/services/entry/main.cpp
+++ b/services/entry/main.cpp
@@ -5,6 +5,7 @@
 
 #include <csignal>
 #include <fmt/format.h>
+#include <malloc.h>
 #include <optional>
 #include <variant>
 
@@ -32,6 +33,10 @@
     // file's size, must not end the process.
     std::signal(SIGPIPE, SIG_IGN);
     std::signal(SIGXFSZ, SIG_IGN);
+    // Large bodies get memory of their own, which returns to the system with
+    // them. By default the allocator keeps it once one of them was released.
+    constexpr int min_separate_bytes = 128 << 10;
+    ::mallopt(M_MMAP_THRESHOLD, min_separate_bytes);
     const std::variant<daemon_options, exit_code> options =
         read_options(argc, argv);
     if (const exit_code* code = std::get_if<exit_code>(&options))
--- a/tests/asio/upstream_connection_pool_test.cpp
+++ b/tests/asio/upstream_connection_pool_test.cpp
@@ -105,6 +105,27 @@
     LONGS_EQUAL(2, upstream.connections);
 }
 
+TEST(upstream_connection_pool_group, sends_the_body_and_releases_it)
+{
+    memory_budget memory(4 << 20);
+    upstream.responses = {"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"};
+    ports::request_body held{"body", {&memory, memory_kind::requests}};
+    held.memory.resize(4);
+    ports::outgoing_call call;
+    call.address = upstream.address();
+    call.bytes = "POST / HTTP/1.1\r\nContent-Length: 4\r\n\r\n";
+    call.body = std::make_shared<const ports::request_body>(std::move(held));
+    call.memory = memory_reservation(&memory, memory_kind::calls);
+    call.memory.resize(40);
+    const auto listener = std::make_shared<recording_listener>();
+    listener->call = pool.start(std::move(call), listener);
+    CHECK(run_until(loop, [&] { return listener->is_finished; }));
+    CHECK(run_until(loop, [&]
+                    { return upstream.received.ends_with("\r\n\r\nbody"); }));
+    CHECK(run_until(loop, [&] { return memory.used() == 0; }));
+    listener->call.reset();
+}
+
 TEST(upstream_connection_pool_group, skips_the_response_to_another_request)
 {
     upstream.responses = {make_response("0", "foreign") +
--- a/tests/exchange/exchange_fixture.hpp
+++ b/tests/exchange/exchange_fixture.hpp
@@ -91,7 +91,9 @@
 
     bool has_sent(const std::string& text) const
     {
-        return sent.bytes.find(text) != std::string::npos;
+        const std::string body =
+            sent.body == nullptr ? std::string() : sent.body->bytes;
+        return (sent.bytes + body).find(text) != std::string::npos;
     }
 
     /// Releases the listener, as the end of a connection does.
@@ -234,6 +236,8 @@
 class exchange_fixture
 {
 public:
+    static constexpr std::int64_t memory_limit = 64 << 20;
+
     exchange_fixture()
     {
         dispatcher.set_routes(
@@ -303,7 +307,8 @@
     /// field, `INPUT,OUTPUT`; the field is left out if it is empty.
     std::shared_ptr<recorded_response>
     send_request(const std::string& route, const std::string& tokens = "",
-                 ports::header_fields extra_fields = {})
+                 ports::header_fields extra_fields = {},
+                 std::string body = "body")
     {
         ports::received_request request;
         request.head = {"POST", "/" + route + "/x", std::move(extra_fields)};
@@ -314,7 +319,9 @@
         {
             request.head.fields.push_back({"X-Token-Count", tokens});
         }
-        request.body = "body";
+        request.memory = memory_reservation(&memory, memory_kind::requests);
+        request.memory.resize(static_cast<std::int64_t>(body.size()));
+        request.body = std::move(body);
         request.arrived_at = clock.steady_now();
         const std::shared_ptr<recorded_response> response =
             std::make_shared<recorded_response>();
@@ -332,6 +339,7 @@
         return transport.calls.size();
     }
 
+    memory_budget memory{memory_limit};
     fakes::manual_clock clock;
     manual_timer_queue timers{clock};
     fake_upstream_transport transport;
@@ -342,9 +350,10 @@
     metrics::registry registry;
     drivers::traffic_metrics metrics{registry};
     drivers::traffic_settings settings{"east", {1.0, 100}};
-    drivers::traffic_dispatcher dispatcher{
-        {clock, timers, transport, random, dialect, log, metrics, digest},
-        settings};
+    drivers::traffic_dispatcher dispatcher{{clock, timers, transport, random,
+                                            dialect, log, metrics, digest,
+                                            &memory},
+                                           settings};
     std::shared_ptr<ports::exchange_in_flight> in_flight;
 };
 
--- a/tests/platform/dialect_test.cpp
+++ b/tests/platform/dialect_test.cpp
@@ -31,8 +31,9 @@
 
     bool request_contains(const std::string& text)
     {
-        return dialect.write_request(request, metadata).find(text) !=
-               std::string::npos;
+        return dialect
+                   .write_request(request.head, request.body.size(), metadata)
+                   .find(text) != std::string::npos;
     }
 };
 
@@ -133,7 +134,8 @@
     LONGS_EQUAL(0, dialect.read_request(request.head).value().timeout->count());
 }
 
-TEST(platform_dialect_group, upstream_requests_carry_the_body_and_the_metadata)
+TEST(platform_dialect_group,
+     upstream_requests_carry_the_length_and_the_metadata)
 {
     CHECK(request_contains("POST /ask/1?q=2 HTTP/1.1\r\n"));
     CHECK(request_contains("X-Request-Id: r-1\r\n"));
@@ -141,7 +143,9 @@
     CHECK(request_contains("X-Request-Deadline: 90\r\n"));
     CHECK(request_contains("X-Expect-Instance: i-1\r\n"));
     CHECK(request_contains("X-Tenant: acme\r\n"));
-    CHECK(request_contains("Content-Length: 4\r\n\r\nbody"));
+    const std::string head =
+        dialect.write_request(request.head, request.body.size(), metadata);
+    CHECK(head.ends_with("\r\nContent-Length: 4\r\n\r\n"));
     CHECK_FALSE(request_contains("secret"));
     CHECK_FALSE(request_contains("1500"));
     CHECK_FALSE(request_contains("Last-Event-Id"));
@@ -171,15 +175,17 @@
     request.head.fields.push_back({"X-Hold", "forged"});
     request.head.fields.push_back({"Connection", "close"});
     const std::string bytes = dialect.write_forwarded_request(
-        request, {"10.1.0.1:9000", std::chrono::milliseconds(90), 2, 12});
+        request.head, request.body.size(),
+        {"10.1.0.1:9000", std::chrono::milliseconds(90), 2, 12});
     for (const char* line :
          {"POST /ask/1?q=2 HTTP/1.1\r\n", "X-Request-Id: r-1\r\n",
           "X-Token-Count: 1460,80\r\n", "X-Request-Deadline: 90\r\n",
           "Authorization: Bearer secret\r\n", "X-Forwarded-By-Router: 2\r\n",
-          "Last-Event-Id: 12\r\n", "Content-Length: 4\r\n\r\nbody"})
+          "Last-Event-Id: 12\r\n", "Content-Length: 4\r\n\r\n"})
     {
         CHECK(bytes.find(line) != std::string::npos);
     }
+    CHECK(bytes.ends_with("\r\nContent-Length: 4\r\n\r\n"));
     CHECK(bytes.find("forged") == std::string::npos);
     CHECK(bytes.find("close") == std::string::npos);
     CHECK(bytes.find("1500") == std::string::npos);
--- a/tests/processes/entry_fleet.py
+++ b/tests/processes/entry_fleet.py
@@ -60,10 +60,10 @@
     def restore_copy(self):
         fleet.call(self.address, 'POST', '/copy/restore', {})
 
-    def register(self, upstream, service, address, state='ready'):
+    def register(self, upstream, service, address, state='ready', slots=8):
         self.put(f'servers/{upstream}', {
             'Service': service, 'Address': address, 'Zone': 'east',
-            'Version': 'v1', 'Slots': 8, 'State': state, 'ColdLeftMs': 0,
+            'Version': 'v1', 'Slots': slots, 'State': state, 'ColdLeftMs': 0,
             'SeqNo': 1})
 
 
@@ -71,7 +71,7 @@
     """One entry process; its log goes to a file, or to `output`."""
 
     def __init__(self, folder, name, store_address, output=None,
-                 binaries=fleet.BINARIES):
+                 binaries=fleet.BINARIES, memory_mb=256):
         ports = {kind: f'127.0.0.1:{free_port()}' for kind in
                  ('callers', 'readiness', 'directory', 'peers')}
         self.callers = ports['callers']
@@ -82,6 +82,7 @@
         self.settings.write_text(json.dumps({
             'vm': name, 'data_centre': 'east', 'listen': ports,
             'store': store_address, 'stop_ms': 4000,
+            'memory_mb': memory_mb,
             'log': {'level': 'debug'}}))
         self.log = folder / f'{name}.log'
         self._output = open(self.log, 'w', encoding='utf-8')
--- a/tests/simulation/simulated_peers.cpp
+++ b/tests/simulation/simulated_peers.cpp
@@ -15,8 +15,9 @@
 constexpr std::chrono::milliseconds one_way{1};
 
 /// Parses a request that a router has written.
-ports::received_request parse_request(const std::string& bytes)
+ports::received_request parse_request(const ports::outgoing_call& call)
 {
+    const std::string& bytes = call.bytes;
     ports::received_request request;
     const std::size_t head_end = bytes.find("\r\n\r\n");
     std::istringstream head(bytes.substr(0, head_end));
@@ -32,7 +33,7 @@
         request.head.fields.push_back(
             {line.substr(0, colon), line.substr(colon + 2, end - colon - 2)});
     }
-    request.body = bytes.substr(head_end + 4);
+    request.body = call.body == nullptr ? std::string() : call.body->bytes;
     return request;
 }
 
@@ -51,14 +52,14 @@
     {
     }
 
-    void accept(ports::request_handler& handler, const std::string& bytes,
-                ports::steady_time now)
+    void accept(ports::request_handler& handler,
+                const ports::outgoing_call& call, ports::steady_time now)
     {
         if (m_listener == nullptr)
         {
             return;
         }
-        ports::received_request request = parse_request(bytes);
+        ports::received_request request = parse_request(call);
         request.arrived_at = now;
         m_in_flight = handler.accept(std::move(request), shared_from_this());
     }
@@ -206,7 +207,7 @@
                 connection->fail(ports::transport_failure::not_connected);
                 return;
             }
-            connection->accept(*handler, call.bytes, m_clock.steady_now());
+            connection->accept(*handler, call, m_clock.steady_now());
         });
     return connection;
 }
--- a/tests/simulation/simulated_upstreams.cpp
+++ b/tests/simulation/simulated_upstreams.cpp
@@ -282,7 +282,8 @@
     const bool is_plain = parts.empty();
     const bool is_crashing =
         is_plain
-            ? call->sent.bytes.ends_with(std::string("\n") + crashing_body)
+            ? call->sent.body != nullptr &&
+                  call->sent.body->bytes == crashing_body
             : parts.find(std::string(crashing_part) + ":") != std::string::npos;
     const std::string request_line =
         call->sent.bytes.substr(0, call->sent.bytes.find('\r'));
