--- a/libraries/drivers/exchange/peer_attempt.hpp
+++ b/libraries/drivers/exchange/peer_attempt.hpp
@@ -53,6 +53,7 @@
     static const body_handler event_handler;
 
     void buffer_part(exchange& owner, std::string&& part);
+    void count_held_bytes(std::size_t bytes);
     void buffer_or_relay_part(exchange& owner, std::string&& part);
     void relay_part(exchange& owner, std::string&& part);
     void relay_events(exchange& owner, std::string&& part);
@@ -77,6 +78,8 @@
     std::string m_buffered_body;
     /// Whether an event of the response has been passed on.
     bool m_has_event = false;
+    /// The memory of the buffered body, or of the incomplete event.
+    memory_reservation m_memory;
     bool m_is_finished = false;
 };
 
