Asio: Take no memory for the length that a request announces

What callers saw: nothing was reported. With a configuration that allows bodies of any size, a request that announced 10^18 bytes ended the process, and with it all requests of the router; with ordinary limits, each announced body took its address space before a byte of it had come.

Evidence: the review's test, which is this one but for its end, ended by std::bad_alloc on the code before.

Why the fix works: the body takes memory for received bytes only, unless the process has a memory budget; then what the budget has granted is reserved.

--- a/libraries/adapters/asio/caller_connection.hpp
+++ b/libraries/adapters/asio/caller_connection.hpp
@@ -2,6 +2,7 @@
 
 #include "libraries/adapters/asio/asio.hpp"
 #include "libraries/adapters/asio/caller_server.hpp"
+#include "libraries/adapters/asio/growing_body.hpp"
 #include "libraries/adapters/asio/http_serialization.hpp"
 #include "libraries/adapters/asio/one_shot_timer.hpp"
 #include "libraries/adapters/asio/read_buffer.hpp"
@@ -41,8 +42,7 @@
 private:
     friend class connection_channel;
 
-    using request_parser =
-        boost::beast::http::request_parser<boost::beast::http::string_body>;
+    using request_parser = boost::beast::http::request_parser<growing_body>;
 
     void read_more();
     void on_read(const boost::system::error_code& error_code,
--- a/libraries/adapters/asio/caller_connection_memory.cpp
+++ b/libraries/adapters/asio/caller_connection_memory.cpp
@@ -46,10 +46,7 @@
     {
         return false;
     }
-    if (m_parser->chunked())
-    {
-        m_parser->get().body().reserve(static_cast<std::size_t>(needed));
-    }
+    m_parser->get().body().reserve(static_cast<std::size_t>(needed));
     return true;
 }
 
--- a/libraries/adapters/asio/http_serialization.cpp
+++ b/libraries/adapters/asio/http_serialization.cpp
@@ -23,10 +23,10 @@
 
 } // namespace
 
-ports::request_head head_of(const http::request<http::string_body>& message)
+ports::request_head head_of(const http::request_header<>& message)
 {
     return {std::string(message.method_string()), std::string(message.target()),
-            header_fields_of(message.base())};
+            header_fields_of(message)};
 }
 
 ports::response_head head_of(const http::response_header<>& message)
--- a/libraries/adapters/asio/http_serialization.hpp
+++ b/libraries/adapters/asio/http_serialization.hpp
@@ -16,8 +16,7 @@
 
 /// Returns the head of a parsed request. Thread safe.
 [[nodiscard]] ports::request_head
-head_of(const boost::beast::http::request<boost::beast::http::string_body>&
-            message);
+head_of(const boost::beast::http::request_header<>& message);
 
 /// Returns the head of a parsed response. Thread safe.
 [[nodiscard]] ports::response_head
--- a/tests/endless_bytes/endless_request_test.cpp
+++ b/tests/endless_bytes/endless_request_test.cpp
@@ -1,6 +1,7 @@
 #include "tests/asio/loopback.hpp"
 
 #include <CppUTest/TestHarness.h>
+#include <limits>
 
 using namespace turmeric;
 using namespace turmeric::tests;
@@ -218,6 +219,26 @@
     expect_sound_response();
 }
 
+// Guards against a caller that ends the process by the length that it
+// announces.
+TEST(endless_request_group, a_body_of_a_huge_length_takes_no_memory)
+{
+    domain::caller_limits limits;
+    limits.body_bytes = std::numeric_limits<std::size_t>::max();
+    server.set_limits(limits);
+    endless_caller& caller =
+        start_caller("POST / HTTP/1.1\r\n"
+                     "Content-Length: 1000000000000000000\r\n\r\n",
+                     std::string(endless_block_bytes, 'x'));
+    CHECK(run_until(loop,
+                    [&] { return caller.sent >= 16 * endless_block_bytes; }));
+    CHECK_FALSE(caller.is_closed);
+    caller.close();
+    CHECK(run_until(loop, [&] { return caller.is_closed; }));
+    CHECK(run_until(loop, [&] { return server.open_connections() == 0; }));
+    expect_sound_response();
+}
+
 TEST(endless_request_group, bytes_after_an_unanswered_request_have_to_wait)
 {
     endless_caller& caller = start_caller(
