Asio: Count the close after a last response as outside of requests

What operators saw: turmeric_entry_connection_closes_total counted connections that closed soundly after their last response, as all do while a router stops, as closed within a request, which is the look of a lost request.

Cause: a connection that is about to close stays in the state of handling a request, so that it reads no further one.

Evidence: a_close_after_the_last_response_is_within_no_request failed on the code before (one close within a request), and passes.

--- a/libraries/adapters/asio/caller_connection.cpp
+++ b/libraries/adapters/asio/caller_connection.cpp
@@ -44,7 +44,8 @@
 
 bool caller_connection::is_in_request() const
 {
-    return m_is_handling_request || (m_parser && m_parser->got_some());
+    return !m_is_last_response_written &&
+           (m_is_handling_request || (m_parser && m_parser->got_some()));
 }
 
 bool caller_connection::has_unwritten_bytes() const
@@ -246,6 +247,7 @@
     m_is_response_ended = false;
     if (!m_is_keep_alive)
     {
+        m_is_last_response_written = true;
         boost::system::error_code ignored;
         m_socket.shutdown(tcp::socket::shutdown_send, ignored);
         set_timer(linger_timeout, ports::close_reason::linger_ended);
--- a/libraries/adapters/asio/caller_connection.hpp
+++ b/libraries/adapters/asio/caller_connection.hpp
@@ -140,6 +140,9 @@
     /// Whether a request was refused because it was malformed, too large or too
     /// slow. All bytes that follow are discarded.
     bool m_is_refused = false;
+    /// Whether a response was written completely after which the connection
+    /// closes.
+    bool m_is_last_response_written = false;
     bool m_is_waiting_for_memory = false;
     memory_reservation m_connection_memory;
     memory_reservation m_body_memory;
--- a/tests/requests_beside_configuration_changes/idle_limit_test.cpp
+++ b/tests/requests_beside_configuration_changes/idle_limit_test.cpp
@@ -181,6 +181,20 @@
           std::vector<ports::close_reason>{ports::close_reason::caller_closed});
 }
 
+// Guards against a sound close that looks like the loss of a request.
+TEST(idle_limit_group, a_close_after_the_last_response_is_within_no_request)
+{
+    set_limits(long_limit);
+    connect();
+    ports::caller_channel& channel = request();
+    server.disable_keep_alive();
+    respond(channel);
+    caller.close();
+    CHECK(run_until(loop, [this] { return server.open_connections() == 0; }));
+    CHECK(closes[true].empty());
+    LONGS_EQUAL(1, closes[false].size());
+}
+
 // Guards against a request that the configuration in force allows and that is
 // refused by the limits of an earlier one.
 TEST(idle_limit_group, a_waiting_connection_takes_the_sizes_of_new_limits)
