Platform: Reject limits of a configuration that are out of range

What callers saw: nothing was reported. A configuration whose idle limit was 0 or beyond the clock's range closed all idle connections at once, a header size of 2^32 refused every request, and a negative size was none at all.

Cause: sizes and times were cast without a check.

The tests are new; that the code before accepted such values was read, not run.

--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -132,6 +132,37 @@
     CHECK_FALSE(read_configuration("[]").has_value());
 }
 
+// Guards against limits that end connections or the process at once.
+TEST(platform_documents_group, limits_out_of_range_are_rejected_by_name)
+{
+    for (const char* name :
+         {"MaxHeaderBytes", "MaxBodyBytes", "HeaderTimeoutMs", "IdleTimeoutMs"})
+    {
+        for (const char* value : {"0", "-1", "4294967296", "9007199254740991"})
+        {
+            const result<domain::route_declarations> read =
+                read_configuration(R"({"Version":1,"Limits":{")" +
+                                   std::string(name) + "\":" + value + "}}");
+            CHECK_FALSE_TEXT(read.has_value(), name);
+            STRCMP_EQUAL(("Limits." + std::string(name)).c_str(),
+                         read.failure().field.c_str());
+        }
+    }
+}
+
+TEST(platform_documents_group, a_timeout_out_of_range_is_rejected_by_name)
+{
+    for (const char* value : {"0", "-1", "9007199254740991"})
+    {
+        const result<domain::route_declarations> read = read_configuration(
+            R"({"Version":1,"Routes":[{"Name":"r","Host":"h","Prefix":"/a/",)"
+            R"("Kind":"safe","Service":"m","TimeoutMs":)" +
+            std::string(value) + "}]}");
+        CHECK_FALSE_TEXT(read.has_value(), value);
+        STRCMP_EQUAL("Routes[0].TimeoutMs", read.failure().field.c_str());
+    }
+}
+
 TEST(platform_documents_group, malformed_upstream_entries_are_rejected)
 {
     const std::string valid =
