Codecs: Refuse documents of too many values before they are kept

The store's client, the registry of members and the store of blocked parts parsed by the library, without the check of depth that other texts had, and no text had a limit of values.

Batches between routers, replies of the key-value service and the VM list may be larger than a stored value, and have limits of the same kind by their own sizes.

--- a/libraries/adapters/etcd/etcd_gateway_client.cpp
+++ b/libraries/adapters/etcd/etcd_gateway_client.cpp
@@ -19,6 +19,8 @@
 
 constexpr int http_ok = 200;
 constexpr std::size_t max_reply_bytes = 16 << 20;
+constexpr codecs::document_limits reply_limits =
+    codecs::json_limits_for(max_reply_bytes);
 
 const httplib::Headers& call_headers()
 {
@@ -174,8 +176,9 @@
             mapped_error.code == result_code::platform_unavailable;
         return attempt{mapped_error, may_try_next_endpoint};
     }
-    result<json> parsed = codecs::parse_json(
-        received.text(), result_code::platform_unavailable, "reply");
+    result<json> parsed =
+        codecs::parse_json(received.text(), result_code::platform_unavailable,
+                           "reply", reply_limits);
     if (!parsed || !parsed.value().is_object())
     {
         return attempt{lost_reply_error(kind, false), false};
--- a/libraries/adapters/etcd/etcd_watch_reader.cpp
+++ b/libraries/adapters/etcd/etcd_watch_reader.cpp
@@ -15,6 +15,8 @@
 
 /// Size limit for a line of the stream, which has one or more events.
 constexpr std::size_t max_line_bytes = 16 << 20;
+constexpr codecs::document_limits line_limits =
+    codecs::json_limits_for(max_line_bytes);
 
 } // namespace
 
@@ -51,8 +53,8 @@
 
 bool etcd_watch_reader::consume_line(const std::string& line)
 {
-    result<json> parsed =
-        codecs::parse_json(line, result_code::platform_unavailable, "watch");
+    result<json> parsed = codecs::parse_json(
+        line, result_code::platform_unavailable, "watch", line_limits);
     if (!parsed || !parsed.value().contains("result"))
     {
         m_is_unreadable = true;
--- a/libraries/adapters/vm_list/http_vm_list.cpp
+++ b/libraries/adapters/vm_list/http_vm_list.cpp
@@ -16,6 +16,8 @@
 
 constexpr int http_ok = 200;
 constexpr std::size_t max_list_bytes = 8 << 20;
+constexpr codecs::document_limits list_limits =
+    codecs::json_limits_for(max_list_bytes);
 
 error corrupt_value_error(std::string field, std::string detail)
 {
@@ -73,8 +75,8 @@
 
 result<std::vector<ports::vm_entry>> parse_vm_list(const std::string& text)
 {
-    result<json> document =
-        codecs::parse_json(text, result_code::corrupt_value, "vms");
+    result<json> document = codecs::parse_json(text, result_code::corrupt_value,
+                                               "vms", list_limits);
     if (!document)
     {
         return document.failure();
--- a/libraries/codecs/budget/batch_codec.cpp
+++ b/libraries/codecs/budget/batch_codec.cpp
@@ -18,6 +18,11 @@
 using domain::router_batch;
 using domain::tokens;
 
+/// Batches are not kept by the store, but may be as large as a message between
+/// routers.
+constexpr std::size_t max_message_bytes = 2 << 20;
+constexpr document_limits message_limits = json_limits_for(max_message_bytes);
+
 error unreadable_message(const char* field)
 {
     return error{result_code::peer_protocol, field,
@@ -168,7 +173,8 @@
 
 result<forwarded_batch> decode_batch(std::string_view text)
 {
-    result<json> parsed = parse_json(text, result_code::peer_protocol, "batch");
+    result<json> parsed =
+        parse_json(text, result_code::peer_protocol, "batch", message_limits);
     if (!parsed)
     {
         return parsed.failure();
@@ -226,7 +232,8 @@
 {
     constexpr unsigned last_state =
         static_cast<unsigned>(domain::batch_state::full);
-    result<json> parsed = parse_json(text, result_code::peer_protocol, "reply");
+    result<json> parsed =
+        parse_json(text, result_code::peer_protocol, "reply", message_limits);
     if (!parsed)
     {
         return parsed.failure();
--- a/libraries/drivers/fleet/blocked_part_store.cpp
+++ b/libraries/drivers/fleet/blocked_part_store.cpp
@@ -1,5 +1,6 @@
 #include "libraries/drivers/fleet/blocked_part_store.hpp"
 
+#include "libraries/codecs/common/json_reader.hpp"
 #include "libraries/core/json.hpp"
 
 #include <algorithm>
@@ -72,8 +73,14 @@
 std::optional<std::chrono::seconds> read_age(const std::string& text,
                                              ports::system_time now)
 {
-    const json entry = json::parse(text, nullptr, false);
-    if (!entry.is_object() || !entry.contains("written_at") ||
+    const result<json> read =
+        codecs::parse_json(text, result_code::corrupt_value, "blocked part");
+    if (!read || !read.value().is_object())
+    {
+        return std::nullopt;
+    }
+    const json& entry = read.value();
+    if (!entry.contains("written_at") ||
         !entry["written_at"].is_number_integer())
     {
         return std::nullopt;
--- a/libraries/drivers/fleet/member_registry.cpp
+++ b/libraries/drivers/fleet/member_registry.cpp
@@ -1,5 +1,6 @@
 #include "libraries/drivers/fleet/member_registry.hpp"
 
+#include "libraries/codecs/common/json_reader.hpp"
 #include "libraries/core/json.hpp"
 
 #include <utility>
@@ -27,7 +28,13 @@
 std::optional<fleet_member> read_member(const std::string& incarnation,
                                         const std::string& text)
 {
-    const json parsed = json::parse(text, nullptr, false);
+    const result<json> read =
+        codecs::parse_json(text, result_code::corrupt_value, "member");
+    if (!read || !read.value().is_object())
+    {
+        return std::nullopt;
+    }
+    const json& parsed = read.value();
     fleet_member member;
     member.incarnation = incarnation;
     const std::pair<const char*, std::string*> fields[] = {
@@ -37,8 +44,7 @@
         {"caller_address", &member.caller_address}};
     for (const auto& [name, value] : fields)
     {
-        if (!parsed.is_object() || !parsed.contains(name) ||
-            !parsed[name].is_string())
+        if (!parsed.contains(name) || !parsed[name].is_string())
         {
             return std::nullopt;
         }
