Store: Ignore eras beyond all plausible ones

An era beyond 10^16 now counts as none, as other unreadable ones do. The limit leaves room for eras that are times in microseconds.

The new test failed on the code before (the era was where 4 was expected) and passes now, with the rest of the program platform.

--- a/libraries/ports/store_era.hpp
+++ b/libraries/ports/store_era.hpp
@@ -14,6 +14,10 @@
 /// the store reports no era.
 using store_era = std::int64_t;
 
+/// The largest era that is plausible. Leaves room for eras that are times in
+/// microseconds.
+inline constexpr store_era max_store_era = 10'000'000'000'000'000;
+
 /// Keeps the latest era that is known of a store, and announces each new one.
 /// Not thread safe.
 class store_era_tracker
@@ -37,11 +41,12 @@
     }
 
     /// Records an era that a response or a peer has named; 0 if it named none.
+    /// An era beyond `max_store_era` counts as none.
     /// Returns false if the era is over: a response of that era tells nothing
     /// of the present store.
     bool observe(store_era era)
     {
-        if (era == 0 || era == m_current)
+        if (era == 0 || era == m_current || era > max_store_era)
         {
             return true;
         }
--- a/tests/platform/store_test.cpp
+++ b/tests/platform/store_test.cpp
@@ -93,6 +93,23 @@
     LONGS_EQUAL(1, restored);
 }
 
+// One response with a garbled era made all later ones count as lost for good.
+TEST(platform_store_group, an_era_beyond_all_plausible_ones_is_not_recorded)
+{
+    store.eras().observe(4);
+    for (const char* era : {"9000000000000000000", "9223372036854775807"})
+    {
+        std::optional<result<std::monostate>> ended;
+        store.revoke_lease(3, [&](result<std::monostate> received)
+                           { ended = std::move(received); });
+        respond(200, "", {{"Store-Era", era}});
+        CHECK(ended->has_value());
+        LONGS_EQUAL(4, store.eras().current());
+    }
+    store.eras().observe(ports::max_store_era);
+    LONGS_EQUAL(ports::max_store_era, store.eras().current());
+}
+
 TEST(platform_store_group, a_response_of_an_era_that_is_over_counts_as_lost)
 {
     store.eras().observe(5);
