--- a/libraries/adapters/asio/caller_connection.hpp
+++ b/libraries/adapters/asio/caller_connection.hpp
@@ -58,11 +58,11 @@
     void set_timer(std::chrono::milliseconds timeout,
                    ports::close_reason reason);
     void on_timer();
-    /// Returns how long the connection may wait for the next request: what its
-    /// caller was told, or longer if the limit in force is longer.
+    /// Returns how long the connection may wait for the next request: what the
+    /// last response announced, or longer if the limit in force is longer.
     [[nodiscard]] std::chrono::milliseconds idle_timeout() const;
-    /// Returns the limit for the head of a response, and notes that the caller
-    /// is told it.
+    /// Returns the limit for the head of a response, and records it as
+    /// announced.
     [[nodiscard]] std::chrono::milliseconds announce_idle_timeout();
     /// Returns whether the first bytes of a request have been read whose
     /// response is not written completely.
--- a/libraries/adapters/asio/caller_connection_memory.cpp
+++ b/libraries/adapters/asio/caller_connection_memory.cpp
@@ -101,7 +101,7 @@
         return false;
     }
     m_is_waiting_for_memory = false;
-    // The caller's own time begins anew: it could not send meanwhile.
+    // The header timeout restarts, since the caller could not send meanwhile.
     set_timer(m_server.m_limits.header_timeout,
               ports::close_reason::header_timeout);
     parse();
--- a/libraries/adapters/asio/caller_server.hpp
+++ b/libraries/adapters/asio/caller_server.hpp
@@ -51,7 +51,7 @@
 
     /// Sets the limits for requests whose first bytes are read after this call.
     /// A connection that already waits for a request stays open at least as
-    /// long as its caller was last told, and longer if the new limit is longer.
+    /// long as its last response announced, or longer if the new limit is.
     void set_limits(const domain::caller_limits& limits);
 
     /// Closes each connection after its next response, which announces it by
--- a/tests/exchange/resumed_stream_test.cpp
+++ b/tests/exchange/resumed_stream_test.cpp
@@ -152,7 +152,7 @@
 TEST(resumed_stream_group,
      a_stream_that_broke_off_before_its_end_alone_is_not_known_to_be_complete)
 {
-    // Whether the second event was the last one cannot be told.
+    // It is unknown whether the second event was the last one.
     const auto response = break_off(begun);
     ports::header_fields fields = event_stream_fields;
     fields.push_back({"Transfer-Encoding", "chunked"});
--- a/tests/requests_beside_configuration_changes/idle_limit_test.cpp
+++ b/tests/requests_beside_configuration_changes/idle_limit_test.cpp
@@ -126,7 +126,7 @@
 };
 
 // Guards against a connection that closes under a limit shorter than the one
-// that its caller was told, so that the next request gets no response.
+// that was announced, so that the next request gets no response.
 TEST(idle_limit_group, a_limit_announced_before_a_shorter_one_is_kept)
 {
     set_limits(long_limit);
