--- a/review/lib-2/fleet.py
+++ b/review/lib-2/fleet.py
@@ -236,7 +236,7 @@
 
 class Server:
     """A plain server of one service and version. `work` returns the seconds
-    that a request takes and the status of its answer."""
+    that a request takes and the status of its answer, by its method."""
 
     def __init__(self, record, name, service, version, zone, work):
         self.record = record
@@ -293,7 +293,7 @@
         if not request:
             return write_message('HTTP/1.1 400 Bad Request',
                                  [('X-Not-Executed', '1')])
-        took, status = self.work()
+        took, status = self.work(first.split(' ')[0])
         begun = now()
         self.runs.append((begun, request, status, took))
         self.record.line(f'run {request} {first} at {self.name} '
