--- a/review/lib-2/fleet.py
+++ b/review/lib-2/fleet.py
@@ -6,6 +6,7 @@
 """
 import asyncio
 import base64
+import ctypes
 import json
 import os
 import pathlib
@@ -14,8 +15,10 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
+import traceback
 import urllib.parse
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
@@ -28,6 +31,12 @@
     return time.monotonic()
 
 
+def end_with_parent():
+    """Runs in a new process: it is killed when the script ends."""
+    death_signal = 1  # PR_SET_PDEATHSIG
+    ctypes.CDLL(None).prctl(death_signal, signal.SIGKILL)
+
+
 class Record:
     """Writes record.txt: what was sent, answered and run, by time."""
 
@@ -332,6 +341,7 @@
         self.process = subprocess.Popen(
             [str(PROGRAM), '--settings-from', 'TURMERICFRONT_NODE_FILE'],
             cwd=ROOT, stdout=open(self.log, 'ab'), stderr=subprocess.STDOUT,
+            preexec_fn=end_with_parent,
             env={'PATH': os.environ['PATH'],
                  'TURMERICFRONT_NODE_FILE': str(self.settings)})
 
@@ -431,3 +441,30 @@
             'Limits': {'MaxHeaderBytes': 16384, 'MaxBodyBytes': 4194304,
                        'HeaderTimeoutMs': 3000, 'IdleTimeoutMs': 15000},
             'Tenants': tenants}
+
+
+async def play(case, limit_s):
+    """Runs a case to its end and ends all that it started. Returns 2 if it
+    could not run, also on an error or when it is told to end."""
+    task = asyncio.ensure_future(case.run())
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+    try:
+        return await asyncio.wait_for(task, limit_s)
+    except (Exception, asyncio.CancelledError):
+        traceback.print_exc()
+        return 2
+    finally:
+        case.fleet.close()
+        case.record.close()
+
+
+def run_case(case_class, limit_s=110):
+    """Runs a case and ends this process with its result."""
+    async def run():
+        code = await play(case_class(), limit_s)
+        sys.stdout.flush()
+        sys.stderr.flush()
+        # Channels of the stand-ins may still be open.
+        os._exit(code)
+    asyncio.run(run())
