Asio: Refuse responses whose status is none

Callers saw: an upstream's answer with the status 000 reached the caller of turmeric_entry as "HTTP/1.1 0 Status", with the upstream's signature; so did 001, 099, 600 and 999, before and after interim answers, with and without a length. With the field X-Not-Executed, it was even taken as a promise, and the caller got a 503 "not run".

Cause: the parser accepts any three digits as a status, and nothing asked what they mean. By RFC 9110, 15, a status outside 100 to 599 is invalid. A status that is no 2xx and promises nothing was passed on as the upstream's failure.

The check stands where the connection hands over a head, so it holds for upstreams, peers, the store and probes, on new and kept connections, after interim responses and in responses that are skipped. Such a response is unreadable: 502, or another upstream if the request may be repeated, a failure in the upstream's record, a closed connection. Events 410 and 501 name the cause; a peer's broken response is now logged as 410 too.

Names of fields with a blank, a control byte or any other byte that no name can have did not reach callers here: Beast's parser refuses them in heads, interim heads and trailers.

--- a/libraries/adapters/asio/upstream_connection.cpp
+++ b/libraries/adapters/asio/upstream_connection.cpp
@@ -207,12 +207,19 @@
     close();
 }
 
-void upstream_connection::fail(ports::transport_failure failure)
+ports::response_defect upstream_connection::defect() const
+{
+    return m_defect;
+}
+
+void upstream_connection::fail(ports::transport_failure failure,
+                               ports::response_defect defect)
 {
     if (m_is_closed)
     {
         return;
     }
+    m_defect = defect;
     const std::shared_ptr<ports::call_listener> listener =
         std::exchange(m_listener, nullptr);
     close();
--- a/libraries/adapters/asio/upstream_connection.hpp
+++ b/libraries/adapters/asio/upstream_connection.hpp
@@ -35,6 +35,7 @@
 
     void read_more() override;
     void cancel() override;
+    [[nodiscard]] ports::response_defect defect() const override;
 
     /// Returns whether an idle connection may carry a call: it is open and has
     /// been idle for less than `max_idle` and the upstream's own limit.
@@ -71,9 +72,8 @@
                  std::size_t bytes);
     void on_read_error(const boost::system::error_code& error_code);
     void parse();
+    void on_parse_error(const boost::system::error_code& error_code);
     void deliver_head();
-    /// Returns whether the response announces that the final one follows.
-    [[nodiscard]] bool is_interim_response() const;
     void skip_interim_response();
     /// Passes the parsed part of the body to the listener. Returns false if
     /// there is none.
@@ -88,7 +88,8 @@
     [[nodiscard]] bool is_own_response(bool is_first) const;
     /// Returns how long the connection may be idle after this response.
     [[nodiscard]] std::chrono::milliseconds compute_max_idle() const;
-    void fail(ports::transport_failure failure);
+    void fail(ports::transport_failure failure,
+              ports::response_defect defect = ports::response_defect::none);
     void close();
 
     upstream_connection_pool& m_pool;
@@ -99,6 +100,7 @@
     std::optional<response_parser> m_parser;
     ports::outgoing_call m_call;
     std::shared_ptr<ports::call_listener> m_listener;
+    ports::response_defect m_defect = ports::response_defect::none;
     ports::steady_time m_idle_since{};
     std::chrono::milliseconds m_max_idle{0};
     /// Of the last calls, the latest one first.
--- a/libraries/adapters/asio/upstream_connection_reading.cpp
+++ b/libraries/adapters/asio/upstream_connection_reading.cpp
@@ -1,5 +1,7 @@
 #include "libraries/adapters/asio/upstream_connection.hpp"
 
+#include "libraries/ports/http_syntax.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -23,6 +25,23 @@
 /// more fails the call and closes the connection.
 constexpr std::int32_t max_interim_responses = 8;
 
+ports::response_defect
+defect_of_parse_error(const boost::system::error_code& error_code)
+{
+    if (error_code == http::error::bad_status)
+    {
+        return ports::response_defect::invalid_status;
+    }
+    if (error_code == http::error::bad_field)
+    {
+        return ports::response_defect::invalid_field_name;
+    }
+    const bool is_too_long = error_code == http::error::header_limit ||
+                             error_code == http::error::need_more;
+    return is_too_long ? ports::response_defect::too_long
+                       : ports::response_defect::invalid_syntax;
+}
+
 } // namespace
 
 void upstream_connection::read()
@@ -71,8 +90,14 @@
         const bool is_ended_by_peer =
             error_code == asio::error::connection_reset ||
             error_code == asio::error::broken_pipe;
-        fail(is_ended_by_peer ? ports::transport_failure::broken
-                              : ports::transport_failure::unresponsive);
+        if (is_ended_by_peer)
+        {
+            fail(ports::transport_failure::broken,
+                 ports::response_defect::reset);
+            return;
+        }
+        fail(ports::transport_failure::unresponsive,
+             ports::response_defect::unacknowledged);
         return;
     }
     m_has_reached_eof = true;
@@ -83,6 +108,14 @@
     parse();
 }
 
+void upstream_connection::on_parse_error(
+    const boost::system::error_code& error_code)
+{
+    fail(m_is_head_delivered ? ports::transport_failure::broken
+                             : ports::transport_failure::unreadable,
+         defect_of_parse_error(error_code));
+}
+
 void upstream_connection::parse()
 {
     while (m_buffer.size() > 0 && !m_parser->is_done())
@@ -95,23 +128,21 @@
         }
         if (error_code)
         {
-            fail(m_is_head_delivered ? ports::transport_failure::broken
-                                     : ports::transport_failure::unreadable);
+            on_parse_error(error_code);
             return;
         }
     }
     if (m_has_reached_eof && !m_parser->is_done())
     {
-        if (!m_parser->got_some())
+        boost::system::error_code error_code;
+        if (m_parser->got_some())
         {
-            fail(ports::transport_failure::broken);
-            return;
+            m_parser->put_eof(error_code);
         }
-        boost::system::error_code error_code;
-        m_parser->put_eof(error_code);
         if (error_code || !m_parser->is_done())
         {
-            fail(ports::transport_failure::broken);
+            fail(ports::transport_failure::broken,
+                 ports::response_defect::truncated);
             return;
         }
     }
@@ -126,7 +157,8 @@
     }
     if (m_skipped_bytes > max_skipped_bytes)
     {
-        fail(ports::transport_failure::unreadable);
+        fail(ports::transport_failure::unreadable,
+             ports::response_defect::unexpected_responses);
         return;
     }
     if (deliver_part())
@@ -168,15 +200,6 @@
     return id == echoed_id::matching || (id == echoed_id::missing && is_first);
 }
 
-bool upstream_connection::is_interim_response() const
-{
-    // By the number, since the library knows not all of these statuses.
-    constexpr unsigned int first_interim = 100;
-    constexpr unsigned int first_final = 200;
-    const unsigned int status = m_parser->get().result_int();
-    return status >= first_interim && status < first_final;
-}
-
 void upstream_connection::skip_interim_response()
 {
     ++m_interim_responses;
@@ -185,7 +208,8 @@
     if (m_interim_responses > max_interim_responses ||
         m_parser->get().result() == http::status::switching_protocols)
     {
-        fail(ports::transport_failure::unreadable);
+        fail(ports::transport_failure::unreadable,
+             ports::response_defect::unexpected_responses);
         return;
     }
     m_is_skipping_response = true;
@@ -193,7 +217,16 @@
 
 void upstream_connection::deliver_head()
 {
-    if (is_interim_response())
+    // By the number, since the library knows not all statuses.
+    const int status = static_cast<int>(m_parser->get().result_int());
+    if (!ports::is_valid_status(status))
+    {
+        // The parser accepts any three digits.
+        fail(ports::transport_failure::unreadable,
+             ports::response_defect::invalid_status);
+        return;
+    }
+    if (ports::is_interim_status(status))
     {
         skip_interim_response();
         return;
@@ -204,7 +237,8 @@
         ++m_mismatched_responses;
         if (m_mismatched_responses > max_mismatched_responses)
         {
-            fail(ports::transport_failure::unreadable);
+            fail(ports::transport_failure::unreadable,
+                 ports::response_defect::unexpected_responses);
             return;
         }
         m_is_skipping_response = true;
--- a/libraries/drivers/exchange/buffered_call.cpp
+++ b/libraries/drivers/exchange/buffered_call.cpp
@@ -67,6 +67,7 @@
     {
         buffered_response response;
         response.failure = failure;
+        response.defect = m_call->defect();
         m_response = {};
         finish(std::move(response));
     }
--- a/libraries/drivers/exchange/buffered_call.hpp
+++ b/libraries/drivers/exchange/buffered_call.hpp
@@ -17,8 +17,10 @@
 /// The result of a call whose response is buffered until it is complete.
 struct buffered_response
 {
-    /// Set if the call failed; the other members are then unset.
+    /// Set if the call failed; the other members but `defect` are then unset.
     std::optional<ports::transport_failure> failure;
+    /// What was wrong with the response, where the call failed for that.
+    ports::response_defect defect = ports::response_defect::none;
     int status = 0;
     ports::header_fields fields;
     std::string body;
--- a/libraries/drivers/exchange/peer_attempt.cpp
+++ b/libraries/drivers/exchange/peer_attempt.cpp
@@ -27,6 +27,7 @@
 void peer_attempt::begin(ports::outgoing_call call)
 {
     assert(m_call == nullptr);
+    m_peer_address = call.address;
     m_call = m_state.dependencies.transport.start(std::move(call),
                                                   shared_from_this());
 }
@@ -128,6 +129,7 @@
         owner.on_peer_not_connected();
         return;
     }
+    log_broken_call(owner, failure);
     if (m_body_handler == &refusal_handler)
     {
         // By the head, the request did not run, even though the body is
@@ -138,6 +140,18 @@
     owner.on_peer_failure();
 }
 
+void peer_attempt::log_broken_call(const exchange& owner,
+                                   ports::transport_failure failure) const
+{
+    m_state.dependencies.log.write(
+        log_level::warning, log_event::upstream_call_broken,
+        {{"request_id", owner.m_context.parsed_request.id},
+         {"peer", m_peer_address},
+         {"result", std::string(name_of(failure))},
+         {"cause", std::string(name_of(m_call->defect()))},
+         {"has_head", m_head.has_value()}});
+}
+
 void peer_attempt::count_held_bytes(std::size_t bytes)
 {
     m_memory.resize(static_cast<std::int64_t>(bytes));
--- a/libraries/drivers/exchange/peer_attempt.hpp
+++ b/libraries/drivers/exchange/peer_attempt.hpp
@@ -66,11 +66,15 @@
     void abandon(exchange& owner);
     /// Handles the end of the call before the response was complete.
     void report_failure(exchange& owner, ports::transport_failure failure);
+    /// Logs that the response of the peer broke, and why.
+    void log_broken_call(const exchange& owner,
+                         ports::transport_failure failure) const;
     void count_result(const exchange& owner, std::string_view result);
     [[nodiscard]] std::shared_ptr<exchange> current_owner();
 
     traffic_state& m_state;
     std::weak_ptr<exchange> m_owner;
+    std::string m_peer_address;
     std::shared_ptr<ports::upstream_call> m_call;
     std::optional<ports::response_head> m_head;
     response_classification m_classification;
--- a/libraries/drivers/exchange/upstream_attempt.cpp
+++ b/libraries/drivers/exchange/upstream_attempt.cpp
@@ -227,7 +227,7 @@
         owner->on_not_connected();
         return;
     }
-    log_broken_call(*owner, failure);
+    log_broken_call(*owner, name_of(m_call->defect()), failure);
     if (failure == ports::transport_failure::broken)
     {
         record_upstream_end(*owner);
@@ -368,9 +368,11 @@
     const bool is_empty = !m_output_since;
     if (owner.m_events.has_partial() || is_empty)
     {
-        record_outcome(false, is_empty ? "empty_stream" : "partial_event");
+        const std::string_view cause =
+            is_empty ? "empty_stream" : "partial_event";
+        record_outcome(false, cause);
         release_slot();
-        log_broken_call(owner, ports::transport_failure::broken);
+        log_broken_call(owner, cause, ports::transport_failure::broken);
         if (!has_delimited_body(*m_head))
         {
             record_upstream_end(owner);
--- a/libraries/drivers/exchange/upstream_attempt.hpp
+++ b/libraries/drivers/exchange/upstream_attempt.hpp
@@ -113,8 +113,9 @@
     void reject_notice(const std::string& notice, const error& failure);
     /// Closes the idle connections to the upstream if it is leaving.
     void close_connections_if_leaving();
-    /// Logs how far the response was when the connection ended.
-    void log_broken_call(const exchange& owner,
+    /// Logs how far the response was when the connection ended, and why the
+    /// response counts as broken (`cause`).
+    void log_broken_call(const exchange& owner, std::string_view cause,
                          ports::transport_failure failure) const;
     [[nodiscard]] std::shared_ptr<exchange> current_owner();
 
--- a/libraries/drivers/exchange/upstream_attempt_observations.cpp
+++ b/libraries/drivers/exchange/upstream_attempt_observations.cpp
@@ -33,6 +33,7 @@
 } // namespace
 
 void upstream_attempt::log_broken_call(const exchange& owner,
+                                       std::string_view cause,
                                        ports::transport_failure failure) const
 {
     std::int64_t ms_since_output = -1;
@@ -49,6 +50,7 @@
         {{"request_id", request.id},
          {"upstream", m_chosen_placement.upstream.id},
          {"result", std::string(name_of(failure))},
+         {"cause", std::string(cause)},
          {"has_head", m_head.has_value()},
          {"ms_since_output", ms_since_output},
          {"fingerprint", fmt::format("{:x}", owner.fingerprint())},
--- a/libraries/ports/upstream_transport.hpp
+++ b/libraries/ports/upstream_transport.hpp
@@ -2,6 +2,7 @@
 
 #include "libraries/ports/http_message.hpp"
 #include "libraries/ports/request_body.hpp"
+#include "libraries/ports/response_defect.hpp"
 
 #include <chrono>
 #include <cstdint>
@@ -114,12 +115,19 @@
 
     /// Closes the connection. The listener receives no further event.
     virtual void cancel() = 0;
+
+    /// Returns what was wrong with the response, once `on_failure` was called;
+    /// `none` before, and if the failure was none of the response.
+    [[nodiscard]] virtual response_defect defect() const
+    {
+        return response_defect::none;
+    }
 };
 
 /// What a probe found out about the path to an upstream.
 enum class probe_result : std::uint8_t
 {
-    /// No connection was established, or it ended without a response.
+    /// No connection was established, or it ended without a valid response.
     failed,
     /// A connection was established, and no response came in time.
     silent,
