Asio: Keep the reset that a failed write has taken

Callers saw: an upstream answered an upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was being written. The caller got the part as a complete answer with a Content-Length, or with a last chunk if it had been passed on already. The same went for a 413, and, not in the report, for an upstream that takes no more of an upload: after 2.5 s the kernel gives the connection up, and the part was complete too.

Cause: the kernel reports the loss of a connection once. The pending write got ECONNRESET or ETIMEDOUT, which was dropped on purpose ("the outcome of reading decides"); reading then got an end of file, which completes a body without a length.

Fix: the connection keeps the error of its write, and an end of file after it counts as that error. A broken pipe is left out: the kernel reports it only where the upstream had ended its side before the reset, so that the end of the body is the upstream's own. Both operations belong to one loop, and the write gets its report before reading can see the end.

Evidence: before, processes/reset_answers_test.py failed in 6 checks of 3 tests (200 and 413 with the body "part" instead of 502; 3 MiB of a body passed on as complete to callers of HTTP/1.1 and 1.0; "part" instead of another upstream's answer), and asio/reset_response_test.cpp in the two tests of broken bodies. In both, the upload is larger than the kernel's buffers, and the test checks that bytes of it were left. Early refusals with a length, or whose end was sent before a reset, passed before and pass now.

--- a/libraries/adapters/asio/upstream_connection.cpp
+++ b/libraries/adapters/asio/upstream_connection.cpp
@@ -164,6 +164,12 @@
     // A failed write does not fail the call by itself. The upstream may have
     // responded already, so the outcome of reading decides.
     m_is_request_sent = is_sent;
+    // The kernel reports a broken pipe if the upstream had ended its side
+    // before it reset the connection. That end is read as it was sent.
+    if (error_code != asio::error::broken_pipe)
+    {
+        m_write_error = error_code;
+    }
 }
 
 std::chrono::milliseconds upstream_connection::compute_max_idle() const
--- a/libraries/adapters/asio/upstream_connection.hpp
+++ b/libraries/adapters/asio/upstream_connection.hpp
@@ -101,6 +101,9 @@
     ports::outgoing_call m_call;
     std::shared_ptr<ports::call_listener> m_listener;
     ports::response_defect m_defect = ports::response_defect::none;
+    /// How the connection was lost, if a write has reported it: reading then
+    /// reports a proper end.
+    boost::system::error_code m_write_error;
     ports::steady_time m_idle_since{};
     std::chrono::milliseconds m_max_idle{0};
     /// Of the last calls, the latest one first.
--- a/libraries/adapters/asio/upstream_connection_reading.cpp
+++ b/libraries/adapters/asio/upstream_connection_reading.cpp
@@ -83,8 +83,13 @@
 }
 
 void upstream_connection::on_read_error(
-    const boost::system::error_code& error_code)
+    const boost::system::error_code& read_error)
 {
+    // The kernel reports a reset or a timeout once. After a write that got the
+    // report, reading ends as if the upstream had closed the connection.
+    const bool is_lost = read_error == asio::error::eof && m_write_error;
+    const boost::system::error_code& error_code =
+        is_lost ? m_write_error : read_error;
     if (error_code != asio::error::eof)
     {
         const bool is_ended_by_peer =
--- a/tests/processes/raw_entry.py
+++ b/tests/processes/raw_entry.py
@@ -45,7 +45,8 @@
         super().setUp()
         self.store = entry_fleet.Store(self.folder)
         self.addCleanup(self.store.process.kill)
-        self.faulty = self.add_upstream('i-faulty', 'ledger')
+        self.faulty = self.add_upstream('i-faulty', 'ledger',
+                                        raw_http.SMALL_BUFFER_BYTES)
         self.engine = self.add_upstream('i-engine', 'model')
         self.engine.answers['/ask/sound'] = lambda request: Answer(
             (head_of(request, lines=(b'Content-Type: text/event-stream',)) +
@@ -56,8 +57,8 @@
         fleet.wait_until('the entry is ready', self.entry.is_ready)
         self.calls = 0
 
-    def add_upstream(self, name, service):
-        upstream = raw_http.RawUpstream()
+    def add_upstream(self, name, service, receive_buffer_bytes=None):
+        upstream = raw_http.RawUpstream(receive_buffer_bytes)
         self.addCleanup(upstream.close)
         self.store.register(name, service, upstream.address)
         return upstream
--- a/tests/processes/raw_http.py
+++ b/tests/processes/raw_http.py
@@ -11,7 +11,7 @@
 import fleet
 
 # With a small buffer of the receiver, few bytes of an upload are under way.
-RECEIVE_BUFFER_BYTES = 4096
+SMALL_BUFFER_BYTES = 4096
 # Larger than what the buffers of both kernels hold.
 UPLOAD_BYTES = 12 << 20
 
@@ -53,7 +53,7 @@
     """Answers a request with the `Answer` that the function for its path in
     `answers` returns for it, or else `default_answer`, which is sound."""
 
-    def __init__(self):
+    def __init__(self, receive_buffer_bytes=None):
         self.answers = {}
         self.default_answer = lambda request: Answer(
             (sound_answer(request.id),))
@@ -63,8 +63,9 @@
         self.unwritten_bytes = None
         self._connections = 0
         self.listener = socket.socket()
-        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF,
-                                 RECEIVE_BUFFER_BYTES)
+        if receive_buffer_bytes is not None:
+            self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF,
+                                     receive_buffer_bytes)
         self.listener.bind(('127.0.0.1', 0))
         self.listener.listen()
         self.address = '127.0.0.1:%d' % self.listener.getsockname()[1]
