HTTP/2: Accept a response only if its end is marked

What a caller could see: a peer or a controller that begins a response and resets its stream without an error (RST_STREAM with NO_ERROR) had the part taken as its complete response: a forwarded commit, a list, metrics.

Cause: the end of a stream was judged by the error code alone. NO_ERROR is what a server sends to end an upload after its response (RFC 9113, 8.1); it says nothing of the response. This is how the end of a stream hides a reset in the second protocol.

Fix: a response counts only after a frame with END_STREAM; else the call fails with an unknown outcome.

Evidence: peer/broken_peer_test.cpp sends raw frames. The test of the reset without an error failed before (the call returned "part"). Invalid statuses, names with blanks and control bytes in heads and trailers, interim responses and trailers were handled before; their tests stay.

--- a/libraries/adapters/nghttp2/http2_connection.cpp
+++ b/libraries/adapters/nghttp2/http2_connection.cpp
@@ -260,7 +260,8 @@
                             &body);
 }
 
-void http2_connection::finish_stream(std::int32_t id, bool is_complete)
+void http2_connection::finish_stream(std::int32_t id,
+                                     bool is_closed_without_error)
 {
     auto found = m_streams.find(id);
     if (found == m_streams.end())
@@ -273,11 +274,17 @@
     {
         return;
     }
-    if (!is_complete)
+    if (!is_closed_without_error)
     {
         ended_stream.on_response(
             unavailable_error("the peer did not respond in time"));
     }
+    else if (!ended_stream.is_message_complete)
+    {
+        // A reset without an error ends a stream too (RFC 9113, 8.1).
+        ended_stream.on_response(
+            unavailable_error("the peer reset its response before the end"));
+    }
     else if (ended_stream.status != status_ok || ended_stream.is_body_too_large)
     {
         ended_stream.on_response(error{result_code::peer_protocol, "peer",
@@ -334,7 +341,12 @@
     bool ends_message =
         (frame->hd.flags & NGHTTP2_FLAG_END_STREAM) != 0 &&
         (frame->hd.type == NGHTTP2_DATA || frame->hd.type == NGHTTP2_HEADERS);
-    if (ends_message && connection.m_role == http2_role::server)
+    if (!ends_message)
+    {
+        return 0;
+    }
+    connection.stream_of(frame->hd.stream_id).is_message_complete = true;
+    if (connection.m_role == http2_role::server)
     {
         connection.dispatch_request(frame->hd.stream_id);
     }
--- a/libraries/adapters/nghttp2/http2_connection.hpp
+++ b/libraries/adapters/nghttp2/http2_connection.hpp
@@ -82,13 +82,18 @@
         std::size_t sent_bytes = 0;
         int status = 0;
         bool is_body_too_large = false;
+        /// Whether the peer has marked the end of its message.
+        bool is_message_complete = false;
         ports::steady_time deadline;
         peer_response_callback on_response;
     };
 
     stream& stream_of(std::int32_t id);
     void dispatch_request(std::int32_t id);
-    void finish_stream(std::int32_t id, bool is_complete);
+    /// Ends a stream and reports its response, or the lack of a complete one.
+    /// `is_closed_without_error` is false for a stream that was cancelled or
+    /// reset with an error.
+    void finish_stream(std::int32_t id, bool is_closed_without_error);
     void submit_response(std::int32_t id, int status);
 
     static int on_header(nghttp2_session* session, const nghttp2_frame* frame,
