Httplib: Check the heads of responses before the library reads them

Callers of turmeric_router saw: a service's answer with the status 000 (001, 099) reached them as "HTTP/1.1 0", and was billed; 600 and 999 reached them as they were. An answer in whose head the name of a field held a blank, a control byte or another byte that no name can have was passed on as a 200: with "Content-Length : 9" before a body of 4 bytes as if those were all of it. The same client reads the answers of the key-value service and the VM list, and those of routers in turmeric_load.

Cause: cpp-httplib takes any three digits for a status, any bytes before a colon for a name, and drops lines that it cannot read (no colon, no value, a bare line feed) without a word; so a length can be lost. Its interface offers no place to check, since the lines are gone by then.

Fix: checked_client, a client of that library, gives it a stream that reads the whole head first and checks it; a broken head is an error of the connection, which the library closes. The four clients in the product use it. The log of a refused request names the cause.

--- a/libraries/adapters/etcd/etcd_gateway_client.cpp
+++ b/libraries/adapters/etcd/etcd_gateway_client.cpp
@@ -2,6 +2,7 @@
 
 #include "libraries/adapters/etcd/etcd_errors.hpp"
 #include "libraries/adapters/etcd/host_port.hpp"
+#include "libraries/adapters/httplib/checked_client.hpp"
 #include "libraries/adapters/httplib/limited_body.hpp"
 #include "libraries/codecs/common/json_reader.hpp"
 
@@ -76,7 +77,7 @@
 {
     host_port address;
     std::mutex mutex;
-    std::vector<std::unique_ptr<httplib::Client>> idle_clients;
+    std::vector<std::unique_ptr<checked_client>> idle_clients;
 };
 
 /// The result of a call to one endpoint.
@@ -102,10 +103,10 @@
 
 etcd_gateway_client::~etcd_gateway_client() = default;
 
-std::unique_ptr<httplib::Client>
+std::unique_ptr<checked_client>
 etcd_gateway_client::make_client(const endpoint& target) const
 {
-    std::unique_ptr<httplib::Client> client = std::make_unique<httplib::Client>(
+    std::unique_ptr<checked_client> client = std::make_unique<checked_client>(
         target.address.host, target.address.port);
     client->set_connection_timeout(m_settings.connect_timeout);
     client->set_read_timeout(m_settings.call_timeout);
@@ -115,14 +116,14 @@
     return client;
 }
 
-std::unique_ptr<httplib::Client>
+std::unique_ptr<checked_client>
 etcd_gateway_client::acquire_client(endpoint& target)
 {
     {
         std::lock_guard<std::mutex> lock(target.mutex);
         if (!target.idle_clients.empty())
         {
-            std::unique_ptr<httplib::Client> client =
+            std::unique_ptr<checked_client> client =
                 std::move(target.idle_clients.back());
             target.idle_clients.pop_back();
             return client;
@@ -131,8 +132,8 @@
     return make_client(target);
 }
 
-void etcd_gateway_client::release_client(
-    endpoint& target, std::unique_ptr<httplib::Client> client)
+void etcd_gateway_client::release_client(endpoint& target,
+                                         std::unique_ptr<checked_client> client)
 {
     std::lock_guard<std::mutex> lock(target.mutex);
     if (target.idle_clients.size() < m_settings.max_idle_connections)
@@ -145,7 +146,7 @@
 etcd_gateway_client::call_endpoint(endpoint& target, etcd_call_kind kind,
                                    httplib::Request request)
 {
-    std::unique_ptr<httplib::Client> client = acquire_client(target);
+    std::unique_ptr<checked_client> client = acquire_client(target);
     const std::chrono::steady_clock::time_point started_at =
         std::chrono::steady_clock::now();
     limited_body received(max_reply_bytes);
@@ -217,7 +218,7 @@
     for (std::size_t step = 0; step < m_endpoints.size(); ++step)
     {
         const std::size_t index = (first + step) % m_endpoints.size();
-        std::unique_ptr<httplib::Client> client =
+        std::unique_ptr<checked_client> client =
             make_client(*m_endpoints[index]);
         client->set_keep_alive(false);
         client->set_read_timeout(idle_timeout);
--- a/libraries/adapters/etcd/etcd_gateway_client.hpp
+++ b/libraries/adapters/etcd/etcd_gateway_client.hpp
@@ -15,13 +15,14 @@
 
 namespace httplib
 {
-class Client;
 struct Request;
 } // namespace httplib
 
 namespace turmeric::adapters
 {
 
+class checked_client;
+
 /// Whether a call may change the store, which decides what the loss of its
 /// reply means.
 enum class etcd_call_kind
@@ -59,10 +60,10 @@
     struct endpoint;
     struct attempt;
 
-    std::unique_ptr<httplib::Client> acquire_client(endpoint& target);
+    std::unique_ptr<checked_client> acquire_client(endpoint& target);
     void release_client(endpoint& target,
-                        std::unique_ptr<httplib::Client> client);
-    std::unique_ptr<httplib::Client> make_client(const endpoint& target) const;
+                        std::unique_ptr<checked_client> client);
+    std::unique_ptr<checked_client> make_client(const endpoint& target) const;
     attempt call_endpoint(endpoint& target, etcd_call_kind kind,
                           httplib::Request request);
 
--- a/libraries/adapters/httplib/http_upstream_caller.cpp
+++ b/libraries/adapters/httplib/http_upstream_caller.cpp
@@ -1,5 +1,8 @@
 #include "libraries/adapters/httplib/http_upstream_caller.hpp"
 
+#include "libraries/adapters/etcd/host_port.hpp"
+#include "libraries/adapters/httplib/checked_client.hpp"
+
 #include <fmt/format.h>
 #include <httplib.h>
 #include <map>
@@ -12,12 +15,18 @@
 namespace
 {
 
-using client_pointer = std::unique_ptr<httplib::Client>;
+using client_pointer = std::unique_ptr<checked_client>;
 
-error map_client_error(httplib::Error client_error, const std::string& address)
+error map_client_error(httplib::Error client_error,
+                       ports::response_defect defect,
+                       const std::string& address)
 {
     std::string detail =
         fmt::format("{}: {}", address, httplib::to_string(client_error));
+    if (defect != ports::response_defect::none)
+    {
+        detail += fmt::format(", {}", name_of(defect));
+    }
     switch (client_error)
     {
     case httplib::Error::Connection:
@@ -130,7 +139,9 @@
                                 : m_idle_clients->take_idle_client(address);
     if (client == nullptr)
     {
-        client = std::make_unique<httplib::Client>("http://" + address);
+        const host_port target =
+            parse_host_port(address).value_or(host_port{address, 0});
+        client = std::make_unique<checked_client>(target.host, target.port);
         client->set_keep_alive(true);
         client->set_tcp_nodelay(true);
         client->set_connection_timeout(m_connect_timeout);
@@ -143,7 +154,7 @@
     httplib::Error client_error = httplib::Error::Success;
     if (!client->send(converted, response, client_error))
     {
-        return map_client_error(client_error, address);
+        return map_client_error(client_error, client->defect(), address);
     }
     m_idle_clients->add_idle_client(address, std::move(client));
     return ports::upstream_completion{response.status};
--- a/libraries/adapters/vm_list/http_vm_list.cpp
+++ b/libraries/adapters/vm_list/http_vm_list.cpp
@@ -1,6 +1,7 @@
 #include "libraries/adapters/vm_list/http_vm_list.hpp"
 
 #include "libraries/adapters/etcd/host_port.hpp"
+#include "libraries/adapters/httplib/checked_client.hpp"
 #include "libraries/adapters/httplib/limited_body.hpp"
 #include "libraries/codecs/common/json_reader.hpp"
 
@@ -110,7 +111,7 @@
     {
         return error{result_code::bad_argument, "address", "must be host:port"};
     }
-    httplib::Client client(address->host, address->port);
+    checked_client client(address->host, address->port);
     client.set_connection_timeout(m_settings.connect_timeout);
     client.set_read_timeout(m_settings.call_timeout);
     client.set_tcp_nodelay(true);
--- a/services/router/request_recorder.cpp
+++ b/services/router/request_recorder.cpp
@@ -96,6 +96,7 @@
     fields.push_back(
         {"code", static_cast<std::int64_t>(summary.failure->code)});
     fields.push_back({"reason", std::string(name_of(summary.failure->code))});
+    fields.push_back({"detail", summary.failure->detail});
     fields.push_back(
         {"outcome", std::string(name_of(summary.failure->effect))});
     m_log.write(log_level::info,
--- a/utilities/turmeric_load/router_directory.cpp
+++ b/utilities/turmeric_load/router_directory.cpp
@@ -1,6 +1,7 @@
 #include "utilities/turmeric_load/router_directory.hpp"
 
 #include "libraries/adapters/etcd/host_port.hpp"
+#include "libraries/adapters/httplib/checked_client.hpp"
 
 #include <httplib.h>
 
@@ -154,7 +155,7 @@
         return std::nullopt;
     }
     constexpr int http_ok = 200;
-    httplib::Client client(parsed->host, parsed->port);
+    adapters::checked_client client(parsed->host, parsed->port);
     client.set_connection_timeout(query_timeout);
     client.set_read_timeout(query_timeout);
     httplib::Headers headers;
