Tools: Take no broken response for a reply

What operators would have seen: turmericctl took a 200 in whose head the name of a field held a blank for the reply of a controller, and exited with 0; turmeric_load counted a response with the status 000 or such a name as any other, and a response without a length as complete if its connection was reset.

Cause: as in the programs that serve callers, the library and the tool's own parser accept any number and any name; and the tool's connection reported a reset and an orderly end alike.

Fix: both use the same rules (http_syntax). In turmeric_load a lost connection is a result of its own, which completes nothing. turmericctl sees the lines that its library keeps; it also speaks TLS, so it does not use checked_client.

Evidence: the new test of controller/operators_test.py failed before (exit status 0), and passes now; standins/load_parts_test.cpp has the statuses and names.

--- a/tests/controller/operators_test.py
+++ b/tests/controller/operators_test.py
@@ -10,6 +10,7 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).parent.parent / 'processes'))
 import fleet as processes  # noqa: E402
+import raw_http  # noqa: E402
 
 DIGEST = hashlib.sha256(processes.OPERATOR_KEY.encode()).hexdigest()
 PATH = '/turmericfront.v1.Operator/'
@@ -144,6 +145,18 @@
             return self.fleet.operate('ListMoves', {})[1]['moves'][0]['phase']
         processes.wait_until('the move has started', phase)
 
+    def test_turmericctl_takes_no_broken_response_for_a_reply(self):
+        for head in (b'HTTP/1.1 000 OK\r\n', b'HTTP/1.1 600 OK\r\n',
+                     b'HTTP/1.1 200 OK\r\nX-Fi eld: v\r\n'):
+            broken = raw_http.RawUpstream()
+            self.addCleanup(broken.close)
+            broken.default_answer = lambda _: raw_http.Answer(
+                (head + b'Content-Length: 2\r\n\r\n{}',))
+            self.assertNotEqual(
+                self.control('status', controllers=[broken.address]
+                             ).returncode, 0)
+            self.assertGreater(len(broken.requests), 0)
+
     def test_turmericctl_uses_the_next_controller_after_a_failure(self):
         first = self.start_controller('c1')
         second = self.start_controller('c2')
--- a/tests/standins/load_parts_test.cpp
+++ b/tests/standins/load_parts_test.cpp
@@ -126,6 +126,23 @@
         }));
 }
 
+TEST(response_parser, an_invalid_status_or_name_is_invalid)
+{
+    const response_parser::body_sink ignore = [](std::string_view) {};
+    for (const char* const head :
+         {"HTTP/1.1 000 OK\r\n", "HTTP/1.1 099 OK\r\n", "HTTP/1.1 600 OK\r\n",
+          "HTTP/1.1 200 OK\r\nNa me: v\r\n", "HTTP/1.1 200 OK\r\n: v\r\n",
+          "HTTP/1.1 200 OK\r\nName : v\r\n",
+          "HTTP/1.1 200 OK\r\nNa\x01me: v\r\n"})
+    {
+        response_parser parser;
+        CHECK(parser.feed(head, ignore) == response_parser::progress::invalid);
+    }
+    response_parser sound;
+    CHECK(sound.feed("HTTP/1.1 599 S\r\nContent-Length: 0\r\n\r\n", ignore) ==
+          response_parser::progress::complete);
+}
+
 TEST(response_parser, early_end_is_invalid)
 {
     const response_parser::body_sink ignore = [](std::string_view) {};
--- a/utilities/turmeric_load/caller.cpp
+++ b/utilities/turmeric_load/caller.cpp
@@ -109,9 +109,9 @@
     if (!m_is_sent)
     {
         const transfer_result flushed = m_connection.flush();
-        if (flushed == transfer_result::closed)
+        if (flushed == transfer_result::failed)
         {
-            handle_disconnect(now);
+            handle_disconnect(flushed, now);
             return;
         }
         m_is_sent = flushed == transfer_result::completed;
@@ -133,9 +133,9 @@
     {
         return;
     }
-    if (read_result == transfer_result::closed)
+    if (read_result != transfer_result::completed)
     {
-        handle_disconnect(now);
+        handle_disconnect(read_result, now);
         return;
     }
     m_last_byte_at = now;
@@ -186,7 +186,7 @@
     finish_attempt(classify_result(), now);
 }
 
-void caller::handle_disconnect(loop_time now)
+void caller::handle_disconnect(transfer_result how, loop_time now)
 {
     const bool had_response_bytes = m_parser.has_started();
     close();
@@ -199,7 +199,7 @@
         start_attempt(now);
         return;
     }
-    if (m_parser.has_head() &&
+    if (how == transfer_result::closed && m_parser.has_head() &&
         m_parser.close() == response_parser::progress::complete)
     {
         finish_response(now);
--- a/utilities/turmeric_load/caller.hpp
+++ b/utilities/turmeric_load/caller.hpp
@@ -61,7 +61,7 @@
     void read_response(loop_time now);
     void record_text(loop_time now);
     void finish_response(loop_time now);
-    void handle_disconnect(loop_time now);
+    void handle_disconnect(transfer_result how, loop_time now);
     void finish_attempt(request_result result, loop_time now);
     void pause_reading(loop_time now);
     void close();
--- a/utilities/turmeric_load/connection.cpp
+++ b/utilities/turmeric_load/connection.cpp
@@ -109,7 +109,7 @@
         if (byte_count < 0)
         {
             return is_transient(errno) ? transfer_result::would_block
-                                       : transfer_result::closed;
+                                       : transfer_result::failed;
         }
         m_sent += static_cast<std::size_t>(byte_count);
     }
@@ -126,7 +126,7 @@
     {
         buffer.clear();
         return is_transient(errno) ? transfer_result::would_block
-                                   : transfer_result::closed;
+                                   : transfer_result::failed;
     }
     buffer.resize(static_cast<std::size_t>(byte_count));
     return byte_count == 0 ? transfer_result::closed
--- a/utilities/turmeric_load/connection.hpp
+++ b/utilities/turmeric_load/connection.hpp
@@ -13,7 +13,10 @@
 {
     completed,
     would_block,
+    /// The peer has ended the stream.
     closed,
+    /// The connection was reset or lost.
+    failed,
 };
 
 /// A non-blocking TCP connection. Not thread safe.
@@ -48,8 +51,7 @@
     /// Sends as much as the socket accepts; `completed` when all is sent.
     transfer_result flush();
 
-    /// Reads up to `limit` bytes into `buffer`, replacing its content;
-    /// `closed` also at the end of the stream.
+    /// Reads up to `limit` bytes into `buffer`, replacing its content.
     transfer_result read(std::string& buffer, std::size_t limit) const;
 
 private:
--- a/utilities/turmeric_load/response_parser.cpp
+++ b/utilities/turmeric_load/response_parser.cpp
@@ -1,5 +1,7 @@
 #include "utilities/turmeric_load/response_parser.hpp"
 
+#include "libraries/ports/http_syntax.hpp"
+
 #include <algorithm>
 #include <cctype>
 #include <charconv>
@@ -170,7 +172,8 @@
         constexpr int decimal = 10;
         return space != std::string::npos && line.starts_with("HTTP/1.") &&
                read_number(std::string_view(line).substr(space + 1),
-                           m_head.status, decimal);
+                           m_head.status, decimal) &&
+               ports::is_valid_status(m_head.status);
     }
     if (line.empty())
     {
@@ -178,7 +181,8 @@
         return true;
     }
     const std::size_t colon = line.find(':');
-    if (colon == std::string::npos)
+    if (colon == std::string::npos ||
+        !ports::is_field_name(std::string_view(line).substr(0, colon)))
     {
         return false;
     }
--- a/utilities/turmericctl/http_exchange.cpp
+++ b/utilities/turmericctl/http_exchange.cpp
@@ -1,7 +1,11 @@
 #include "utilities/turmericctl/operator_client.hpp"
 
+#include "libraries/ports/http_syntax.hpp"
+
 #include <httplib.h>
 
+#include <algorithm>
+
 namespace turmeric::ctl
 {
 
@@ -24,6 +28,16 @@
            failure == httplib::Error::SSLServerVerification;
 }
 
+/// Returns whether the head of a reply is valid, as far as the library shows
+/// it.
+bool has_valid_head(const httplib::Response& reply)
+{
+    return ports::is_valid_status(reply.status) &&
+           std::all_of(reply.headers.begin(), reply.headers.end(),
+                       [](const auto& field)
+                       { return ports::is_field_name(field.first); });
+}
+
 } // namespace
 
 exchange_function make_http_exchange(const client_settings& settings)
@@ -51,6 +65,10 @@
                             0,
                             {}};
         }
+        if (!has_valid_head(*response))
+        {
+            return exchange{exchange_kind::reply_lost, 0, {}};
+        }
         return exchange{exchange_kind::replied, response->status,
                         response->body};
     };
