--- a/tests/processes/reset_answers_test.py
+++ b/tests/processes/reset_answers_test.py
@@ -46,6 +46,16 @@
         self.expect_refused(lambda request: Answer(
             (head_of(request) + b'\r\npart', b'more'), 'reset'), 'reset')
 
+    def test_a_stream_that_is_reset_after_an_event_is_not_complete(self):
+        first_event = raw_entry.EVENTS[:raw_entry.EVENTS.index(b'id: 2')]
+        self.engine.answers['/ask/part'] = lambda request: Answer(
+            (head_of(request, lines=(b'Content-Type: text/event-stream',)) +
+             b'\r\n' + first_event,), 'reset', is_early=True,
+            pause_s=PAUSE_S)
+        reply = self.upload('/ask/part', upstream=self.engine)
+        self.assertTrue(reply.body() is None, reply.raw[:200])
+        self.expect_charged(raw_entry.INPUT_TOKENS + 1)
+
     def test_a_request_that_may_be_repeated_is_served_elsewhere(self):
         self.expect_served_elsewhere(
             lambda request: Answer((head_of(request) + b'\r\npart',), 'reset',
