Httplib: Find an interim response without a reason

What could have happened: a server that sends "HTTP/1.1 100" without a reason or the blank before it, then a broken head, had that head passed to the library unchecked, since the interim one counted as final.

Cause: of a complete head, the status was read from all of its bytes and not from its first line, so a line that ends after the digits had none.

Evidence: found as the change was read again; the new test of checked_client/response_head_reader_test.cpp failed before and passes now.

--- a/libraries/adapters/httplib/response_head_reader.cpp
+++ b/libraries/adapters/httplib/response_head_reader.cpp
@@ -26,10 +26,11 @@
     return byte >= '0' && byte <= '9';
 }
 
-/// Returns the status of a status line, or -1 if it is no number of three
-/// digits. Precondition: the line begins with the version.
-int status_of(std::string_view status_line)
+/// Returns the status in the first line of a head, or -1 if it is no number of
+/// three digits. Precondition: the head begins with the version.
+int status_of(std::string_view head)
 {
+    const std::string_view status_line = head.substr(0, head.find(line_end));
     constexpr std::size_t status_at = version_start.size() + 2;
     constexpr std::size_t status_digits = 3;
     constexpr int decimal = 10;
--- a/tests/checked_client/response_head_reader_test.cpp
+++ b/tests/checked_client/response_head_reader_test.cpp
@@ -99,6 +99,16 @@
                  reader.take_bytes().c_str());
 }
 
+TEST(response_head_reader_group, an_interim_response_may_have_no_reason)
+{
+    // Neither the reason nor the blank before it is sent by every server.
+    response_head_reader reader;
+    CHECK(reader.append("HTTP/1.1 100\r\n\r\n") == progress::incomplete);
+    CHECK(reader.append("HTTP/1.1 200\r\n\r\n") == progress::complete);
+    expect_defect(response_defect::invalid_status,
+                  "HTTP/1.1 100\r\n\r\n" + make_head("000"));
+}
+
 TEST(response_head_reader_group, interim_responses_are_checked_and_limited)
 {
     expect_defect(response_defect::invalid_field_name,
