Entry: Show a full link, a late event loop and what the directory names

Nothing told whether requests wait in a router's link, for its processor, or behind a caller that does not read (incident of requests held past their timeout). Gauges and events 111 and 112 show the use of the link and the delay of the event loop, a histogram how long writes wait, and event 705 (debug) what the directory names. No decision depends on them yet.

--- a/libraries/adapters/asio/caller_connection.cpp
+++ b/libraries/adapters/asio/caller_connection.cpp
@@ -202,7 +202,8 @@
     {
         return;
     }
-    m_last_write_at = m_server.m_clock.steady_now();
+    m_write_started_at = m_server.m_clock.steady_now();
+    m_last_write_at = m_write_started_at;
     m_output_in_progress = std::exchange(m_queued_output, std::string());
     const std::shared_ptr<caller_connection> self = shared_from_this();
     asio::async_write(
@@ -220,6 +221,7 @@
 
 void caller_connection::on_written(const boost::system::error_code& error_code)
 {
+    const std::size_t bytes = m_output_in_progress.size();
     m_output_in_progress = std::string();
     count_unwritten_bytes();
     if (m_is_closed)
@@ -231,6 +233,7 @@
         on_io_error(error_code, ports::close_reason::write_error);
         return;
     }
+    record_write(bytes);
     if (!m_queued_output.empty())
     {
         write(std::string(), nullptr);
@@ -249,6 +252,19 @@
     }
 }
 
+void caller_connection::record_write(std::size_t bytes) const
+{
+    const ports::steady_time now = m_server.m_clock.steady_now();
+    if (m_server.m_settings.meter != nullptr)
+    {
+        m_server.m_settings.meter->record_sent(bytes, now);
+    }
+    if (m_server.m_write_handler)
+    {
+        m_server.m_write_handler(now - m_write_started_at);
+    }
+}
+
 void caller_connection::on_response_written()
 {
     m_is_response_ended = false;
--- a/libraries/adapters/asio/caller_connection.hpp
+++ b/libraries/adapters/asio/caller_connection.hpp
@@ -125,6 +125,8 @@
 
     void write(const std::string& bytes, std::function<void()> written);
     void on_written(const boost::system::error_code& error_code);
+    /// Records that bytes have been written.
+    void record_write(std::size_t bytes) const;
     void on_response_written();
     void refuse(int status, std::string_view reason);
     void on_io_error(const boost::system::error_code& error_code,
@@ -140,6 +142,8 @@
     /// What the parser consumed of the head of the present request.
     consumed_input m_head;
     const ports::steady_time m_accepted_at;
+    /// When the write in progress began.
+    ports::steady_time m_write_started_at{};
     /// When a write of a response began or last made progress.
     ports::steady_time m_last_write_at{};
     ports::steady_time m_arrived_at{};
--- a/libraries/adapters/asio/caller_connection_reading.cpp
+++ b/libraries/adapters/asio/caller_connection_reading.cpp
@@ -48,6 +48,11 @@
         return;
     }
     m_is_unused = false;
+    if (m_server.m_settings.meter != nullptr)
+    {
+        m_server.m_settings.meter->record_received(
+            bytes, m_server.m_clock.steady_now());
+    }
     if (m_is_refused)
     {
         read_more();
--- a/libraries/adapters/asio/caller_server.cpp
+++ b/libraries/adapters/asio/caller_server.cpp
@@ -132,6 +132,12 @@
     m_close_handler = std::move(handler);
 }
 
+void caller_server::set_write_handler(
+    std::function<void(std::chrono::nanoseconds waited)> handler)
+{
+    m_write_handler = std::move(handler);
+}
+
 std::size_t caller_server::open_connections() const
 {
     return m_connections.size();
--- a/libraries/adapters/asio/caller_server.hpp
+++ b/libraries/adapters/asio/caller_server.hpp
@@ -5,9 +5,11 @@
 #include "libraries/core/memory_budget.hpp"
 #include "libraries/core/result.hpp"
 #include "libraries/domain/callers/route_table.hpp"
+#include "libraries/domain/capacity/link_meter.hpp"
 #include "libraries/ports/caller_channel.hpp"
 #include "libraries/ports/clock.hpp"
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
@@ -31,6 +33,9 @@
     /// Bounds what the connections hold; null for no bound. Used on the thread
     /// of the server's event loop only, and outlives the server.
     memory_budget* memory = nullptr;
+    /// Measures what the connections read and write; may be null. Used on the
+    /// thread of the server's event loop only, and outlives the server.
+    domain::link_meter* meter = nullptr;
 };
 
 /// Accepts callers' connections and reads their requests, within the limits
@@ -70,6 +75,12 @@
         std::function<void(ports::close_reason reason, bool is_in_request)>
             handler);
 
+    /// Sets what is called when bytes of a response have been written, with
+    /// the time that they waited for it. Precondition: not called from
+    /// `handler`.
+    void set_write_handler(
+        std::function<void(std::chrono::nanoseconds waited)> handler);
+
     /// Returns the number of open connections.
     [[nodiscard]] std::size_t open_connections() const;
 
@@ -116,6 +127,7 @@
     caller_server_settings m_settings;
     domain::caller_limits m_limits;
     std::function<void(ports::close_reason, bool)> m_close_handler;
+    std::function<void(std::chrono::nanoseconds)> m_write_handler;
     bool m_is_keep_alive_enabled = true;
     tcp::acceptor m_listener;
     one_shot_timer m_accept_retry_timer;
--- a/libraries/adapters/asio/upstream_connection.cpp
+++ b/libraries/adapters/asio/upstream_connection.cpp
@@ -152,6 +152,10 @@
 {
     const std::size_t body_bytes =
         m_call.body == nullptr ? 0 : m_call.body->bytes.size();
+    if (m_pool.m_meter != nullptr)
+    {
+        m_pool.m_meter->record_sent(bytes, m_pool.m_clock.steady_now());
+    }
     const bool is_sent =
         !error_code && bytes == m_call.bytes.size() + body_bytes;
     m_call.bytes = std::string();
--- a/libraries/adapters/asio/upstream_connection_pool.cpp
+++ b/libraries/adapters/asio/upstream_connection_pool.cpp
@@ -114,6 +114,11 @@
     }
 }
 
+void upstream_connection_pool::set_meter(domain::link_meter& meter)
+{
+    m_meter = &meter;
+}
+
 std::uint64_t upstream_connection_pool::opened_connections() const
 {
     return m_opened_connections;
--- a/libraries/adapters/asio/upstream_connection_pool.hpp
+++ b/libraries/adapters/asio/upstream_connection_pool.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "libraries/adapters/asio/asio.hpp"
+#include "libraries/domain/capacity/link_meter.hpp"
 #include "libraries/ports/clock.hpp"
 #include "libraries/ports/upstream_transport.hpp"
 
@@ -37,6 +38,10 @@
 
     void close_idle_connections(const std::string& address) override;
 
+    /// Measures with `meter` what the connections read and write. Precondition:
+    /// `meter` outlives the pool and is used on the thread of its event loop.
+    void set_meter(domain::link_meter& meter);
+
     /// Returns how many connections were created since the start.
     [[nodiscard]] std::uint64_t opened_connections() const;
 
@@ -56,6 +61,8 @@
     const ports::clock& m_clock;
     std::map<std::string, idle_connections> m_idle;
     std::uint64_t m_opened_connections = 0;
+    /// May be null.
+    domain::link_meter* m_meter = nullptr;
 };
 
 } // namespace turmeric::adapters
--- a/libraries/adapters/asio/upstream_connection_reading.cpp
+++ b/libraries/adapters/asio/upstream_connection_reading.cpp
@@ -78,6 +78,10 @@
         on_read_error(error_code);
         return;
     }
+    if (m_pool.m_meter != nullptr)
+    {
+        m_pool.m_meter->record_received(bytes, m_pool.m_clock.steady_now());
+    }
     m_buffer.append(bytes);
     parse();
 }
--- a/libraries/core/log_event.cpp
+++ b/libraries/core/log_event.cpp
@@ -23,6 +23,8 @@
     event_row{log_event::settings_reloaded, "settings_reloaded"},
     event_row{log_event::log_lines_dropped, "log_lines_dropped"},
     event_row{log_event::process_failed, "process_failed"},
+    event_row{log_event::router_overloaded, "router_overloaded"},
+    event_row{log_event::router_relieved, "router_relieved"},
     event_row{log_event::request_finished, "request_finished"},
     event_row{log_event::request_refused, "request_refused"},
     event_row{log_event::request_retried, "request_retried"},
@@ -81,6 +83,7 @@
     event_row{log_event::peer_lost, "peer_lost"},
     event_row{log_event::member_joined, "member_joined"},
     event_row{log_event::member_left, "member_left"},
+    event_row{log_event::entries_listed, "entries_listed"},
 };
 
 } // namespace
--- a/libraries/core/log_event.hpp
+++ b/libraries/core/log_event.hpp
@@ -21,6 +21,8 @@
     settings_reloaded = 108,
     log_lines_dropped = 109,
     process_failed = 110,
+    router_overloaded = 111,
+    router_relieved = 112,
 
     // 200: requests.
     request_finished = 201,
@@ -91,6 +93,7 @@
     peer_lost = 702,
     member_joined = 703,
     member_left = 704,
+    entries_listed = 705,
 };
 
 /// Returns the event's name, such as "process_started". Thread safe.
--- a/libraries/drivers/exchange/traffic_dispatcher.cpp
+++ b/libraries/drivers/exchange/traffic_dispatcher.cpp
@@ -3,6 +3,7 @@
 #include "libraries/drivers/exchange/exchange.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace turmeric::drivers
@@ -15,6 +16,12 @@
 constexpr std::chrono::milliseconds stopping_retry_after{50};
 constexpr std::chrono::milliseconds full_retry_after{300};
 
+std::int64_t to_percent(double part)
+{
+    constexpr double whole_percent = 100;
+    return std::llround(part * whole_percent);
+}
+
 } // namespace
 
 traffic_dispatcher::traffic_dispatcher(
@@ -297,8 +304,50 @@
                                  m_state.settings.stop_accepting_after;
 }
 
+domain::link_meter& traffic_dispatcher::link_meter()
+{
+    return m_state.overload.meter();
+}
+
+void traffic_dispatcher::record_loop_delay(std::chrono::nanoseconds delay)
+{
+    m_state.dependencies.metrics.loop_delay.with_labels({}).record(
+        std::chrono::duration_cast<std::chrono::microseconds>(delay));
+    m_state.overload.record_loop_delay(delay,
+                                       m_state.dependencies.clock.steady_now());
+}
+
+void traffic_dispatcher::update_overload()
+{
+    const ports::steady_time now = m_state.dependencies.clock.steady_now();
+    const bool has_changed = m_state.overload.update(now);
+    const domain::link_use use = m_state.overload.use(now);
+    const std::int64_t received = to_percent(use.received);
+    const std::int64_t sent = to_percent(use.sent);
+    metrics::family<metrics::gauge>& gauges =
+        m_state.dependencies.metrics.link_use;
+    gauges.with_labels({"received"}).set(received);
+    gauges.with_labels({"sent"}).set(sent);
+    if (!has_changed)
+    {
+        return;
+    }
+    const bool is_overloaded = m_state.overload.is_overloaded();
+    const std::chrono::milliseconds delay =
+        std::chrono::duration_cast<std::chrono::milliseconds>(
+            m_state.overload.loop_delay());
+    m_state.dependencies.log.write(
+        is_overloaded ? log_level::warning : log_level::info,
+        is_overloaded ? log_event::router_overloaded
+                      : log_event::router_relieved,
+        {{"received_percent", received},
+         {"sent_percent", sent},
+         {"loop_delay_ms", static_cast<std::int64_t>(delay.count())}});
+}
+
 traffic_digest traffic_dispatcher::digest()
 {
+    update_overload();
     if (m_state.dependencies.memory != nullptr)
     {
         m_state.dependencies.metrics.show_memory(*m_state.dependencies.memory);
--- a/libraries/drivers/exchange/traffic_dispatcher.hpp
+++ b/libraries/drivers/exchange/traffic_dispatcher.hpp
@@ -55,6 +55,12 @@
     /// `traffic_settings::stop_accepting_after` has passed.
     void stop();
 
+    /// Returns the meter for what reads and writes the traffic's connections.
+    [[nodiscard]] domain::link_meter& link_meter();
+
+    /// Records how much later than it was due the traffic thread ran an update.
+    void record_loop_delay(std::chrono::nanoseconds delay);
+
     /// Returns the state of the traffic for the peers and the store.
     [[nodiscard]] traffic_digest digest();
 
@@ -83,6 +89,8 @@
     void refuse_pending_holds(const std::string& account);
 
 private:
+    /// Decides anew whether this router is overloaded, and shows why.
+    void update_overload();
     /// Starts or stops the pacing of prepaid tokens during a store outage.
     void update_outage_pacing();
     /// Returns whether the shutdown has come so far that requests are refused.
--- a/libraries/drivers/exchange/traffic_metrics.cpp
+++ b/libraries/drivers/exchange/traffic_metrics.cpp
@@ -89,6 +89,24 @@
            {},
            1,
            {}}))
+    , link_use(registry.make<metrics::gauge>(
+          {"turmeric_entry_link_use_percent",
+           "Part of the link's capacity that callers' traffic uses.",
+           {"direction"},
+           2,
+           {}}))
+    , loop_delay(registry.make<metrics::histogram>(
+          {"turmeric_entry_loop_delay_seconds",
+           "How much later than it was due the traffic thread ran an update.",
+           {},
+           1,
+           {}}))
+    , write_wait(registry.make<metrics::histogram>(
+          {"turmeric_entry_write_wait_seconds",
+           "How long bytes of responses waited until they were written.",
+           {},
+           1,
+           {}}))
 {
 }
 
--- a/libraries/drivers/exchange/traffic_metrics.hpp
+++ b/libraries/drivers/exchange/traffic_metrics.hpp
@@ -48,6 +48,13 @@
     metrics::family<metrics::gauge>& memory_limit;
     metrics::family<metrics::gauge>& cold_upstreams;
     metrics::family<metrics::gauge>& evacuated_data_centres;
+    /// The part of the link's capacity that callers' traffic uses, in percent,
+    /// by direction.
+    metrics::family<metrics::gauge>& link_use;
+    /// How much later than it was due the traffic thread ran an update.
+    metrics::family<metrics::histogram>& loop_delay;
+    /// How long bytes of responses waited until they were written.
+    metrics::family<metrics::histogram>& write_wait;
 };
 
 } // namespace turmeric::drivers
--- a/libraries/drivers/exchange/traffic_settings.hpp
+++ b/libraries/drivers/exchange/traffic_settings.hpp
@@ -32,6 +32,9 @@
     /// What a request in flight takes beside its messages: the exchange, its
     /// attempt and the upstream's connection with its buffers.
     std::int64_t exchange_bytes = 24 << 10;
+    /// Speed of the VM's network link, in megabits per second; 0 if it is not
+    /// known.
+    double link_mbps = 0;
 };
 
 } // namespace turmeric::drivers
--- a/libraries/drivers/exchange/traffic_state.cpp
+++ b/libraries/drivers/exchange/traffic_state.cpp
@@ -25,6 +25,7 @@
     , settings(std::move(the_settings))
     , load_balancer(settings.data_centre)
     , retry_limiter(settings.retries)
+    , overload(settings.link_mbps)
     , prober(*this)
 {
 }
--- a/libraries/drivers/exchange/traffic_state.hpp
+++ b/libraries/drivers/exchange/traffic_state.hpp
@@ -4,6 +4,7 @@
 #include "libraries/core/memory_budget.hpp"
 #include "libraries/domain/admission/slot_queue.hpp"
 #include "libraries/domain/callers/route_table.hpp"
+#include "libraries/domain/capacity/overload_monitor.hpp"
 #include "libraries/domain/crashing_parts/crashing_part_detector.hpp"
 #include "libraries/domain/crashing_parts/unconfirmed_ends.hpp"
 #include "libraries/domain/move/version_split.hpp"
@@ -142,6 +143,7 @@
     domain::outage_pacer pacer;
     domain::slot_queue queue;
     domain::retry_rate_limiter retry_limiter;
+    domain::overload_monitor overload;
     domain::crashing_part_detector crashing_parts;
     domain::unconfirmed_ends unconfirmed;
     /// As last logged.
--- a/libraries/drivers/fleet/fleet_control.cpp
+++ b/libraries/drivers/fleet/fleet_control.cpp
@@ -1,6 +1,7 @@
 #include "libraries/drivers/fleet/fleet_control.hpp"
 
 #include <algorithm>
+#include <fmt/ranges.h>
 #include <utility>
 
 namespace turmeric::drivers
@@ -510,10 +511,16 @@
 std::vector<std::string>
 fleet_control::list_entries(const std::string& data_centre) const
 {
-    return domain::list_entries(
+    std::vector<std::string> addresses = domain::list_entries(
         m_peers.entry_candidates(m_is_leaving,
                                  m_dependencies.clock.steady_now()),
         data_centre);
+    m_dependencies.log.write(
+        log_level::debug, log_event::entries_listed,
+        {{"data_centre", data_centre},
+         {"count", static_cast<std::int64_t>(addresses.size())},
+         {"addresses", fmt::format("{}", fmt::join(addresses, ","))}});
+    return addresses;
 }
 
 const std::string& fleet_control::configuration_text() const
--- a/services/entry/entry_process.cpp
+++ b/services/entry/entry_process.cpp
@@ -88,9 +88,9 @@
                  m_settings.data_centre, m_settings.peer_address,
                  m_settings.caller_address, m_settings.capacity},
                 m_settings.rollouts)
-    , m_caller_server(
-          m_traffic_loop, m_clock, m_dispatcher,
-          {m_settings.caller_address, m_settings.max_connections, &m_memory})
+    , m_caller_server(m_traffic_loop, m_clock, m_dispatcher,
+                      {m_settings.caller_address, m_settings.max_connections,
+                       &m_memory, &m_dispatcher.link_meter()})
     , m_directory_handler({[this] { return m_control.is_ready(); },
                            [this](const std::string& data_centre)
                            { return m_control.list_entries(data_centre); }})
@@ -108,6 +108,13 @@
     , m_signals(m_control_loop, SIGTERM, SIGINT, SIGHUP)
 {
     m_link.connect(m_dispatcher, m_caller_server);
+    m_traffic_pool.set_meter(m_dispatcher.link_meter());
+    m_caller_server.set_write_handler(
+        [this](std::chrono::nanoseconds waited)
+        {
+            m_metrics.write_wait.with_labels({}).record(
+                std::chrono::duration_cast<std::chrono::microseconds>(waited));
+        });
     m_caller_server.set_close_handler(
         [this](ports::close_reason reason, bool is_in_request)
         {
--- a/services/entry/entry_process.hpp
+++ b/services/entry/entry_process.hpp
@@ -98,7 +98,7 @@
     platform::platform_store m_platform_store;
     drivers::counted_asynchronous_store m_store;
     adapters::asio_datagram_link m_peers{m_control_loop};
-    thread_link m_link{m_control_loop, m_traffic_loop};
+    thread_link m_link{m_control_loop, m_traffic_loop, m_clock};
     drivers::traffic_dispatcher m_dispatcher;
     drivers::fleet_control m_control;
     adapters::caller_server m_caller_server;
--- a/services/entry/entry_settings.cpp
+++ b/services/entry/entry_settings.cpp
@@ -168,6 +168,7 @@
     parsed.format =
         adapters::parse_log_format(log.value("format", std::string("text")));
     parsed.traffic.data_centre = parsed.data_centre;
+    parsed.traffic.link_mbps = parsed.capacity.link_mbps;
     const json retries = settings.value("retries", json::object());
     domain::retry_rate_limits& limits = parsed.traffic.retries;
     limits.ratio = retries.value("ratio", limits.ratio);
--- a/services/entry/thread_link.cpp
+++ b/services/entry/thread_link.cpp
@@ -14,9 +14,11 @@
 
 } // namespace
 
-thread_link::thread_link(asio::io_context& control, asio::io_context& traffic)
+thread_link::thread_link(asio::io_context& control, asio::io_context& traffic,
+                         const ports::clock& clock)
     : m_control_loop(control)
     , m_traffic_loop(traffic)
+    , m_clock(clock)
 {
 }
 
@@ -112,17 +114,21 @@
         return;
     }
     m_is_delivery_scheduled = true;
+    m_scheduled_at = m_clock.steady_now();
     asio::post(m_traffic_loop, [this] { deliver(); });
 }
 
 void thread_link::deliver()
 {
     pending_updates updates;
+    ports::steady_time scheduled_at;
     {
         const std::lock_guard<std::mutex> lock(m_mutex);
         updates = std::exchange(m_pending, pending_updates{});
         m_is_delivery_scheduled = false;
+        scheduled_at = m_scheduled_at;
     }
+    m_dispatcher->record_loop_delay(m_clock.steady_now() - scheduled_at);
     if (updates.routes != nullptr)
     {
         m_server->set_limits(updates.routes->limits());
--- a/services/entry/thread_link.hpp
+++ b/services/entry/thread_link.hpp
@@ -20,9 +20,9 @@
 class thread_link final : public drivers::traffic_link
 {
 public:
-    /// Precondition: the loops outlive the link.
+    /// Precondition: the loops and the clock outlive the link.
     thread_link(adapters::asio::io_context& control,
-                adapters::asio::io_context& traffic);
+                adapters::asio::io_context& traffic, const ports::clock& clock);
 
     /// Sets the receivers on the traffic thread. Precondition: neither thread
     /// runs yet; both receivers outlive the link.
@@ -71,11 +71,14 @@
 
     adapters::asio::io_context& m_control_loop;
     adapters::asio::io_context& m_traffic_loop;
+    const ports::clock& m_clock;
     drivers::traffic_dispatcher* m_dispatcher = nullptr;
     adapters::caller_server* m_server = nullptr;
     std::mutex m_mutex;
     pending_updates m_pending;
     bool m_is_delivery_scheduled = false;
+    /// When the delivery was posted that is scheduled.
+    ports::steady_time m_scheduled_at{};
 };
 
 } // namespace turmeric::entry
--- a/tests/requests_cut_without_response/end_of_stop_test.cpp
+++ b/tests/requests_cut_without_response/end_of_stop_test.cpp
@@ -43,7 +43,7 @@
     std::string address = free_address(traffic_loop);
     adapters::caller_server server{
         traffic_loop, clock, request_handler, {address, 8}};
-    entry::thread_link link{control_loop, traffic_loop};
+    entry::thread_link link{control_loop, traffic_loop, clock};
 
     void setup() override
     {
