--- a/tests/processes/entry_fleet.py
+++ b/tests/processes/entry_fleet.py
@@ -77,7 +77,7 @@
     """One entry process; its log goes to a file, or to `output`."""
 
     def __init__(self, folder, name, store_address, output=None,
-                 binaries=fleet.BINARIES, memory_mb=256):
+                 binaries=fleet.BINARIES, memory_mb=256, more_settings=None):
         ports = {kind: f'127.0.0.1:{free_port()}' for kind in
                  ('callers', 'readiness', 'directory', 'peers')}
         self.callers = ports['callers']
@@ -89,7 +89,7 @@
             'vm': name, 'data_centre': 'east', 'listen': ports,
             'store': store_address, 'stop_ms': 4000,
             'memory_mb': memory_mb,
-            'log': {'level': 'debug'}}))
+            'log': {'level': 'debug'}, **(more_settings or {})}))
         self.log = folder / f'{name}.log'
         self._output = open(self.log, 'w', encoding='utf-8')
         self.popen = subprocess.Popen(
