Entry: Shed callers at a router whose link is full

Cause: nothing in a router measured whether its own VM carries what callers offer.

Change (decision 0016): from three quarters of the link on, or with a late event loop, digests tell it, the directories and peers leave the router out, it keeps no connection after its response and forwards nothing; from 85% on it refuses a part of new requests at once. It works since callers who follow the directory leave within its time to live, and the others get an answer while the link still has room for it.

Measured: the test passes, with both its parts. Weighed and not taken, with figures in the decision: resets and a closed address.

--- a/libraries/adapters/asio/caller_connection.cpp
+++ b/libraries/adapters/asio/caller_connection.cpp
@@ -100,8 +100,7 @@
     }
     m_is_handling_request = true;
     m_is_response_ended = false;
-    m_is_keep_alive =
-        m_parser->keep_alive() && m_server.m_is_keep_alive_enabled;
+    m_is_keep_alive = m_parser->keep_alive() && m_server.may_keep_alive();
     ports::received_request request;
     request.head = head_of(m_parser->get());
     request.body = std::move(m_parser->get().body());
@@ -131,7 +130,7 @@
 void caller_connection::send_response(const ports::response_head& head,
                                       const std::string& body)
 {
-    m_is_keep_alive = m_is_keep_alive && m_server.m_is_keep_alive_enabled;
+    m_is_keep_alive = m_is_keep_alive && m_server.may_keep_alive();
     m_exchange.reset();
     m_is_response_ended = true;
     std::string bytes =
@@ -143,8 +142,8 @@
 
 void caller_connection::start_response(const ports::response_head& head)
 {
-    m_is_keep_alive = m_is_keep_alive && m_has_chunked_support &&
-                      m_server.m_is_keep_alive_enabled;
+    m_is_keep_alive =
+        m_is_keep_alive && m_has_chunked_support && m_server.may_keep_alive();
     const body_framing framing = m_has_chunked_support
                                      ? body_framing::chunked
                                      : body_framing::until_close;
--- a/libraries/adapters/asio/caller_server.cpp
+++ b/libraries/adapters/asio/caller_server.cpp
@@ -126,6 +126,16 @@
     m_is_keep_alive_enabled = false;
 }
 
+void caller_server::set_keeping(bool is_keeping)
+{
+    m_is_keeping = is_keeping;
+}
+
+bool caller_server::may_keep_alive() const
+{
+    return m_is_keep_alive_enabled && m_is_keeping;
+}
+
 void caller_server::set_close_handler(
     std::function<void(ports::close_reason reason, bool is_in_request)> handler)
 {
--- a/libraries/adapters/asio/caller_server.hpp
+++ b/libraries/adapters/asio/caller_server.hpp
@@ -68,6 +68,10 @@
     /// `Connection: close`, so that callers connect to another process.
     void disable_keep_alive();
 
+    /// Sets whether connections are closed after their next response for now,
+    /// so that callers choose other routers.
+    void set_keeping(bool is_keeping);
+
     /// Sets what is called as a connection ends, with the reason and whether
     /// the first bytes of a request had been read whose response was not
     /// written completely. Precondition: not called from `handler`.
@@ -81,6 +85,9 @@
     void set_write_handler(
         std::function<void(std::chrono::nanoseconds waited)> handler);
 
+    /// Returns whether connections stay open after a response.
+    [[nodiscard]] bool may_keep_alive() const;
+
     /// Returns the number of open connections.
     [[nodiscard]] std::size_t open_connections() const;
 
@@ -129,6 +136,7 @@
     std::function<void(ports::close_reason, bool)> m_close_handler;
     std::function<void(std::chrono::nanoseconds)> m_write_handler;
     bool m_is_keep_alive_enabled = true;
+    bool m_is_keeping = true;
     tcp::acceptor m_listener;
     one_shot_timer m_accept_retry_timer;
     /// Expires at once after memory was given back, since waiting connections
--- a/libraries/codecs/fleet/digest_codec.cpp
+++ b/libraries/codecs/fleet/digest_codec.cpp
@@ -98,20 +98,25 @@
         accounts[name] = {account.used, account.held, account.free,
                           account.rate};
     }
-    const json encoded = {
-        format_version,
-        digest.incarnation,
-        digest.sequence,
-        digest.configuration_version,
-        digest.is_leaving,
-        digest.is_store_unavailable,
-        std::move(load),
-        std::move(accounts),
-        write_suspect_parts(digest.observations.suspect_parts, now),
-        write_rate_limits(digest.observations.rate_limits, now),
-        digest.cut_off_services,
-        write_brittle(digest.observations.brittle, now),
-        write_contact(digest.store_contact, now)};
+    json encoded = {format_version,
+                    digest.incarnation,
+                    digest.sequence,
+                    digest.configuration_version,
+                    digest.is_leaving,
+                    digest.is_store_unavailable,
+                    std::move(load),
+                    std::move(accounts),
+                    write_suspect_parts(digest.observations.suspect_parts, now),
+                    write_rate_limits(digest.observations.rate_limits, now),
+                    digest.cut_off_services,
+                    write_brittle(digest.observations.brittle, now),
+                    write_contact(digest.store_contact, now)};
+    // Releases that do not know this element reject the digest, and name the
+    // router to no caller either.
+    if (digest.is_overloaded)
+    {
+        encoded.push_back(true);
+    }
     const std::vector<std::uint8_t> bytes = json::to_cbor(encoded);
     return std::string(bytes.begin(), bytes.end());
 }
@@ -119,9 +124,13 @@
 result<peer_digest> read_digest(std::string_view bytes, ports::steady_time now)
 {
     constexpr std::size_t element_count = 13;
+    constexpr std::size_t overloaded_count = element_count + 1;
     const json encoded = read_cbor(bytes);
     std::int64_t received_version = 0;
-    if (!encoded.is_array() || encoded.size() != element_count ||
+    const bool is_overloaded =
+        encoded.size() == overloaded_count && encoded[element_count] == true;
+    if (!encoded.is_array() ||
+        (encoded.size() != element_count && !is_overloaded) ||
         !read_number(encoded, 0, received_version) ||
         received_version != format_version)
     {
@@ -194,6 +203,7 @@
     {
         return unreadable_digest("store_contact");
     }
+    digest.is_overloaded = is_overloaded;
     digest.observations.brittle = std::move(brittle.value());
     digest.observations.suspect_parts = std::move(suspect_parts.value());
     digest.observations.rate_limits = std::move(rate_limits.value());
--- a/libraries/codecs/fleet/digest_codec.hpp
+++ b/libraries/codecs/fleet/digest_codec.hpp
@@ -43,6 +43,8 @@
     domain::upstream_observations observations;
     /// The services whose upstreams the router does not reach.
     std::set<std::string> cut_off_services;
+    /// Whether the router is offered more than its VM carries.
+    bool is_overloaded = false;
 };
 
 /// Encodes a digest as CBOR. Times are written as their ages at `now`, since
--- a/libraries/core/result_code.cpp
+++ b/libraries/core/result_code.cpp
@@ -39,6 +39,7 @@
     code_row{result_code::prompt_blocked, "prompt_blocked", 503},
     code_row{result_code::request_blocked, "request_blocked", 503},
     code_row{result_code::memory_full, "memory_full", 503},
+    code_row{result_code::router_overloaded, "router_overloaded", 503},
     code_row{result_code::budget_exhausted, "budget_exhausted", 402},
     code_row{result_code::grant_unavailable, "grant_unavailable", 503},
     code_row{result_code::grant_expired, "grant_expired", 503},
--- a/libraries/core/result_code.hpp
+++ b/libraries/core/result_code.hpp
@@ -35,6 +35,7 @@
     prompt_blocked = 2009,
     request_blocked = 2010,
     memory_full = 2011,
+    router_overloaded = 2012,
 
     // 3000: budgets and billing.
     budget_exhausted = 3001,
--- a/libraries/domain/capacity/overload_monitor.hpp
+++ b/libraries/domain/capacity/overload_monitor.hpp
@@ -32,6 +32,10 @@
     /// Returns whether the router was overloaded at the last `update`.
     [[nodiscard]] bool is_overloaded() const;
 
+    /// Returns which part of new requests is to be refused, so that those that
+    /// are accepted find room: 0 while there is room, three quarters at most.
+    [[nodiscard]] double refused_part(ports::steady_time now) const;
+
     /// Returns the use of the link.
     [[nodiscard]] link_use use(ports::steady_time now) const;
 
@@ -39,12 +43,12 @@
     [[nodiscard]] std::chrono::nanoseconds loop_delay() const;
 
 private:
-    [[nodiscard]] bool is_above(double link_part,
-                                std::chrono::nanoseconds delay,
-                                ports::steady_time now) const;
+    /// Returns which part is used of what there is least of; 1 is all of it.
+    [[nodiscard]] double load(ports::steady_time now) const;
 
     link_meter m_meter;
     std::chrono::nanoseconds m_loop_delay{};
+    std::chrono::nanoseconds m_previous_loop_delay{};
     ports::steady_time m_loop_delay_at{};
     bool m_is_overloaded = false;
     /// Since when the load has been low enough for the overload to end.
--- a/libraries/domain/membership/entry_list.cpp
+++ b/libraries/domain/membership/entry_list.cpp
@@ -19,6 +19,9 @@
 /// The smallest part of the answering routers that list a router, so that small
 /// routers keep connections that grow when large ones are lost.
 constexpr double min_listed_share = 0.125;
+/// The part of the capacity that the routers must have that are not overloaded,
+/// before the others are left out. With less, they would be overloaded next.
+constexpr double min_capacity_with_room = 0.5;
 
 /// Returns which part of `largest` a capacity is, by what binds more. What is
 /// not stated counts as the largest.
@@ -45,6 +48,40 @@
     return largest;
 }
 
+/// Returns the largest capacity of all.
+router_capacity
+find_largest_of_all(const std::vector<const entry_candidate*>& usable)
+{
+    router_capacity largest;
+    for (const entry_candidate* one : usable)
+    {
+        largest.cpu_share =
+            std::max(largest.cpu_share, one->capacity.cpu_share);
+        largest.link_mbps =
+            std::max(largest.link_mbps, one->capacity.link_mbps);
+    }
+    return largest;
+}
+
+/// Leaves out overloaded routers if the others can take their callers.
+void leave_out_overloaded_routers(std::vector<const entry_candidate*>& usable)
+{
+    const router_capacity largest = find_largest_of_all(usable);
+    double all = 0;
+    double with_room = 0;
+    for (const entry_candidate* one : usable)
+    {
+        const double share = share_of(one->capacity, largest);
+        all += share;
+        with_room += one->is_overloaded ? 0 : share;
+    }
+    if (with_room >= all * min_capacity_with_room)
+    {
+        std::erase_if(usable, [](const entry_candidate* one)
+                      { return one->is_overloaded; });
+    }
+}
+
 /// Leaves out routers by their capacity, as the router at `self` does.
 void leave_out_small_routers(std::vector<const entry_candidate*>& usable,
                              const std::string& self)
@@ -100,6 +137,7 @@
             usable.push_back(&one);
         }
     }
+    leave_out_overloaded_routers(usable);
     const auto self =
         std::find_if(candidates.begin(), candidates.end(),
                      [](const entry_candidate& one) { return one.is_self; });
--- a/libraries/domain/membership/entry_list.hpp
+++ b/libraries/domain/membership/entry_list.hpp
@@ -19,6 +19,8 @@
     /// Whether a datagram or a registration from it arrived recently.
     bool has_recent_report = false;
     router_capacity capacity = {};
+    /// Whether it is offered more than its VM carries.
+    bool is_overloaded = false;
 };
 
 /// Returns the addresses for callers in `data_centre`, routers in that data
@@ -26,6 +28,9 @@
 /// no other router reported, this router itself may be cut off, so all
 /// registered routers that are not leaving are returned.
 ///
+/// Overloaded routers are left out, so that their callers choose others, as
+/// long as the others have at least half of the capacity.
+///
 /// Callers choose among the addresses at random, so a router with less capacity
 /// than the largest of its data centre is left out by a part of the routers
 /// that answer. Each leaves out the same ones all the time, since callers close
--- a/libraries/drivers/exchange/exchange_forwarding.cpp
+++ b/libraries/drivers/exchange/exchange_forwarding.cpp
@@ -61,8 +61,11 @@
 {
     const domain::caller_route& route = *m_context.route;
     if (m_context.parsed_request.forwarded_attempts || m_close_reason ||
-        m_tried_peers.size() >= max_peers || attempts_left() <= 0)
+        m_tried_peers.size() >= max_peers || attempts_left() <= 0 ||
+        m_state.overload.is_overloaded())
     {
+        // An overloaded router reaches peers no better than upstreams, and the
+        // request would pass its link once more.
         return false;
     }
     if (m_may_have_run && !route.is_repeatable())
--- a/libraries/drivers/exchange/fleet_view.hpp
+++ b/libraries/drivers/exchange/fleet_view.hpp
@@ -65,7 +65,8 @@
     /// Whether a peer with a recent report can reach the store, so that it can
     /// get grants and lend from them.
     bool can_peer_reach_store = false;
-    /// The registered peers with a recent digest that are not leaving.
+    /// The registered peers with a recent digest that are neither leaving nor
+    /// overloaded.
     std::vector<peer_path> peer_paths;
     /// The services that are moved to another version.
     std::vector<domain::service_split> splits;
@@ -120,6 +121,8 @@
     std::vector<domain::suspect_id> blocked;
     /// The services whose upstreams this router does not reach.
     std::set<std::string> cut_off_services;
+    /// Whether this router is offered more than its VM carries.
+    bool is_overloaded = false;
     /// What was seen of the versions of services that are moved.
     std::vector<domain::move_report> moves;
 };
--- a/libraries/drivers/exchange/traffic_dispatcher.cpp
+++ b/libraries/drivers/exchange/traffic_dispatcher.cpp
@@ -3,7 +3,6 @@
 #include "libraries/drivers/exchange/exchange.hpp"
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
 namespace turmeric::drivers
@@ -16,12 +15,6 @@
 constexpr std::chrono::milliseconds stopping_retry_after{50};
 constexpr std::chrono::milliseconds full_retry_after{300};
 
-std::int64_t to_percent(double part)
-{
-    constexpr double whole_percent = 100;
-    return std::llround(part * whole_percent);
-}
-
 } // namespace
 
 traffic_dispatcher::traffic_dispatcher(
@@ -65,6 +58,10 @@
                      "too many requests are in flight", outcome::not_run,
                      full_retry_after};
     }
+    if (std::optional<error> refusal = find_overload_refusal())
+    {
+        return refusal;
+    }
     return find_memory_refusal();
 }
 
@@ -135,6 +132,7 @@
 traffic_dispatcher::accept(ports::received_request request,
                            std::shared_ptr<ports::caller_channel> channel)
 {
+    update_overload();
     result<domain::caller_request> parsed_request =
         m_state.dependencies.dialect.read_request(request.head);
     if (!parsed_request)
@@ -304,50 +302,10 @@
                                  m_state.settings.stop_accepting_after;
 }
 
-domain::link_meter& traffic_dispatcher::link_meter()
-{
-    return m_state.overload.meter();
-}
-
-void traffic_dispatcher::record_loop_delay(std::chrono::nanoseconds delay)
-{
-    m_state.dependencies.metrics.loop_delay.with_labels({}).record(
-        std::chrono::duration_cast<std::chrono::microseconds>(delay));
-    m_state.overload.record_loop_delay(delay,
-                                       m_state.dependencies.clock.steady_now());
-}
-
-void traffic_dispatcher::update_overload()
-{
-    const ports::steady_time now = m_state.dependencies.clock.steady_now();
-    const bool has_changed = m_state.overload.update(now);
-    const domain::link_use use = m_state.overload.use(now);
-    const std::int64_t received = to_percent(use.received);
-    const std::int64_t sent = to_percent(use.sent);
-    metrics::family<metrics::gauge>& gauges =
-        m_state.dependencies.metrics.link_use;
-    gauges.with_labels({"received"}).set(received);
-    gauges.with_labels({"sent"}).set(sent);
-    if (!has_changed)
-    {
-        return;
-    }
-    const bool is_overloaded = m_state.overload.is_overloaded();
-    const std::chrono::milliseconds delay =
-        std::chrono::duration_cast<std::chrono::milliseconds>(
-            m_state.overload.loop_delay());
-    m_state.dependencies.log.write(
-        is_overloaded ? log_level::warning : log_level::info,
-        is_overloaded ? log_event::router_overloaded
-                      : log_event::router_relieved,
-        {{"received_percent", received},
-         {"sent_percent", sent},
-         {"loop_delay_ms", static_cast<std::int64_t>(delay.count())}});
-}
-
 traffic_digest traffic_dispatcher::digest()
 {
     update_overload();
+    show_link_use();
     if (m_state.dependencies.memory != nullptr)
     {
         m_state.dependencies.metrics.show_memory(*m_state.dependencies.memory);
@@ -361,6 +319,7 @@
     std::erase_if(unreached_services, [this](const std::string& service)
                   { return m_state.paths.is_in_contact(service); });
     current.load = m_state.load_balancer.own_load(unreached_services);
+    current.is_overloaded = m_state.overload.is_overloaded();
     current.in_flight = static_cast<std::int64_t>(m_state.exchanges.size());
     current.observations.suspect_parts = m_state.crashing_parts.report(now);
     current.blocked = m_state.crashing_parts.list_blocked();
--- a/libraries/drivers/exchange/traffic_dispatcher.hpp
+++ b/libraries/drivers/exchange/traffic_dispatcher.hpp
@@ -55,6 +55,10 @@
     /// `traffic_settings::stop_accepting_after` has passed.
     void stop();
 
+    /// Sets the action that is called when an overload of this router begins or
+    /// ends.
+    void set_overload_handler(std::function<void(bool is_overloaded)> action);
+
     /// Returns the meter for what reads and writes the traffic's connections.
     [[nodiscard]] domain::link_meter& link_meter();
 
@@ -89,8 +93,12 @@
     void refuse_pending_holds(const std::string& account);
 
 private:
-    /// Decides anew whether this router is overloaded, and shows why.
+    // traffic_dispatcher_overload.cpp: more requests than the VM carries.
+    /// Decides anew whether this router is overloaded, and logs a change.
     void update_overload();
+    void show_link_use();
+    /// Returns why a request is refused to leave room for others, if so.
+    [[nodiscard]] std::optional<error> find_overload_refusal() const;
     /// Starts or stops the pacing of prepaid tokens during a store outage.
     void update_outage_pacing();
     /// Returns whether the shutdown has come so far that requests are refused.
@@ -109,6 +117,7 @@
                 const domain::caller_request& request);
 
     traffic_state m_state;
+    std::function<void(bool)> m_overload_handler;
 };
 
 } // namespace turmeric::drivers
--- a/libraries/drivers/fleet/fleet_control.cpp
+++ b/libraries/drivers/fleet/fleet_control.cpp
@@ -150,6 +150,8 @@
     digest.accounts = m_tokens.report(traffic);
     digest.observations = traffic.observations;
     digest.cut_off_services = traffic.cut_off_services;
+    m_is_overloaded = traffic.is_overloaded;
+    digest.is_overloaded = m_is_overloaded;
     const std::string bytes =
         codecs::write_digest(digest, m_dependencies.clock.steady_now());
     for (const std::string& address : m_peers.peer_addresses())
@@ -512,7 +514,7 @@
 fleet_control::list_entries(const std::string& data_centre) const
 {
     std::vector<std::string> addresses = domain::list_entries(
-        m_peers.entry_candidates(m_is_leaving,
+        m_peers.entry_candidates(m_is_leaving, m_is_overloaded,
                                  m_dependencies.clock.steady_now()),
         data_centre);
     m_dependencies.log.write(
--- a/libraries/drivers/fleet/fleet_control.hpp
+++ b/libraries/drivers/fleet/fleet_control.hpp
@@ -164,6 +164,8 @@
     /// Since when peers have reported a newer configuration.
     std::optional<ports::steady_time> m_outdated_since;
     bool m_is_leaving = false;
+    /// As of the last traffic digest.
+    bool m_is_overloaded = false;
 };
 
 } // namespace turmeric::drivers
--- a/libraries/drivers/fleet/peer_table.cpp
+++ b/libraries/drivers/fleet/peer_table.cpp
@@ -153,7 +153,8 @@
         const auto member = m_members.find(incarnation);
         const bool is_recent =
             peer.last_digest_at && now - *peer.last_digest_at <= max_report_age;
-        if (member != m_members.end() && is_recent && !peer.digest.is_leaving)
+        if (member != m_members.end() && is_recent && !peer.digest.is_leaving &&
+            !peer.digest.is_overloaded)
         {
             paths.push_back({member->second.caller_address,
                              member->second.data_centre,
@@ -164,11 +165,12 @@
 }
 
 std::vector<domain::entry_candidate>
-peer_table::entry_candidates(bool is_self_leaving, ports::steady_time now) const
+peer_table::entry_candidates(bool is_self_leaving, bool is_self_overloaded,
+                             ports::steady_time now) const
 {
     std::vector<domain::entry_candidate> all;
     all.push_back({m_self.caller_address, m_self.data_centre, true,
-                   is_self_leaving, true, m_self.capacity});
+                   is_self_leaving, true, m_self.capacity, is_self_overloaded});
     for (const auto& [incarnation, member] : m_members)
     {
         if (incarnation == m_self.incarnation)
@@ -178,9 +180,10 @@
         const auto peer = m_peers.find(incarnation);
         const bool is_leaving =
             peer != m_peers.end() && peer->second.digest.is_leaving;
-        all.push_back({member.caller_address, member.data_centre, false,
-                       is_leaving, has_recent_report(incarnation, now),
-                       member.capacity});
+        all.push_back(
+            {member.caller_address, member.data_centre, false, is_leaving,
+             has_recent_report(incarnation, now), member.capacity,
+             peer != m_peers.end() && peer->second.digest.is_overloaded});
     }
     return all;
 }
--- a/libraries/drivers/fleet/peer_table.hpp
+++ b/libraries/drivers/fleet/peer_table.hpp
@@ -54,7 +54,8 @@
     /// Returns the routers from which the directory selects entries for
     /// callers.
     [[nodiscard]] std::vector<domain::entry_candidate>
-    entry_candidates(bool is_self_leaving, ports::steady_time now) const;
+    entry_candidates(bool is_self_leaving, bool is_self_overloaded,
+                     ports::steady_time now) const;
 
     /// Returns the incarnations of the registered routers with a recent report
     /// that are not leaving, without this one.
@@ -88,7 +89,8 @@
                              ports::steady_time now) const;
 
 private:
-    /// Returns the registered peers with a recent digest that are not leaving.
+    /// Returns the registered peers with a recent digest that are neither
+    /// leaving nor overloaded.
     [[nodiscard]] std::vector<peer_path>
     list_paths(ports::steady_time now) const;
     struct peer_state
--- a/services/entry/entry_process.cpp
+++ b/services/entry/entry_process.cpp
@@ -138,6 +138,12 @@
     m_dispatcher.set_suspicion_handler(
         [this]
         { asio::post(m_control_loop, [this] { m_control.report_early(); }); });
+    m_dispatcher.set_overload_handler(
+        [this](bool is_overloaded)
+        {
+            m_caller_server.set_keeping(!is_overloaded);
+            asio::post(m_control_loop, [this] { m_control.report_early(); });
+        });
     m_dispatcher.set_rejection_handler(
         [this] {
             asio::post(m_control_loop,
--- a/tests/asio/caller_server_test.cpp
+++ b/tests/asio/caller_server_test.cpp
@@ -262,6 +262,19 @@
     CHECK(wait_for_close());
 }
 
+TEST(caller_server_group, closes_connections_while_it_does_not_keep_them)
+{
+    server.set_keeping(false);
+    server.set_keeping(true);
+    send("GET /a HTTP/1.1\r\n\r\n");
+    CHECK(wait_for_text("Keep-Alive: "));
+    received.clear();
+    server.set_keeping(false);
+    send("GET /a HTTP/1.1\r\n\r\n");
+    CHECK(wait_for_text("Connection: close"));
+    CHECK(wait_for_close());
+}
+
 TEST(caller_server_group, closes_the_connection_of_an_http_1_0_caller)
 {
     send("GET /a HTTP/1.0\r\n\r\n");
--- a/tests/capacity/overload_monitor_test.cpp
+++ b/tests/capacity/overload_monitor_test.cpp
@@ -1,5 +1,7 @@
 #include "libraries/domain/capacity/overload_monitor.hpp"
 
+#include <utility>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace turmeric;
@@ -75,13 +77,27 @@
 TEST(overload_group, a_late_event_loop_is_an_overload)
 {
     overload_monitor monitor(0);
-    monitor.record_loop_delay(milliseconds(150), at(milliseconds(0)));
+    monitor.record_loop_delay(milliseconds(900), at(milliseconds(0)));
     CHECK_FALSE(monitor.update(at(milliseconds(0))));
     monitor.record_loop_delay(milliseconds(900), at(milliseconds(200)));
     CHECK(monitor.update(at(milliseconds(200))));
     CHECK(monitor.is_overloaded());
+    DOUBLES_EQUAL(0.75, monitor.refused_part(at(milliseconds(200))), 1e-9);
     monitor.record_loop_delay(milliseconds(1), at(milliseconds(400)));
     CHECK_FALSE(monitor.update(at(milliseconds(400))));
     CHECK(monitor.update(at(milliseconds(2'000))));
     CHECK_FALSE(monitor.is_overloaded());
 }
+
+TEST(overload_group, more_requests_are_refused_the_fuller_the_link_is)
+{
+    for (const auto& [part, refused] :
+         {std::pair(0.5, 0.0), std::pair(0.85, 0.0), std::pair(0.925, 0.5),
+          std::pair(1.0, 0.75), std::pair(1.2, 0.75)})
+    {
+        overload_monitor monitor(link_mbps);
+        receive(monitor, part, milliseconds(0), milliseconds(1'000));
+        DOUBLES_EQUAL(refused, monitor.refused_part(at(milliseconds(1'000))),
+                      1e-6);
+    }
+}
--- a/tests/fleet/peer_table_test.cpp
+++ b/tests/fleet/peer_table_test.cpp
@@ -218,3 +218,25 @@
     now += 2s;
     CHECK(peers.view(now).peer_paths.empty());
 }
+
+TEST(peer_table_group, an_overloaded_peer_gets_neither_callers_nor_requests)
+{
+    peers.set_members({{"b", "vb", "west", "10.0.0.2:1", "10.0.0.2:2"}}, now);
+    codecs::peer_digest overloaded = sample_digest();
+    overloaded.is_overloaded = true;
+    const result<codecs::peer_digest> read =
+        codecs::read_digest(codecs::write_digest(overloaded, now), now);
+    CHECK(bool(read));
+    peers.apply_digest(read.value(), now);
+    CHECK(peers.view(now).peer_paths.empty());
+    const std::vector<domain::entry_candidate> candidates =
+        peers.entry_candidates(false, true, now);
+    LONGS_EQUAL(2, candidates.size());
+    CHECK(candidates[0].is_overloaded);
+    CHECK(candidates[1].is_overloaded);
+    LONGS_EQUAL(1, peers.live_peers(now).size());
+
+    receive_digest(8, false);
+    LONGS_EQUAL(1, peers.view(now).peer_paths.size());
+    CHECK_FALSE(peers.entry_candidates(false, false, now)[1].is_overloaded);
+}
--- a/tests/membership/entry_list_capacity_test.cpp
+++ b/tests/membership/entry_list_capacity_test.cpp
@@ -1,5 +1,6 @@
 #include "libraries/domain/membership/entry_list.hpp"
 
+#include <algorithm>
 #include <map>
 #include <set>
 
@@ -102,3 +103,38 @@
     STRCMP_EQUAL("10.0.1.1:80", listed.front().c_str());
     LONGS_EQUAL(1, list_entries({all[5]}, "east").size());
 }
+
+/// Guards against callers that stay at a router whose link is full.
+TEST(entry_list_capacity_group, an_overloaded_router_is_not_listed)
+{
+    std::vector<entry_candidate> all = make_candidates(0);
+    all[1].is_overloaded = true;
+    const std::vector<std::string> listed = list_entries(all, "east");
+    CHECK(std::find(listed.begin(), listed.end(), address_of(1)) ==
+          listed.end());
+    CHECK(std::find(listed.begin(), listed.end(), address_of(0)) !=
+          listed.end());
+    all[1].is_overloaded = false;
+    all[0].is_overloaded = true;
+    STRCMP_EQUAL(address_of(1).c_str(),
+                 list_entries(all, "east").front().c_str());
+}
+
+/// Guards against an overload that goes from router to router, since the few
+/// that are left get all callers.
+TEST(entry_list_capacity_group,
+     overloaded_routers_stay_listed_if_the_others_have_too_little_capacity)
+{
+    std::vector<entry_candidate> all = make_candidates(0);
+    const std::vector<std::string> before = list_entries(all, "east");
+    for (std::size_t router = 0; router < routers; ++router)
+    {
+        all[router].is_overloaded = router < large_routers;
+    }
+    CHECK(before == list_entries(all, "east"));
+    for (entry_candidate& one : all)
+    {
+        one.is_overloaded = true;
+    }
+    CHECK(before == list_entries(all, "east"));
+}
--- a/tests/processes/requests_held_past_their_timeout_test.py
+++ b/tests/processes/requests_held_past_their_timeout_test.py
@@ -18,6 +18,7 @@
 # Their requests take a link of that speed for 2.4 s.
 CALLERS = 60
 TIMEOUT_S = 1.5
+CALLER_TIMEOUT_S = 6.0
 # How much later than its timeout a request must have been answered.
 SLACK_S = 0.5
 # From the beginning of the load; from then on the rule holds.
@@ -68,11 +69,11 @@
     def call(self):
         if self.connection is None:
             self.connection = http.client.HTTPConnection(
-                self.test.path_to(self.address), timeout=fleet.TIMEOUT_S)
+                self.test.path_to(self.address), timeout=CALLER_TIMEOUT_S)
         begin = time.monotonic()
         fields = {'Host': 'shop.example',
                   'X-Request-Id': f'r-{self.number}-{len(self.calls)}',
-                  'X-Request-Deadline': '6000',
+                  'X-Request-Deadline': str(round(CALLER_TIMEOUT_S * 1000)),
                   'Authorization': f'Bearer {raw_entry.KEY}'}
         try:
             self.connection.request('POST', '/pay/sound', BODY, fields)
--- a/tests/processes/shared_link.py
+++ b/tests/processes/shared_link.py
@@ -35,7 +35,11 @@
         with contextlib.suppress(OSError):
             while True:
                 caller, _ = self._listener.accept()
-                router = socket.create_connection(self._target)
+                try:
+                    router = socket.create_connection(self._target)
+                except OSError:
+                    caller.close()
+                    continue
                 for arguments in ((caller, router, self._wait_for_turn),
                                   (router, caller, lambda size: None)):
                     threading.Thread(target=self._forward, args=arguments,
