Entry: Reject an object in place of a digest

What could have happened: a datagram that holds an object of 14 members ended the process, since it was read like an array to see whether its sender is overloaded. Found as the change was read again, before any release of it.

Evidence: the new test of fleet/peer_table_test.cpp. Its failure before is inferred from the library's documented exception, as the test was not run on the code before.

--- a/libraries/codecs/fleet/digest_codec.cpp
+++ b/libraries/codecs/fleet/digest_codec.cpp
@@ -127,8 +127,9 @@
     constexpr std::size_t overloaded_count = element_count + 1;
     const json encoded = read_cbor(bytes);
     std::int64_t received_version = 0;
-    const bool is_overloaded =
-        encoded.size() == overloaded_count && encoded[element_count] == true;
+    const bool is_overloaded = encoded.is_array() &&
+                               encoded.size() == overloaded_count &&
+                               encoded[element_count] == true;
     if (!encoded.is_array() ||
         (encoded.size() != element_count && !is_overloaded) ||
         !read_number(encoded, 0, received_version) ||
--- a/tests/fleet/peer_table_test.cpp
+++ b/tests/fleet/peer_table_test.cpp
@@ -2,6 +2,7 @@
 
 #include "libraries/codecs/fleet/digest_codec.hpp"
 #include "libraries/codecs/fleet/token_message.hpp"
+#include "libraries/core/json.hpp"
 #include "libraries/drivers/fleet/peer_table.hpp"
 
 #include <CppUTest/TestHarness.h>
@@ -240,3 +241,16 @@
     LONGS_EQUAL(1, peers.view(now).peer_paths.size());
     CHECK_FALSE(peers.entry_candidates(false, false, now)[1].is_overloaded);
 }
+
+/// Guards against a datagram that ends the process.
+TEST(peer_table_group, an_object_with_as_many_members_is_no_digest)
+{
+    json object = json::object();
+    for (int member = 0; member < 14; ++member)
+    {
+        object[std::to_string(member)] = true;
+    }
+    const std::vector<std::uint8_t> bytes = json::to_cbor(object);
+    CHECK_FALSE(bool(
+        codecs::read_digest(std::string(bytes.begin(), bytes.end()), now)));
+}
