--- a/tests/simulation/simulated_fleet.cpp
+++ b/tests/simulation/simulated_fleet.cpp
@@ -2,6 +2,7 @@
 
 #include "libraries/codecs/fleet/prepaid_record_codec.hpp"
 
+#include <fmt/format.h>
 #include <limits>
 
 namespace turmeric::tests
@@ -40,17 +41,19 @@
 } // namespace
 
 simulated_fleet::router::router(simulated_fleet& fleet,
-                                const std::string& the_name)
+                                const std::string& the_vm,
+                                const std::string& incarnation)
     : store(fleet.m_store, fleet.m_events)
     , traffic(fleet.m_events)
-    , link(fleet.m_network, the_name)
+    , link(fleet.m_network, incarnation)
     , control(
           {store, fleet.m_events, fleet.m_clock, link, traffic, fleet.m_log,
            [&fleet](const std::string& address, const auto& done)
            { done(fleet.configuration_text(address)); }},
           {"configuration", "upstreams/", &read_declarations, &reject_upstream},
-          {the_name, the_name, "east", the_name, the_name})
-    , name(the_name)
+          {incarnation, the_vm, "east", incarnation, incarnation})
+    , vm(the_vm)
+    , name(incarnation)
 {
 }
 
@@ -60,14 +63,14 @@
     set_configuration(1);
     for (int number = 0; number < routers; ++number)
     {
-        add_router();
+        add_router("vm-" + std::to_string(number));
     }
 }
 
-void simulated_fleet::add_router()
+void simulated_fleet::add_router(const std::string& vm)
 {
     m_routers.push_back(std::make_unique<router>(
-        *this, "router-" + std::to_string(m_routers.size())));
+        *this, vm, fmt::format("{}-{:016x}", vm, m_routers.size())));
 }
 
 void simulated_fleet::set_configuration(int version)
@@ -77,12 +80,12 @@
 
 void simulated_fleet::start_another_router()
 {
-    start_another_router(false);
+    start_router("vm-" + std::to_string(m_routers.size()), false);
 }
 
-void simulated_fleet::start_another_router(bool is_cut)
+void simulated_fleet::start_router(const std::string& vm, bool is_cut)
 {
-    add_router();
+    add_router(vm);
     m_routers.back()->store.is_cut = is_cut;
     m_routers.back()->control.start();
 }
@@ -191,22 +194,49 @@
 
 void simulated_fleet::kill(std::size_t router)
 {
+    m_routers[router]->held_at_kill = m_routers[router]->traffic.held_tokens();
     m_routers[router]->is_killed = true;
     m_routers[router]->store.is_cut = true;
     m_network.disconnect(m_routers[router]->name);
 }
 
+void simulated_fleet::replace(const std::vector<std::size_t>& routers,
+                              std::chrono::milliseconds down)
+{
+    for (const std::size_t number : routers)
+    {
+        kill(number);
+    }
+    play(down);
+    for (const std::size_t number : routers)
+    {
+        start_router(m_routers[number]->vm, false);
+    }
+}
+
 void simulated_fleet::replace_all_routers()
 {
-    const std::size_t count = m_routers.size();
-    for (std::size_t number = 0; number < count; ++number)
+    for (const std::size_t number : list_running())
     {
         const bool is_cut = m_routers[number]->store.is_cut;
         kill(number);
-        start_another_router(is_cut);
+        start_router(m_routers[number]->vm, is_cut);
     }
 }
 
+std::vector<std::size_t> simulated_fleet::list_running() const
+{
+    std::vector<std::size_t> running;
+    for (std::size_t number = 0; number < m_routers.size(); ++number)
+    {
+        if (!m_routers[number]->is_killed)
+        {
+            running.push_back(number);
+        }
+    }
+    return running;
+}
+
 void simulated_fleet::set_cut(bool is_cut)
 {
     for (const auto& one : m_routers)
@@ -233,6 +263,16 @@
     return sum;
 }
 
+std::int64_t simulated_fleet::lost_in_flight() const
+{
+    std::int64_t sum = 0;
+    for (const auto& one : m_routers)
+    {
+        sum += one->held_at_kill;
+    }
+    return sum;
+}
+
 std::int64_t simulated_fleet::store_calls() const
 {
     std::int64_t calls = 0;
--- a/tests/simulation/simulated_fleet.hpp
+++ b/tests/simulation/simulated_fleet.hpp
@@ -126,6 +126,17 @@
         return sum;
     }
 
+    /// Returns the tokens that requests hold.
+    std::int64_t held_tokens() const
+    {
+        std::int64_t sum = 0;
+        for (const auto& [account, balance] : m_ledger.balances())
+        {
+            sum += balance.held;
+        }
+        return sum;
+    }
+
     /// Returns the tokens that requests have consumed or hold.
     std::int64_t spent_tokens() const
     {
@@ -223,9 +234,18 @@
     /// Ends a router with all that it holds.
     void kill(std::size_t router);
 
-    /// Ends all routers with all that they hold, and starts as many new ones.
+    /// Ends routers with all that they hold. Each starts anew on its VM after
+    /// `down`, while callers' requests go on at the others.
+    void replace(const std::vector<std::size_t>& routers,
+                 std::chrono::milliseconds down);
+
+    /// Ends all routers with all that they hold, and starts new ones on their
+    /// VMs.
     void replace_all_routers();
 
+    /// Returns the numbers of the routers that were not killed.
+    std::vector<std::size_t> list_running() const;
+
     /// Loses and doubles datagrams from now on.
     void damage_network(std::uint64_t lost_percent,
                         std::uint64_t doubled_percent);
@@ -234,6 +254,9 @@
     /// which were not killed can still hold or lend, of all accounts.
     std::int64_t usable_tokens() const;
 
+    /// Returns the tokens that requests held at the routers that were killed.
+    std::int64_t lost_in_flight() const;
+
     /// Returns the calls to the store so far: reads and changes.
     std::int64_t store_calls() const;
 
@@ -256,19 +279,22 @@
 private:
     struct router
     {
-        router(simulated_fleet& fleet, const std::string& name);
+        router(simulated_fleet& fleet, const std::string& the_vm,
+               const std::string& incarnation);
 
         delayed_store store;
         simulated_traffic traffic;
         delayed_link link;
         drivers::fleet_control control;
+        std::string vm;
         std::string name;
+        std::int64_t held_at_kill = 0;
         bool is_killed = false;
     };
 
-    void add_router();
-    /// Starts one more router, whose connection to the store may be cut.
-    void start_another_router(bool is_cut);
+    void add_router(const std::string& vm);
+    /// Starts a router on `vm`, whose connection to the store may be cut.
+    void start_router(const std::string& vm, bool is_cut);
     [[nodiscard]] std::string
     configuration_text(const std::string& address) const;
     void answer_watches();
