Fleet: Close the grants of killed routers

Cause: a grant counts as spent as it is given, and nothing ever learned what a killed router had left of it.

Change: a router spends up to a limit that three witnesses have confirmed; the store names them, in a key that goes along with grants; its successor on the VM asks them and closes the grant (decision 0017). It works since no token can be spent that each witness does not know of, and a VM runs one process at a time.

The test recover_after_killed_routers failed before and passes.

--- a/libraries/domain/prepaid/prepaid_ledger.cpp
+++ b/libraries/domain/prepaid/prepaid_ledger.cpp
@@ -12,11 +12,17 @@
     m_balances[account].granted = granted;
 }
 
+void prepaid_ledger::set_spending_limit(const std::string& account,
+                                        std::int64_t limit)
+{
+    m_balances[account].spending_limit = limit;
+}
+
 bool prepaid_ledger::hold(const std::string& account, std::int64_t tokens)
 {
     assert(tokens >= 0);
     prepaid_balance& balance = m_balances[account];
-    if (balance.free() < tokens)
+    if (balance.spendable() < tokens)
     {
         return false;
     }
@@ -42,11 +48,23 @@
     assert(requested >= 0);
     prepaid_balance& balance = m_balances[account];
     const std::int64_t lent =
-        std::min(requested, std::max<std::int64_t>(0, balance.free()));
+        std::min(requested, std::max<std::int64_t>(0, balance.spendable()));
     balance.lent += lent;
     return lent;
 }
 
+std::int64_t prepaid_ledger::pass_on(const std::string& account,
+                                     std::int64_t requested)
+{
+    assert(requested >= 0);
+    prepaid_balance& balance = m_balances[account];
+    const std::int64_t passed =
+        std::min(requested, std::max<std::int64_t>(0, balance.spendable()));
+    balance.granted -= passed;
+    balance.passed_on += passed;
+    return passed;
+}
+
 prepaid_balance prepaid_ledger::balance(const std::string& account) const
 {
     const auto found = m_balances.find(account);
--- a/libraries/domain/prepaid/prepaid_ledger.hpp
+++ b/libraries/domain/prepaid/prepaid_ledger.hpp
@@ -1,11 +1,10 @@
 #pragma once
 
-#include <chrono>
+#include <algorithm>
 #include <cstdint>
+#include <limits>
 #include <map>
-#include <optional>
 #include <string>
-#include <vector>
 
 namespace turmeric::domain
 {
@@ -21,15 +20,26 @@
     std::int64_t held = 0;
     /// Tokens that were lent to routers that hold none of the account.
     std::int64_t lent = 0;
+    /// Tokens that were passed on to other holders. They no longer count as
+    /// granted.
+    std::int64_t passed_on = 0;
+    /// The most that may be spent and passed on together.
+    std::int64_t spending_limit = std::numeric_limits<std::int64_t>::max();
     /// Running mean of the tokens held for one request.
     std::int64_t typical_hold = 0;
 
-    /// Returns the tokens that new requests can hold. Thread safe.
+    /// Returns the tokens that are granted and not spent. Thread safe.
     [[nodiscard]] std::int64_t free() const
     {
         return granted - spent();
     }
 
+    /// Returns the tokens that new requests and loans can have. Thread safe.
+    [[nodiscard]] std::int64_t spendable() const
+    {
+        return std::min(free(), spending_limit - spent() - passed_on);
+    }
+
     /// Returns the tokens that are consumed, held or lent. Thread safe.
     [[nodiscard]] std::int64_t spent() const
     {
@@ -38,8 +48,8 @@
 };
 
 /// Holds tokens for requests and settles the holds against the grants of one
-/// router. A new hold never makes the sum of used and held tokens exceed the
-/// granted ones. Not thread safe.
+/// router. No new hold or loan makes what is spent exceed the granted tokens or
+/// the spending limit. Not thread safe.
 class prepaid_ledger
 {
 public:
@@ -47,9 +57,13 @@
     /// A smaller total only prevents new holds. No precondition.
     void set_granted(const std::string& account, std::int64_t granted);
 
+    /// Sets the spending limit. A smaller one only prevents new holds and
+    /// loans. No precondition.
+    void set_spending_limit(const std::string& account, std::int64_t limit);
+
     /// Holds the maximum number of tokens that a request can consume. Returns
-    /// false if the grant does not cover them. Precondition: `tokens` is not
-    /// negative.
+    /// false if the grant or the spending limit does not cover them.
+    /// Precondition: `tokens` is not negative.
     bool hold(const std::string& account, std::int64_t tokens);
 
     /// Ends a hold of `held` tokens of which `used` were consumed.
@@ -57,10 +71,14 @@
     void settle(const std::string& account, std::int64_t held,
                 std::int64_t used);
 
-    /// Lends up to `requested` of the free tokens. Returns how many.
+    /// Lends up to `requested` of the spendable tokens. Returns how many.
     /// Precondition: `requested` is not negative.
     std::int64_t lend(const std::string& account, std::int64_t requested);
 
+    /// Passes up to `requested` of the spendable tokens on to another holder.
+    /// Returns how many. Precondition: `requested` is not negative.
+    std::int64_t pass_on(const std::string& account, std::int64_t requested);
+
     /// Returns an account's balance.
     [[nodiscard]] prepaid_balance balance(const std::string& account) const;
 
--- a/libraries/domain/prepaid/prepaid_record.cpp
+++ b/libraries/domain/prepaid/prepaid_record.cpp
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
 #include <utility>
+#include <vector>
 
 namespace turmeric::domain
 {
@@ -37,6 +39,9 @@
 constexpr double high_watermark = 1.2;
 /// The inverse of the part by which a record's rate falls with one change.
 constexpr std::int64_t rate_decay_divisor = 8;
+/// The number of entries that a record keeps of incarnations that are not
+/// registered.
+constexpr std::size_t max_unregistered_entries = 16;
 /// The number of earlier eras that a record keeps.
 constexpr std::size_t max_earlier_eras = 8;
 
@@ -78,6 +83,27 @@
     return std::min<std::int64_t>(0, kept - free);
 }
 
+/// Drops the smallest entries of incarnations that are not in `members` if they
+/// are too many.
+void drop_unregistered(std::map<std::string, std::int64_t>& granted_to,
+                       const std::set<std::string>& members)
+{
+    std::vector<std::pair<std::int64_t, std::string>> unregistered;
+    for (const auto& [incarnation, granted] : granted_to)
+    {
+        if (members.count(incarnation) == 0)
+        {
+            unregistered.emplace_back(granted, incarnation);
+        }
+    }
+    std::sort(unregistered.begin(), unregistered.end(), std::greater<>());
+    for (std::size_t index = max_unregistered_entries;
+         index < unregistered.size(); ++index)
+    {
+        granted_to.erase(unregistered[index].second);
+    }
+}
+
 } // namespace
 
 std::int64_t add_reserve(prepaid_record& record, std::int64_t prepaid_tokens)
@@ -123,15 +149,26 @@
 {
     ++record.version;
     record.granted_in_all += tokens;
+    drop_unregistered(record.granted_to, members);
     record.granted_to[incarnation] = own_granted + tokens;
-    std::erase_if(record.granted_to,
-                  [&](const auto& entry) {
-                      return entry.first != incarnation &&
-                             members.count(entry.first) == 0;
-                  });
     return record;
 }
 
+std::int64_t close_grant(prepaid_record& record, const std::string& incarnation,
+                         std::int64_t max_spent_tokens)
+{
+    const auto entry = record.granted_to.find(incarnation);
+    if (entry == record.granted_to.end())
+    {
+        return 0;
+    }
+    const std::int64_t freed =
+        std::max<std::int64_t>(0, entry->second - max_spent_tokens);
+    record.granted_in_all -= freed;
+    record.granted_to.erase(entry);
+    return freed;
+}
+
 std::int64_t compute_grant_change(const grant_demand& demand)
 {
     const std::int64_t ungranted = std::max<std::int64_t>(
--- a/libraries/domain/prepaid/prepaid_record.hpp
+++ b/libraries/domain/prepaid/prepaid_record.hpp
@@ -55,13 +55,21 @@
 
 /// Returns the record with `tokens` more for `incarnation`, or fewer when
 /// negative, and one more change. `own_granted` is the total that the
-/// incarnation has before the change. Entries of incarnations that are not in
-/// `members` are dropped; their tokens stay in `granted_in_all`. Thread safe.
+/// incarnation has before the change. Of the entries of incarnations that are
+/// not in `members` a bounded number is kept, for successors on their VMs to
+/// close; the tokens of the others stay in `granted_in_all`. Thread safe.
 [[nodiscard]] prepaid_record
 apply_grant_change(prepaid_record record, const std::string& incarnation,
                    std::int64_t own_granted, std::int64_t tokens,
                    const std::set<std::string>& members);
 
+/// Removes the entry of an incarnation that has ended, and frees what it has
+/// not spent. Returns the number of tokens freed. Precondition: it spends
+/// nothing any more, and has not spent more of its grants than
+/// `max_spent_tokens`. Thread safe.
+std::int64_t close_grant(prepaid_record& record, const std::string& incarnation,
+                         std::int64_t max_spent_tokens);
+
 /// The state that determines how many tokens a router asks for.
 struct grant_demand
 {
--- a/libraries/drivers/exchange/fleet_view.hpp
+++ b/libraries/drivers/exchange/fleet_view.hpp
@@ -7,6 +7,7 @@
 #include "libraries/ports/clock.hpp"
 
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <optional>
 #include <set>
@@ -33,6 +34,8 @@
     std::int64_t peers_tokens_per_second = 0;
     /// As in `account_token_demand`.
     bool is_holder = true;
+    /// The most that this router may spend and pass on of the account.
+    std::int64_t spending_limit = std::numeric_limits<std::int64_t>::max();
 };
 
 /// A router that peers can send requests to, and the services whose upstreams
@@ -87,6 +90,10 @@
     std::int64_t granted = 0;
     /// Tokens that waiting requests need in addition to `free`.
     std::int64_t lacking = 0;
+    /// Tokens that are used, held, lent or were passed on.
+    std::int64_t spent = 0;
+    /// Tokens that waiting requests need.
+    std::int64_t waiting = 0;
     /// As in `account_token_state`; filled in by the control thread, as are the
     /// following fields.
     std::int64_t peers_free = 0;
--- a/libraries/drivers/exchange/traffic_dispatcher.cpp
+++ b/libraries/drivers/exchange/traffic_dispatcher.cpp
@@ -238,9 +238,13 @@
     {
         const std::int64_t granted =
             account_state.own_granted - m_state.released_tokens[account];
-        const bool is_increase =
-            granted > m_state.ledger.balance(account).granted;
+        const std::int64_t spendable =
+            m_state.ledger.balance(account).spendable();
         m_state.ledger.set_granted(account, granted);
+        m_state.ledger.set_spending_limit(account,
+                                          account_state.spending_limit);
+        const bool is_increase =
+            m_state.ledger.balance(account).spendable() > spendable;
         if (is_increase)
         {
             m_state.retry_holds(account);
@@ -333,6 +337,7 @@
         demand.used = balance.used;
         demand.held = balance.held;
         demand.free = balance.free();
+        demand.spent = balance.spent() + balance.passed_on;
         demand.typical_hold = balance.typical_hold;
         demand.granted = balance.granted;
         demand.granted += released_tokens == m_state.released_tokens.end()
@@ -347,6 +352,7 @@
             requested += one.tokens;
         }
         account_token_demand& demand = current.accounts[account];
+        demand.waiting = requested;
         demand.lacking = std::max<std::int64_t>(0, requested - demand.free);
     }
     return current;
@@ -379,6 +385,14 @@
     return released_tokens;
 }
 
+std::int64_t traffic_dispatcher::pass_on(const std::string& account,
+                                         std::int64_t requested)
+{
+    const std::int64_t passed = m_state.ledger.pass_on(account, requested);
+    m_state.released_tokens[account] += passed;
+    return passed;
+}
+
 std::int64_t traffic_dispatcher::lend(const std::string& account,
                                       std::int64_t requested)
 {
--- a/libraries/drivers/exchange/traffic_dispatcher.hpp
+++ b/libraries/drivers/exchange/traffic_dispatcher.hpp
@@ -79,11 +79,14 @@
     /// that a brittle upstream has turned a request away.
     void set_rejection_handler(std::function<void()> action);
 
-    /// Removes up to `requested` free tokens of an account, to lend them to a
-    /// peer or to return them to the store; they no longer count as granted to
-    /// this router. Returns how many were removed.
+    /// Removes up to `requested` free tokens of an account, to return them to
+    /// the store; they no longer count as granted to this router. Returns how
+    /// many were removed.
     std::int64_t release(const std::string& account, std::int64_t requested);
 
+    /// Does the same to pass spendable tokens on to another holder.
+    std::int64_t pass_on(const std::string& account, std::int64_t requested);
+
     /// Lends up to `requested` free tokens of an account to a peer that holds
     /// none of it; none if the tokens are spread over an outage of the store
     /// and too many are spent. Returns how many were lent.
--- a/libraries/drivers/exchange/traffic_state.cpp
+++ b/libraries/drivers/exchange/traffic_state.cpp
@@ -163,6 +163,11 @@
 bool traffic_state::may_obtain_tokens(const std::string& account,
                                       std::int64_t tokens) const
 {
+    if (ledger.balance(account).free() >= tokens)
+    {
+        // The witnesses have not confirmed the spending yet.
+        return true;
+    }
     const auto prepaid_total = prepaid_totals.find(account);
     const auto account_state = fleet.accounts.find(account);
     if (prepaid_total == prepaid_totals.end() ||
--- a/libraries/drivers/fleet/fleet_control.cpp
+++ b/libraries/drivers/fleet/fleet_control.cpp
@@ -55,7 +55,7 @@
     , m_tokens({m_store, m_dependencies.timers, m_dependencies.clock,
                 m_dependencies.peers, m_dependencies.traffic,
                 m_dependencies.log},
-               m_peers, m_self.incarnation,
+               m_peers, m_self,
                [this] { return store_unavailable_since().has_value(); })
     , m_rollouts({m_store, m_dependencies.clock, m_dependencies.peers,
                   m_dependencies.log},
@@ -193,6 +193,13 @@
         m_tokens.handle_totals(totals.value());
         return;
     }
+    const result<codecs::spending_message> spending =
+        codecs::read_spending_message(bytes);
+    if (spending)
+    {
+        m_tokens.handle_spending(spending.value());
+        return;
+    }
     const result<codecs::rollout_message> rollouts =
         codecs::read_rollout_message(bytes);
     if (rollouts)
--- a/libraries/drivers/fleet/grant_planner.cpp
+++ b/libraries/drivers/fleet/grant_planner.cpp
@@ -12,7 +12,8 @@
 {
 
 /// The store accepts 32 entries in one change. An account takes a condition, a
-/// write, and in a new era the deletion of its earlier record.
+/// write, and in a new era the deletion of its earlier record. Two entries are
+/// for the names of the witnesses.
 constexpr std::size_t max_accounts_per_change = 15;
 constexpr std::size_t max_accounts_per_first_change = 10;
 /// With more accounts than this, tokens of an account are requested only when
@@ -21,12 +22,25 @@
 
 } // namespace
 
-grant_planner::grant_planner(const ports::clock& clock, std::string incarnation)
+grant_planner::grant_planner(const ports::clock& clock, std::string incarnation,
+                             std::string vm)
     : m_clock(clock)
     , m_incarnation(std::move(incarnation))
+    , m_limits(m_incarnation)
+    , m_predecessors(m_incarnation, std::move(vm))
 {
 }
 
+domain::spending_limits& grant_planner::limits()
+{
+    return m_limits;
+}
+
+domain::predecessor_grants& grant_planner::predecessors()
+{
+    return m_predecessors;
+}
+
 void grant_planner::set_prepaid_totals(
     std::map<std::string, std::int64_t> prepaid)
 {
@@ -55,6 +69,8 @@
         state.ceiling_version = -1;
         drop_uncertain_return(state);
     }
+    m_limits.begin_era();
+    m_predecessors.begin_era();
 }
 
 void grant_planner::begin_update()
@@ -81,9 +97,69 @@
     return m_totals;
 }
 
-bool grant_planner::can_change(const account_state& state) const
+bool grant_planner::can_change(const std::string& account,
+                               const account_state& state) const
+{
+    return (state.is_record_current || m_are_new_records_allowed) &&
+           m_limits.can_bind(account);
+}
+
+bool grant_planner::is_closing_due(const std::string& account,
+                                   const account_state& state) const
+{
+    return state.is_record_current &&
+           std::any_of(
+               state.record.granted_to.begin(), state.record.granted_to.end(),
+               [&](const auto& entry)
+               {
+                   return m_predecessors.is_predecessor(entry.first) &&
+                          m_predecessors.max_spent(entry.first, account);
+               });
+}
+
+std::vector<closed_grant>
+grant_planner::close_predecessors(const std::string& account,
+                                  domain::prepaid_record& record) const
+{
+    std::vector<closed_grant> closed;
+    for (const auto& [incarnation, granted] : record.granted_to)
+    {
+        if (m_predecessors.is_predecessor(incarnation) &&
+            (m_predecessors.max_spent(incarnation, account) ||
+             m_predecessors.has_no_witness(incarnation)))
+        {
+            closed.push_back({incarnation, granted, 0});
+        }
+    }
+    for (closed_grant& one : closed)
+    {
+        one.freed = domain::close_grant(
+            record, one.incarnation,
+            m_predecessors.max_spent(one.incarnation, account)
+                .value_or(one.granted));
+    }
+    return closed;
+}
+
+std::map<std::string, std::set<std::string>>
+grant_planner::list_predecessors() const
 {
-    return state.is_record_current || m_are_new_records_allowed;
+    std::map<std::string, std::set<std::string>> predecessors;
+    for (const auto& [account, state] : m_accounts)
+    {
+        if (!state.is_record_current)
+        {
+            continue;
+        }
+        for (const auto& [incarnation, granted] : state.record.granted_to)
+        {
+            if (m_predecessors.is_predecessor(incarnation))
+            {
+                predecessors[incarnation].insert(account);
+            }
+        }
+    }
+    return predecessors;
 }
 
 void grant_planner::update_record(const prepaid_record_key& key,
@@ -208,9 +284,11 @@
     {
         const auto found = token_demands.find(name);
         const account_state& state = m_accounts[name];
+        const bool is_idle =
+            !has_advance_grants && found == token_demands.end();
+        const bool is_closing = is_closing_due(name, state);
         if (state.pending_return > 0 || state.uncounted > 0 ||
-            !can_change(state) ||
-            (!has_advance_grants && found == token_demands.end()))
+            !can_change(name, state) || (is_idle && !is_closing))
         {
             continue;
         }
@@ -231,10 +309,10 @@
         // What a top-up adds later is usable only if the reserve is recorded.
         const bool is_reserve_due =
             tokens == 0 && first_reserve(name, state) > 0;
-        if ((tokens > 0 || is_raise_due || is_reserve_due) &&
+        if ((tokens > 0 || is_raise_due || is_reserve_due || is_closing) &&
             changes.size() < max_changes())
         {
-            changes.push_back({name, tokens, 0, {}});
+            changes.push_back({name, std::max<std::int64_t>(0, tokens), 0, {}});
         }
         if (tokens < 0)
         {
@@ -259,7 +337,8 @@
     for (const auto& [name, state] : m_accounts)
     {
         const bool has_change = state.pending_return > 0 || state.uncounted > 0;
-        if (has_change && can_change(state) && changes.size() < max_changes())
+        if (has_change && can_change(name, state) &&
+            changes.size() < max_changes())
         {
             changes.push_back(
                 {name, -state.pending_return, state.uncounted, {}});
@@ -319,6 +398,7 @@
 planned_record grant_planner::apply(const planned_grant& planned)
 {
     const account_state& state = m_accounts[planned.account];
+    m_limits.of(planned.account).bind();
     planned_record next;
     next.expected_revision = state.revision;
     domain::prepaid_record record = base_record(planned.account, state);
@@ -330,6 +410,7 @@
                                              state.own_granted, planned.tokens,
                                              m_members);
     next.record.granted_in_all += planned.uncounted;
+    next.closed = close_predecessors(planned.account, next.record);
     next.record.ceiling = ceiling_for(planned.account, state, next.record);
     next.earlier_eras = state.earlier_eras;
     return next;
@@ -441,7 +522,7 @@
     const auto total = m_prepaid_totals.find(account);
     const auto state = m_accounts.find(account);
     return total != m_prepaid_totals.end() && state != m_accounts.end() &&
-           can_change(state->second) &&
+           can_change(account, state->second) &&
            total->second - granted_in_all(account, state->second) >= tokens;
 }
 
--- a/libraries/drivers/fleet/grant_planner.hpp
+++ b/libraries/drivers/fleet/grant_planner.hpp
@@ -3,7 +3,9 @@
 #include "libraries/domain/budget/spend_rate.hpp"
 #include "libraries/domain/prepaid/granted_totals.hpp"
 #include "libraries/domain/prepaid/own_grant_history.hpp"
+#include "libraries/domain/prepaid/predecessor_grants.hpp"
 #include "libraries/domain/prepaid/prepaid_record.hpp"
+#include "libraries/domain/prepaid/spending_limits.hpp"
 #include "libraries/drivers/exchange/fleet_view.hpp"
 #include "libraries/drivers/fleet/prepaid_record_key.hpp"
 #include "libraries/ports/asynchronous_store.hpp"
@@ -31,6 +33,16 @@
     double tokens_per_second = 0;
 };
 
+/// The grant of an earlier incarnation on this VM that a change closes.
+struct closed_grant
+{
+    std::string incarnation;
+    /// Tokens that were granted to it.
+    std::int64_t granted = 0;
+    /// The part of them that can be granted again.
+    std::int64_t freed = 0;
+};
+
 /// A planned change of this router's grant for one account. Several of them
 /// are committed to the store in one change.
 struct planned_grant
@@ -46,6 +58,7 @@
     /// Tokens that the change adds to the reserve for what a restore of the
     /// store has undone.
     std::int64_t reserved = 0;
+    std::vector<closed_grant> closed = {};
 };
 
 /// An account's record as it is after a planned change, and the revision that
@@ -58,6 +71,7 @@
     std::set<ports::store_era> earlier_eras;
     /// As in `planned_grant`.
     std::int64_t reserved = 0;
+    std::vector<closed_grant> closed = {};
 };
 
 /// Plans which tokens one router requests from the store and which it returns,
@@ -66,8 +80,10 @@
 class grant_planner
 {
 public:
-    /// Precondition: the clock outlives the planner.
-    grant_planner(const ports::clock& clock, std::string incarnation);
+    /// `incarnation` runs on `vm`. Precondition: the clock outlives the
+    /// planner.
+    grant_planner(const ports::clock& clock, std::string incarnation,
+                  std::string vm);
 
     /// Plans for an era of the store from now on. The records of that era are
     /// not known yet and cannot be begun, and changes whose outcome is unknown
@@ -88,6 +104,17 @@
     /// The latest granted totals, which other routers' reports may complete.
     [[nodiscard]] domain::granted_totals& totals();
 
+    /// The limits of what this router spends.
+    [[nodiscard]] domain::spending_limits& limits();
+
+    /// What is known of the earlier incarnations on this VM.
+    [[nodiscard]] domain::predecessor_grants& predecessors();
+
+    /// Returns the accounts in which the records have grants of earlier
+    /// incarnations on this VM, by incarnation.
+    [[nodiscard]] std::map<std::string, std::set<std::string>>
+    list_predecessors() const;
+
     /// Sets the prepaid totals in force, by account.
     void set_prepaid_totals(std::map<std::string, std::int64_t> prepaid);
 
@@ -186,7 +213,16 @@
     };
 
     /// Returns whether this router may change an account's record now.
-    [[nodiscard]] bool can_change(const account_state& state) const;
+    [[nodiscard]] bool can_change(const std::string& account,
+                                  const account_state& state) const;
+    /// Returns whether a grant of an earlier incarnation on this VM can be
+    /// closed.
+    [[nodiscard]] bool is_closing_due(const std::string& account,
+                                      const account_state& state) const;
+    /// Closes the grants in a record that can be closed. Returns them.
+    std::vector<closed_grant>
+    close_predecessors(const std::string& account,
+                       domain::prepaid_record& record) const;
     /// Returns how many accounts fit into one change.
     [[nodiscard]] std::size_t max_changes() const;
     /// Returns the tokens that count as granted to all routers.
@@ -237,6 +273,8 @@
     ports::store_era m_era = 0;
     bool m_are_new_records_allowed = true;
     domain::granted_totals m_totals;
+    domain::spending_limits m_limits;
+    domain::predecessor_grants m_predecessors;
     std::map<std::string, std::int64_t> m_prepaid_totals;
     std::set<std::string> m_members;
     std::map<std::string, account_state> m_accounts;
--- a/libraries/drivers/fleet/token_control.cpp
+++ b/libraries/drivers/fleet/token_control.cpp
@@ -16,21 +16,41 @@
 constexpr std::size_t max_lenders = 3;
 /// Time in which routers that start together register.
 constexpr std::chrono::milliseconds membership_settling_time{500};
+/// What may be spent beyond the present need before witnesses confirm more: the
+/// consumption of this time, and this number of requests.
+constexpr double announced_seconds = 0.3;
+constexpr std::int64_t announced_holds = 1;
+
+/// Returns what a router may spend of an account before witnesses confirm more.
+std::int64_t spending_reserve(const account_token_demand& demand,
+                              double tokens_per_second)
+{
+    return static_cast<std::int64_t>(announced_seconds * tokens_per_second) +
+           announced_holds * demand.typical_hold;
+}
 
 } // namespace
 
 token_control::token_control(const token_control_dependencies& dependencies,
-                             const peer_table& peers, std::string incarnation,
+                             const peer_table& peers, const fleet_member& self,
                              std::function<bool()> is_store_unavailable)
     : m_dependencies(dependencies)
     , m_peers(peers)
-    , m_self(std::move(incarnation))
+    , m_self(self.incarnation)
     , m_is_store_unavailable(std::move(is_store_unavailable))
     , m_grant_client(m_dependencies.store, m_dependencies.clock,
-                     m_dependencies.log, m_self)
+                     m_dependencies.log, m_self, self.vm)
     , m_exchange(m_grant_client.totals(), m_dependencies.store.eras(),
                  m_dependencies.peers, m_peers, m_dependencies.clock,
                  m_dependencies.log, m_self, [this] { m_grant_client.fence(); })
+    , m_spending(
+          m_grant_client.limits(), m_dependencies.peers, m_peers,
+          m_dependencies.clock, self, [this] { raise_limits(); },
+          [this](const std::string& witness, const codecs::spending_row& row)
+          {
+              m_grant_client.add_report(witness, row.incarnation, row.account,
+                                        row.report);
+          })
     , m_borrower(m_dependencies.peers, m_peers, m_dependencies.clock,
                  m_dependencies.log, m_self)
     , m_lender(
@@ -40,7 +60,7 @@
                  bool is_borrower, std::function<void(std::int64_t)> done)
           {
               const auto take =
-                  is_borrower ? &traffic_link::lend : &traffic_link::release;
+                  is_borrower ? &traffic_link::lend : &traffic_link::pass_on;
               (m_dependencies.traffic.*take)(account, requested,
                                              std::move(done));
           },
@@ -143,6 +163,9 @@
         account_token_state& account = view.accounts[name];
         account.own_granted = grants.cumulative_granted;
         account.granted_in_all = grants.granted_in_all;
+        account.spending_limit =
+            m_grant_client.limits().update(name, grants.cumulative_granted);
+        m_spending_limits[name] = account.spending_limit;
     }
 }
 
@@ -218,7 +241,11 @@
     }
     const auto lent = m_lender.lent().find(account);
     demand.lent = lent == m_lender.lent().end() ? 0 : lent->second;
-    demand.lacking += m_lender.lacking(account);
+    // Waiting loans may lack only the confirmation of witnesses.
+    const std::int64_t unneeded =
+        std::max<std::int64_t>(0, demand.free - demand.waiting);
+    demand.lacking +=
+        std::max<std::int64_t>(0, m_lender.lacking(account) - unneeded);
     demand.is_holder = m_holders.is_holder(account, m_self);
     demand.can_borrow = !demand.is_holder &&
                         m_borrower.is_any_responsive(list_lenders(account));
@@ -238,6 +265,7 @@
     {
         m_free_tokens[account] = token_demand.free;
     }
+    update_spending(token_demands);
     for (const auto& [account, tokens] :
          m_grant_client.adjust_grants(token_demands, m_is_leaving))
     {
@@ -246,6 +274,56 @@
     borrow_lacking(token_demands);
 }
 
+void token_control::update_spending(
+    const std::map<std::string, account_token_demand>& token_demands)
+{
+    const std::map<std::string, grant_summary> summaries =
+        m_grant_client.grant_summaries();
+    std::map<std::string, domain::spending_need> needs;
+    for (const auto& [account, token_demand] : token_demands)
+    {
+        const bool is_bound = m_grant_client.limits().of(account).is_bound();
+        if (!token_demand.is_holder && !is_bound)
+        {
+            continue;
+        }
+        domain::spending_need& need = needs[account];
+        const auto grants = summaries.find(account);
+        need.spent = token_demand.spent;
+        need.waiting = token_demand.waiting + m_lender.lacking(account);
+        need.reserve = spending_reserve(
+            token_demand,
+            grants == summaries.end() ? 0 : grants->second.tokens_per_second);
+        const auto borrowed = m_borrower.borrowed().find(account);
+        need.borrowed =
+            borrowed == m_borrower.borrowed().end() ? 0 : borrowed->second;
+    }
+    m_spending.announce(needs);
+    m_spending.inquire(m_grant_client.list_inquiries());
+    m_spending.forget_routers();
+}
+
+void token_control::raise_limits()
+{
+    bool is_any_raised = false;
+    for (const auto& [account, grants] : current_grant_summaries())
+    {
+        const std::int64_t limit =
+            m_grant_client.limits().update(account, grants.cumulative_granted);
+        is_any_raised = is_any_raised || limit > m_spending_limits[account];
+    }
+    if (is_any_raised)
+    {
+        m_changed();
+        m_lender.continue_loans();
+    }
+}
+
+void token_control::handle_spending(const codecs::spending_message& message)
+{
+    m_spending.handle(message);
+}
+
 bool token_control::is_membership_settled() const
 {
     if (!m_members_read_at)
@@ -267,7 +345,8 @@
     {
         // What loans to others lack is for the store to grant.
         const std::int64_t lacking =
-            token_demand.lacking - m_lender.lacking(account);
+            token_demand.lacking -
+            std::min(token_demand.lacking, m_lender.lacking(account));
         if (lacking <= 0)
         {
             continue;
--- a/libraries/drivers/fleet/token_control.hpp
+++ b/libraries/drivers/fleet/token_control.hpp
@@ -6,7 +6,9 @@
 #include "libraries/domain/callers/route_table.hpp"
 #include "libraries/domain/prepaid/account_holders.hpp"
 #include "libraries/drivers/exchange/fleet_view.hpp"
+#include "libraries/drivers/fleet/fleet_member.hpp"
 #include "libraries/drivers/fleet/peer_table.hpp"
+#include "libraries/drivers/fleet/spending_exchange.hpp"
 #include "libraries/drivers/fleet/token_borrower.hpp"
 #include "libraries/drivers/fleet/token_grant_client.hpp"
 #include "libraries/drivers/fleet/token_lender.hpp"
@@ -48,7 +50,7 @@
 public:
     /// Precondition: all of `dependencies` and `peers` outlive this object.
     token_control(const token_control_dependencies& dependencies,
-                  const peer_table& peers, std::string incarnation,
+                  const peer_table& peers, const fleet_member& self,
                   std::function<bool()> is_store_unavailable);
     ~token_control();
     token_control(const token_control&) = delete;
@@ -83,6 +85,9 @@
     /// Handles a peer's message about granted totals.
     void handle_totals(const codecs::granted_totals_message& message);
 
+    /// Handles a peer's message about the spending of tokens.
+    void handle_spending(const codecs::spending_message& message);
+
     /// Returns unused tokens to the store. `done` is called once, after the
     /// store has confirmed the return of all of them.
     void return_tokens(std::function<void()> done);
@@ -122,6 +127,12 @@
     void borrow_lacking(
         const std::map<std::string, account_token_demand>& token_demands);
     void lend(const codecs::token_message& request);
+    /// Announces to the witnesses what the accounts are about to spend, and
+    /// asks the witnesses of earlier incarnations on this VM.
+    void update_spending(
+        const std::map<std::string, account_token_demand>& token_demands);
+    /// Puts the spending limits in force that witnesses have confirmed.
+    void raise_limits();
     /// Returns whether the registered routers are known well enough to select
     /// the holders of accounts.
     [[nodiscard]] bool is_membership_settled() const;
@@ -136,6 +147,9 @@
     std::function<void()> m_changed;
     token_grant_client m_grant_client;
     total_exchange m_exchange;
+    spending_exchange m_spending;
+    /// As last passed to the traffic thread.
+    std::map<std::string, std::int64_t> m_spending_limits;
     domain::account_holders m_holders;
     token_borrower m_borrower;
     token_lender m_lender;
--- a/libraries/drivers/fleet/token_grant_client.cpp
+++ b/libraries/drivers/fleet/token_grant_client.cpp
@@ -36,9 +36,9 @@
 
 token_grant_client::token_grant_client(ports::asynchronous_store& store,
                                        const ports::clock& clock, logger& log,
-                                       std::string incarnation)
-    : m_state(
-          std::make_shared<state>(store, clock, log, std::move(incarnation)))
+                                       std::string incarnation, std::string vm)
+    : m_state(std::make_shared<state>(store, clock, log, std::move(incarnation),
+                                      std::move(vm)))
 {
     const std::weak_ptr<state> weak = m_state;
     store.eras().add_listener(
@@ -73,6 +73,41 @@
     return m_state->planner.totals();
 }
 
+domain::spending_limits& token_grant_client::limits()
+{
+    return m_state->planner.limits();
+}
+
+void token_grant_client::add_report(const std::string& witness,
+                                    const std::string& incarnation,
+                                    const std::string& account,
+                                    const domain::spending_report& report)
+{
+    m_state->planner.predecessors().add_report(witness, incarnation, account,
+                                               report);
+}
+
+std::map<std::string, std::vector<std::pair<std::string, std::string>>>
+token_grant_client::list_inquiries() const
+{
+    std::map<std::string, std::vector<std::pair<std::string, std::string>>>
+        inquiries;
+    for (const auto& [incarnation, accounts] :
+         m_state->planner.list_predecessors())
+    {
+        for (const std::string& account : accounts)
+        {
+            for (const std::string& witness :
+                 m_state->planner.predecessors().list_to_ask(incarnation,
+                                                             account))
+            {
+                inquiries[witness].emplace_back(incarnation, account);
+            }
+        }
+    }
+    return inquiries;
+}
+
 void token_grant_client::allow_new_records(bool is_allowed)
 {
     m_state->planner.allow_new_records(is_allowed);
@@ -124,7 +159,8 @@
         return surplus;
     }
     if (!self.is_stale &&
-        self.planner.plan_changes(token_demands, is_leaving, surplus).empty())
+        self.planner.plan_changes(token_demands, is_leaving, surplus).empty() &&
+        !self.witnesses.needs_change())
     {
         return surplus;
     }
--- a/libraries/drivers/fleet/token_grant_client.hpp
+++ b/libraries/drivers/fleet/token_grant_client.hpp
@@ -14,6 +14,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace turmeric::drivers
@@ -27,10 +28,11 @@
 class token_grant_client
 {
 public:
-    /// Precondition: all but `incarnation` outlive the client.
+    /// The router runs as `incarnation` on `vm`. Precondition: the store, the
+    /// clock and the logger outlive the client.
     token_grant_client(ports::asynchronous_store& store,
                        const ports::clock& clock, logger& log,
-                       std::string incarnation);
+                       std::string incarnation, std::string vm);
     ~token_grant_client();
     token_grant_client(const token_grant_client&) = delete;
     token_grant_client& operator=(const token_grant_client&) = delete;
@@ -46,6 +48,21 @@
     /// The latest granted totals, which other routers' reports may complete.
     [[nodiscard]] domain::granted_totals& totals();
 
+    /// The limits of what this router spends of its grants.
+    [[nodiscard]] domain::spending_limits& limits();
+
+    /// Adds what a witness tells of an earlier incarnation on this VM, so that
+    /// its grants can be closed.
+    void add_report(const std::string& witness, const std::string& incarnation,
+                    const std::string& account,
+                    const domain::spending_report& report);
+
+    /// Returns the witnesses that can tell of earlier incarnations on this VM,
+    /// with the incarnations and accounts to ask for.
+    [[nodiscard]] std::map<std::string,
+                           std::vector<std::pair<std::string, std::string>>>
+    list_inquiries() const;
+
     /// Sets whether accounts without a record in this era of the store can
     /// begin one.
     void allow_new_records(bool is_allowed);
--- a/libraries/drivers/fleet/token_grant_client_state.cpp
+++ b/libraries/drivers/fleet/token_grant_client_state.cpp
@@ -40,6 +40,7 @@
         restored_at = clock.steady_now();
     }
     planner.begin_era(era);
+    witnesses.begin_era(era);
     is_stale = true;
     ++fence;
 }
@@ -100,6 +101,31 @@
                    self->is_stale = false;
                    self->records_read_at = self->clock.steady_now();
                    self->notify();
+                   self->read_predecessors(then);
+               });
+}
+
+void token_grant_client::state::read_predecessors(std::function<void()> then)
+{
+    if (planner.predecessors().has_witnesses() ||
+        planner.list_predecessors().empty())
+    {
+        then();
+        return;
+    }
+    record_call_start();
+    const std::shared_ptr<state> self = shared_from_this();
+    store.list(write_witness_prefix(planner.era(), vm),
+               [self, then = std::move(then),
+                sent_fence = fence](result<ports::key_range> response)
+               {
+                   self->record_response(bool(response));
+                   self->follow_era();
+                   if (response && sent_fence == self->fence)
+                   {
+                       self->planner.predecessors().set_witnesses(
+                           read_witnesses(response.value().entries));
+                   }
                    then();
                });
 }
@@ -127,21 +153,24 @@
     {
         add_to(change, planned);
     }
+    sent_change sent;
+    sent.has_witnesses = witnesses.add_to(change);
+    sent.grants = std::move(changes);
+    sent.fence = fence;
     ++attempts;
     record_call_start();
     const std::shared_ptr<state> self = shared_from_this();
-    store.commit(change,
-                 [self, changes = std::move(changes),
-                  sent_fence = fence](result<ports::change_outcome> response)
-                 {
-                     self->record_response(bool(response));
-                     self->on_committed(changes, sent_fence,
-                                        std::move(response));
-                     if (self->on_returned)
-                     {
-                         self->return_all_tokens();
-                     }
-                 });
+    store.commit(
+        change,
+        [self, sent = std::move(sent)](result<ports::change_outcome> response)
+        {
+            self->record_response(bool(response));
+            self->on_committed(sent, std::move(response));
+            if (self->on_returned)
+            {
+                self->return_all_tokens();
+            }
+        });
 }
 
 void token_grant_client::state::add_to(ports::store_change& change,
@@ -150,6 +179,7 @@
     const planned_record next = planner.apply(planned);
     planned.record = next.record;
     planned.reserved = next.reserved;
+    planned.closed = next.closed;
     const std::string key = write_record_key({planner.era(), planned.account});
     change.conditions.push_back({key, next.expected_revision});
     change.writes.push_back(
@@ -170,13 +200,12 @@
 }
 
 void token_grant_client::state::on_committed(
-    const std::vector<planned_grant>& changes, std::int64_t sent_fence,
-    result<ports::change_outcome> response)
+    const sent_change& sent, result<ports::change_outcome> response)
 {
     follow_era();
-    if (sent_fence != fence)
+    if (sent.fence != fence)
     {
-        planner.mark_void(changes);
+        planner.mark_void(sent.grants);
         return;
     }
     if (!response)
@@ -186,34 +215,39 @@
                    {"reason", response.failure().detail}});
         is_stale = true;
         retry_at = clock.steady_now() + retry_delay;
-        planner.mark_uncertain(changes);
+        planner.mark_uncertain(sent.grants);
         return;
     }
     if (const ports::change_conflict* refused =
             std::get_if<ports::change_conflict>(&response.value()))
     {
-        on_refused(changes, *refused);
+        on_refused(sent, *refused);
         return;
     }
-    on_applied(changes, std::get<ports::change_committed>(response.value()).at);
+    on_applied(sent, std::get<ports::change_committed>(response.value()).at);
 }
 
 void token_grant_client::state::on_refused(
-    const std::vector<planned_grant>& changes,
-    const ports::change_conflict& refused)
+    const sent_change& sent, const ports::change_conflict& refused)
 {
     log.write(log_level::info, log_event::grant_conflict,
               {{"attempt", attempts},
-               {"records", static_cast<std::int64_t>(changes.size())},
+               {"records", static_cast<std::int64_t>(sent.grants.size())},
                {"record_age_ms", record_age_ms()}});
+    witnesses.record_refused(refused.current);
+    std::size_t records = 0;
     for (const ports::key_value& entry : refused.current)
     {
-        load_record(entry);
+        if (entry.key.starts_with(prepaid_record_prefix))
+        {
+            load_record(entry);
+            ++records;
+        }
     }
     records_read_at = clock.steady_now();
     // A refusal does not list keys that do not exist, so the records must be
     // read again if some are missing.
-    is_stale = refused.current.size() < changes.size();
+    is_stale = records < sent.grants.size();
     notify();
     ++conflicts;
     if (!is_stale && !on_returned && conflicts <= max_immediate_retries)
@@ -249,41 +283,59 @@
     std::map<std::string, std::int64_t> ignored;
     std::vector<planned_grant> changes =
         planner.plan_changes(remaining_demands(), is_leaving, ignored);
-    if (!changes.empty())
+    if (!changes.empty() || witnesses.needs_change())
     {
         commit(std::move(changes));
     }
 }
 
-void token_grant_client::state::on_applied(
-    const std::vector<planned_grant>& changes, ports::revision at)
+void token_grant_client::state::record_applied(const planned_grant& planned,
+                                               ports::revision at)
 {
-    for (const planned_grant& planned : changes)
+    const grant_summary summary = planner.record_committed(planned, at);
+    log.write(log_level::info, log_event::grant_changed,
+              {{"account", planned.account},
+               {"tokens", planned.tokens},
+               {"granted", summary.cumulative_granted},
+               {"granted_in_all", summary.granted_in_all},
+               {"revision", at},
+               {"era", store.eras().current()},
+               {"attempts", attempts},
+               {"record_age_ms", record_age_ms()}});
+    if (planned.reserved > 0)
     {
-        const grant_summary summary = planner.record_committed(planned, at);
-        log.write(log_level::info, log_event::grant_changed,
+        log.write(log_level::warning, log_event::lost_grants_reserved,
                   {{"account", planned.account},
-                   {"tokens", planned.tokens},
-                   {"granted", summary.cumulative_granted},
-                   {"granted_in_all", summary.granted_in_all},
-                   {"revision", at},
-                   {"era", store.eras().current()},
-                   {"attempts", attempts},
-                   {"record_age_ms", record_age_ms()}});
-        if (planned.reserved > 0)
-        {
-            log.write(log_level::warning, log_event::lost_grants_reserved,
-                      {{"account", planned.account},
-                       {"tokens", planned.reserved},
-                       {"era", store.eras().current()}});
-        }
+                   {"tokens", planned.reserved},
+                   {"era", store.eras().current()}});
+    }
+    for (const closed_grant& closed : planned.closed)
+    {
+        log.write(log_level::info, log_event::grant_closed,
+                  {{"account", planned.account},
+                   {"incarnation", closed.incarnation},
+                   {"granted", closed.granted},
+                   {"freed", closed.freed}});
+    }
+}
+
+void token_grant_client::state::on_applied(const sent_change& sent,
+                                           ports::revision at)
+{
+    if (sent.has_witnesses)
+    {
+        witnesses.record_committed(at);
+    }
+    for (const planned_grant& planned : sent.grants)
+    {
+        record_applied(planned, at);
     }
     attempts = 0;
     if (applied)
     {
         std::vector<std::string> accounts;
-        accounts.reserve(changes.size());
-        for (const planned_grant& planned : changes)
+        accounts.reserve(sent.grants.size());
+        for (const planned_grant& planned : sent.grants)
         {
             accounts.push_back(planned.account);
         }
--- a/libraries/drivers/fleet/token_grant_client_state.hpp
+++ b/libraries/drivers/fleet/token_grant_client_state.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "libraries/drivers/fleet/token_grant_client.hpp"
+#include "libraries/drivers/fleet/witness_record.hpp"
 
 #include <utility>
 
@@ -12,28 +13,40 @@
 /// only.
 struct token_grant_client::state : std::enable_shared_from_this<state>
 {
+    /// A change of the store that is under way.
+    struct sent_change
+    {
+        std::vector<planned_grant> grants;
+        bool has_witnesses = false;
+        /// The value of `fence` when it was sent.
+        std::int64_t fence = 0;
+    };
+
     state(ports::asynchronous_store& the_store, const ports::clock& the_clock,
-          logger& the_log, std::string incarnation)
+          logger& the_log, const std::string& incarnation, std::string the_vm)
         : store(the_store)
         , clock(the_clock)
         , log(the_log)
-        , planner(the_clock, std::move(incarnation))
+        , vm(std::move(the_vm))
+        , planner(the_clock, incarnation, vm)
+        , witnesses(planner.limits(), incarnation)
         , last_response_at(clock.steady_now())
     {
     }
 
     void read_all(std::function<void()> then);
+    /// Reads the witnesses of earlier incarnations on this VM unless they are
+    /// known.
+    void read_predecessors(std::function<void()> then);
     /// Continues in the era of the store if it is another one.
     void follow_era();
     void load_record(const ports::key_value& entry);
     /// Adds the change of one account to a change of the store.
     void add_to(ports::store_change& change, planned_grant& planned);
     void commit(std::vector<planned_grant> changes);
-    /// `sent_fence` is the value of `fence` when the changes were sent.
-    void on_committed(const std::vector<planned_grant>& changes,
-                      std::int64_t sent_fence,
+    void on_committed(const sent_change& sent,
                       result<ports::change_outcome> response);
-    void on_refused(const std::vector<planned_grant>& changes,
+    void on_refused(const sent_change& sent,
                     const ports::change_conflict& refused);
     /// Plans the changes for the demands of the present adjustment and commits
     /// them.
@@ -42,8 +55,8 @@
     /// since its start.
     [[nodiscard]] std::map<std::string, account_token_demand>
     remaining_demands() const;
-    void on_applied(const std::vector<planned_grant>& changes,
-                    ports::revision at);
+    void on_applied(const sent_change& sent, ports::revision at);
+    void record_applied(const planned_grant& planned, ports::revision at);
     [[nodiscard]] std::int64_t record_age_ms() const;
     /// Commits changes until all queued tokens are returned.
     void return_all_tokens();
@@ -57,7 +70,9 @@
     logger& log;
     std::function<void()> changed;
     std::function<void(const std::vector<std::string>&)> applied;
+    std::string vm;
     grant_planner planner;
+    witness_record witnesses;
     /// Grows whenever the changes under way become void.
     std::int64_t fence = 0;
     /// When this router found that the store was restored, until the store
--- a/libraries/drivers/fleet/traffic_link.hpp
+++ b/libraries/drivers/fleet/traffic_link.hpp
@@ -41,14 +41,18 @@
     /// state.
     virtual void request_digest(std::function<void(traffic_digest)> done) = 0;
 
-    /// Releases up to `requested` tokens that no request holds, for a peer or
-    /// for the store. Calls `done` on the control thread with the number
-    /// released.
+    /// Releases up to `requested` tokens that no request holds, for the store.
+    /// Calls `done` on the control thread with the number released.
     virtual void release(const std::string& account, std::int64_t requested,
                          std::function<void(std::int64_t)> done) = 0;
 
-    /// Lends up to `requested` free tokens to a peer that holds none of the
-    /// account. Calls `done` on the control thread with the number lent.
+    /// Passes up to `requested` spendable tokens on to another holder. Calls
+    /// `done` on the control thread with their number.
+    virtual void pass_on(const std::string& account, std::int64_t requested,
+                         std::function<void(std::int64_t)> done) = 0;
+
+    /// Lends up to `requested` spendable tokens to a peer that holds none of
+    /// the account. Calls `done` on the control thread with the number lent.
     virtual void lend(const std::string& account, std::int64_t requested,
                       std::function<void(std::int64_t)> done) = 0;
 
--- a/services/entry/entry_process.cpp
+++ b/services/entry/entry_process.cpp
@@ -1,5 +1,6 @@
 #include "services/entry/entry_process.hpp"
 
+#include "libraries/domain/membership/incarnation.hpp"
 #include "libraries/drivers/exchange/buffered_call.hpp"
 #include "platform/documents.hpp"
 #include "platform/wire_names.hpp"
@@ -38,12 +39,6 @@
 constexpr std::size_t max_internal_body_bytes = 16 << 10;
 constexpr int status_ok = 200;
 
-std::string make_incarnation(const std::string& vm,
-                             ports::random_source& random)
-{
-    return fmt::format("{}-{:016x}", vm, random.next());
-}
-
 drivers::document_formats platform_document_formats()
 {
     return {std::string(platform::wire::configuration_key),
@@ -84,8 +79,8 @@
                         std::function<void(std::string)> done)
                  { request_peer_configuration(address, std::move(done)); }},
                 platform_document_formats(),
-                {make_incarnation(m_settings.vm, m_random), m_settings.vm,
-                 m_settings.data_centre, m_settings.peer_address,
+                {domain::make_incarnation(m_settings.vm, m_random.next()),
+                 m_settings.vm, m_settings.data_centre, m_settings.peer_address,
                  m_settings.caller_address, m_settings.capacity},
                 m_settings.rollouts)
     , m_caller_server(m_traffic_loop, m_clock, m_dispatcher,
--- a/services/entry/thread_link.cpp
+++ b/services/entry/thread_link.cpp
@@ -76,6 +76,13 @@
                 std::move(done));
 }
 
+void thread_link::pass_on(const std::string& account, std::int64_t requested,
+                          std::function<void(std::int64_t)> done)
+{
+    take_tokens(&drivers::traffic_dispatcher::pass_on, account, requested,
+                std::move(done));
+}
+
 void thread_link::lend(const std::string& account, std::int64_t requested,
                        std::function<void(std::int64_t)> done)
 {
--- a/services/entry/thread_link.hpp
+++ b/services/entry/thread_link.hpp
@@ -38,6 +38,8 @@
     request_digest(std::function<void(drivers::traffic_digest)> done) override;
     void release(const std::string& account, std::int64_t requested,
                  std::function<void(std::int64_t)> done) override;
+    void pass_on(const std::string& account, std::int64_t requested,
+                 std::function<void(std::int64_t)> done) override;
     void lend(const std::string& account, std::int64_t requested,
               std::function<void(std::int64_t)> done) override;
     void refuse_pending_holds(const std::string& account) override;
--- a/tests/drain_at_a_cut_router/drain_at_a_cut_router_test.cpp
+++ b/tests/drain_at_a_cut_router/drain_at_a_cut_router_test.cpp
@@ -59,6 +59,12 @@
         m_events.run_after(0ns, [done = std::move(done)] { done({}); });
     }
 
+    void pass_on(const std::string&, std::int64_t,
+                 std::function<void(std::int64_t)> done) override
+    {
+        done(0);
+    }
+
     void lend(const std::string&, std::int64_t,
               std::function<void(std::int64_t)> done) override
     {
--- a/tests/fleet/lending_test.cpp
+++ b/tests/fleet/lending_test.cpp
@@ -83,6 +83,12 @@
         done(digest);
     }
 
+    void pass_on(const std::string& account, std::int64_t requested,
+                 std::function<void(std::int64_t)> done) override
+    {
+        release(account, requested, std::move(done));
+    }
+
     void lend(const std::string& account, std::int64_t requested,
               std::function<void(std::int64_t)> done) override
     {
--- a/tests/platform/odd_upstream_entry_test.cpp
+++ b/tests/platform/odd_upstream_entry_test.cpp
@@ -183,6 +183,12 @@
         done(0);
     }
 
+    void pass_on(const std::string&, std::int64_t,
+                 std::function<void(std::int64_t)> done) override
+    {
+        done(0);
+    }
+
     void lend(const std::string&, std::int64_t,
               std::function<void(std::int64_t)> done) override
     {
--- a/tests/simulation/traffic_fleet.cpp
+++ b/tests/simulation/traffic_fleet.cpp
@@ -167,6 +167,12 @@
         done(m_dispatcher.release(account, requested));
     }
 
+    void pass_on(const std::string& account, std::int64_t requested,
+                 std::function<void(std::int64_t)> done) override
+    {
+        done(m_dispatcher.pass_on(account, requested));
+    }
+
     void lend(const std::string& account, std::int64_t requested,
               std::function<void(std::int64_t)> done) override
     {
