Fleet: Do not be ready while overloaded

What callers saw: at a small router that some accounts' callers stay at, requests were held past their route's timeout (CONFIG), 1.6 s before they were read.

Cause: the callers of these accounts do not come by the directory. In a trial in which no directory named a small router (328 answers, level debug), the same accounts came to the same four small routers from the first request on. They stay while the router says that it is ready, and fill its link.

Change: an overloaded router is not ready, if the others can take its callers, the condition that the directory has too.

Test: an_overloaded_router_is_not_ready failed before and passes.

--- a/libraries/drivers/fleet/fleet_control.cpp
+++ b/libraries/drivers/fleet/fleet_control.cpp
@@ -514,7 +514,21 @@
     const bool has_orders =
         m_formats.evacuation_prefix.empty() || m_configuration.has_read();
     return !m_is_leaving && m_routes != nullptr && m_upstreams.has_read() &&
-           has_orders;
+           has_orders && !is_relieved_by_others();
+}
+
+bool fleet_control::is_relieved_by_others() const
+{
+    if (!m_is_overloaded)
+    {
+        return false;
+    }
+    const std::vector<std::string> listed = domain::list_entries(
+        m_peers.entry_candidates(m_is_leaving, m_is_overloaded,
+                                 m_dependencies.clock.steady_now()),
+        m_self.data_centre);
+    return std::find(listed.begin(), listed.end(), m_self.caller_address) ==
+           listed.end();
 }
 
 std::vector<std::string>
--- a/libraries/drivers/fleet/fleet_control.hpp
+++ b/libraries/drivers/fleet/fleet_control.hpp
@@ -135,6 +135,9 @@
     store_unavailable_since() const;
     /// Returns the routers with a recent report that are not leaving.
     [[nodiscard]] domain::router_ranking ranking() const;
+    /// Returns whether this router is overloaded and the others can take its
+    /// callers.
+    [[nodiscard]] bool is_relieved_by_others() const;
     /// Passes the state of the fleet to the traffic thread.
     void update_traffic();
 
