--- a/libraries/drivers/fleet/token_grant_client.cpp
+++ b/libraries/drivers/fleet/token_grant_client.cpp
@@ -36,8 +36,9 @@
 
 token_grant_client::token_grant_client(ports::asynchronous_store& store,
                                        const ports::clock& clock, logger& log,
-                                       std::string incarnation, std::string vm)
-    : m_state(std::make_shared<state>(store, clock, log, std::move(incarnation),
+                                       const std::string& incarnation,
+                                       std::string vm)
+    : m_state(std::make_shared<state>(store, clock, log, incarnation,
                                       std::move(vm)))
 {
     const std::weak_ptr<state> weak = m_state;
--- a/libraries/drivers/fleet/token_grant_client.hpp
+++ b/libraries/drivers/fleet/token_grant_client.hpp
@@ -32,7 +32,7 @@
     /// clock and the logger outlive the client.
     token_grant_client(ports::asynchronous_store& store,
                        const ports::clock& clock, logger& log,
-                       std::string incarnation, std::string vm);
+                       const std::string& incarnation, std::string vm);
     ~token_grant_client();
     token_grant_client(const token_grant_client&) = delete;
     token_grant_client& operator=(const token_grant_client&) = delete;
